Add stand-ins for the platform and backend servers

Cause: the daemon needs a log service, an instance list, workers and backend servers to run against in tests, scenarios, the demo and benchmarks, with faults that can be switched on.

--- /dev/null
+++ b/tests/test_backend_server.py
@@ -0,0 +1,113 @@
+"""Tests of :mod:`standins.backend_server`."""
+
+import http.client
+import json
+import threading
+import time
+import unittest
+
+from standins import backend_server
+
+
+class BackendServerTest(unittest.TestCase):
+    """Scenarios rely on the recorded executions as the truth."""
+
+    def setUp(self):
+        self.server = backend_server.BackendServer(
+            name="cutting-1", host="127.0.0.1", port=0, slots=1
+        )
+        self.addCleanup(self.server.close)
+
+    def connect(self, timeout_s=5):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.server.port, timeout_s
+        )
+        self.addCleanup(connection.close)
+        return connection
+
+    def send(self, connection=None, **headers):
+        headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        connection = connection or self.connect()
+        connection.request("POST", "/cut", b"x", {"Request-Id": "r1", **headers})
+        answer = connection.getresponse()
+        return answer, answer.read()
+
+    def test_answer_names_request_and_execution_is_recorded(self):
+        answer, body = self.send(Idempotency_Key="k")
+        self.assertEqual(answer.headers["Request-Id"], "r1")
+        self.assertEqual(json.loads(body)["request_id"], "r1")
+        (execution,) = self.server.describe()["executions"]
+        self.assertEqual(execution["idempotency_key"], "k")
+        self.assertFalse(execution["cut"])
+
+    def test_refused_request_is_not_executed(self):
+        answer, _ = self.send(Test_Fail="refuse")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["Request-Refused"], "before-execution")
+        self.assertEqual(self.server.describe()["executions"], [])
+
+    def test_broken_answers(self):
+        with self.assertRaises(http.client.IncompleteRead):
+            self.send(Test_Fail="cut")
+        with self.assertRaises(http.client.RemoteDisconnected):
+            self.send(Test_Fail="close")
+        self.assertEqual(len(self.server.describe()["executions"]), 1)
+        self.assertEqual(self.send(Test_Fail="error")[0].status, 500)
+        self.assertIsNone(self.send(Test_Fail="no-length")[0].headers["Content-Length"])
+        connection = self.connect()
+        answer, body = self.send(connection, Test_Fail="twice")
+        # http.client reads no further than the first answer.
+        self.assertEqual(int(answer.headers["Content-Length"]), len(body))
+        self.assertTrue(connection.sock.recv(1))
+
+    def test_forgotten_connection_is_silent_and_new_one_works(self):
+        connection = self.connect(timeout_s=0.3)
+        self.send(connection)
+        self.server.change({"forget_connections": True})
+        with self.assertRaises(TimeoutError):
+            self.send(connection)
+        self.assertEqual(self.send()[0].status, 200)
+
+    def test_reboot_records_cut_request_and_comes_back_on_its_port(self):
+        port = self.server.port
+        caller = threading.Thread(target=self.send_and_lose)
+        caller.start()
+        _wait_for(lambda: self.server.describe()["running"])
+        self.server.change({"reboot_s": 0.05})
+        with self.assertRaises(ConnectionRefusedError):
+            self.send()
+        caller.join(5)
+        self.assertEqual(len(self.server.describe()["cut"]), 1)
+        _wait_for(self.is_accepting)
+        self.assertEqual(self.server.port, port)
+
+    def test_overrun_of_slots_is_recorded(self):
+        callers = [
+            threading.Thread(target=self.send, kwargs={"Test_Delay_Ms": "300"})
+            for _ in range(2)
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join(5)
+        description = self.server.describe()
+        self.assertEqual(description["max_concurrency"], 2)
+        self.assertEqual(description["overruns"], 1)
+
+    def send_and_lose(self):
+        with self.assertRaises((http.client.HTTPException, OSError)):
+            self.send(Test_Delay_Ms="5000")
+
+    def is_accepting(self):
+        try:
+            return self.send()[0].status == 200
+        except OSError:
+            return False
+
+
+def _wait_for(condition):
+    deadline = time.monotonic() + 10
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError("condition not met within 10 s")
+        time.sleep(0.01)
