Add the fleet that starts and ends a whole deployment

Cause: scenarios, the demo and benchmarks need the same set of processes, with free ports, generated settings and keys, faults of single entry instances, and a clean-up that holds when a test fails or is killed.

Ports of entry instances stay bound to non-listening sockets, so a replaced instance finds them free.

The entry instances were not run: the daemon does not exist yet.

--- /dev/null
+++ b/standins/deployments.py
@@ -0,0 +1,113 @@
+"""Descriptions of the two deployments at their present size."""
+
+import dataclasses
+import itertools
+
+RACK_SIZE = 4
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Deployment:
+    """What the platform gives one user.
+
+    Attributes
+    ----------
+    name : str
+        Directory under ``deployments``.
+    data_centres, services : tuple of str
+        Names.
+    servers_per_service, workers_per_service : int
+        Number of backend servers and workers of each service.
+    slots : int
+        Executions at the same time on one backend server.
+    worker_processors, worker_memory_mb, worker_accelerators : int
+        Size of a worker.
+    """
+
+    name: str
+    data_centres: tuple
+    services: tuple
+    servers_per_service: int = 6
+    workers_per_service: int = 6
+    slots: int = 8
+    worker_processors: int = 16
+    worker_memory_mb: int = 32 * 1024
+    worker_accelerators: int = 0
+
+
+BRAZOS = Deployment(
+    name="brazos",
+    data_centres=("brazos-1", "brazos-2", "brazos-3"),
+    services=("cutting", "front-desk", "sizing", "rush-desk", "back-office"),
+)
+
+SCOICA = Deployment(
+    name="scoica",
+    data_centres=("tulcea", "galati", "braila"),
+    services=("sulina", "crisan", "chilia", "sfantu-gheorghe", "head-office"),
+    worker_processors=64,
+    worker_memory_mb=256 * 1024,
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (BRAZOS, SCOICA)}
+
+
+def backend_servers(deployment):
+    """Return the backend servers of a deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Its services take turns through the data centres.
+
+    Returns
+    -------
+    list of dict
+        ``name``, ``kind``, ``service``, ``slots``, ``data_centre`` and ``rack``.
+    """
+    rows = _place(deployment, "{service}-{number}", deployment.servers_per_service, "")
+    common = {"kind": "backend_server", "slots": deployment.slots}
+    return [{**row, **common} for row in rows]
+
+
+def workers(deployment):
+    """Return the workers of a deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Its services take turns through the data centres.
+
+    Returns
+    -------
+    list of dict
+        ``name``, ``kind``, ``service``, ``data_centre``, ``rack`` and sizes.
+    """
+    count = deployment.workers_per_service
+    rows = _place(deployment, "{service}-worker-{number}", count, "w")
+    common = {
+        "kind": "worker",
+        "processors": deployment.worker_processors,
+        "memory_mb": deployment.worker_memory_mb,
+        "accelerators": deployment.worker_accelerators,
+    }
+    return [{**row, **common} for row in rows]
+
+
+def _place(deployment, pattern, count, rack_prefix):
+    racks = {name: itertools.count() for name in deployment.data_centres}
+    rows = []
+    for service in deployment.services:
+        centres = itertools.cycle(deployment.data_centres)
+        for number in range(1, count + 1):
+            centre = next(centres)
+            rack = next(racks[centre]) // RACK_SIZE + 1
+            rows.append(
+                {
+                    "name": pattern.format(service=service, number=number),
+                    "service": service,
+                    "data_centre": centre,
+                    "rack": f"{centre}-{rack_prefix}rack{rack}",
+                }
+            )
+    return rows
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,461 @@
+"""Runs a whole deployment on loopback: stand-ins and entry instances."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import secrets
+import shutil
+import subprocess
+import sys
+import tempfile
+import threading
+
+from standins import calls, deployments, processes, serving
+
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 30.0
+STATUS_TIMEOUT_S = 2.0
+TOOL_TIMEOUT_S = 60.0
+KEY_SIZE_BYTES = 32
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Name and authority; the keys are made for each fleet.
+PUBLISHERS = (("owner", "owner"), ("planner", "team"))
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Options:
+    """How a fleet is built.
+
+    Attributes
+    ----------
+    deployment : deployments.Deployment
+        What the platform gives.
+    entry_count : int
+        Number of entry instances.
+    retention_s : float
+        Retention of the log, in seconds.
+    appends_per_second : float
+        Rate limit of the log.
+    list_lag_s, usage_lag_s : float
+        Lag of the instance list and of the workers' usage, in seconds.
+    reboot_s : float
+        Time that a reboot takes, in seconds.
+    log_level : str
+        Level of the entry instances' logs.
+    limits : dict
+        Table ``limits`` of the settings.
+    max_seconds : float
+        Longest life of the fleet; everything is ended then.
+    """
+
+    deployment: deployments.Deployment = deployments.BRAZOS
+    entry_count: int = 8
+    retention_s: float = 3600.0
+    appends_per_second: float = 400.0
+    list_lag_s: float = 1.0
+    usage_lag_s: float = 1.0
+    reboot_s: float = 2.0
+    log_level: str = "INFO"
+    limits: dict = dataclasses.field(default_factory=dict)
+    max_seconds: float = 600.0
+
+
+class Entry:
+    """One entry instance.
+
+    Parameters
+    ----------
+    name : str
+        Name in the settings.
+    data_centre : str
+        Data centre.
+    directory : pathlib.Path
+        Directory for settings and logs.
+    """
+
+    def __init__(self, *, name, data_centre, directory):
+        self._name = name
+        self._data_centre = data_centre
+        self._settings_path = directory / f"{name}.toml"
+        # The ports stay bound here, so that no other socket gets them while the
+        # instance is down.
+        self._listen = serving.reserve_port(HOST)
+        self._peer = serving.reserve_port(HOST)
+        arguments = ["-m", "cranberryport.daemon", "--settings", self._settings_path]
+        self._process = processes.Child(
+            name=name, arguments=arguments, directory=directory
+        )
+
+    @property
+    def name(self):
+        """Name of the instance."""
+        return self._name
+
+    @property
+    def port(self):
+        """Port for callers."""
+        return self._listen.getsockname()[1]
+
+    @property
+    def process(self):
+        """The process."""
+        return self._process
+
+    @property
+    def settings_path(self):
+        """Settings file."""
+        return self._settings_path
+
+    @property
+    def is_ready(self):
+        """Whether the instance answers its status."""
+        return self._ask_status().status == 200
+
+    @property
+    def status(self):
+        """Answer to ``GET /-/status``; empty if there is none."""
+        response = self._ask_status()
+        return response.json if response.status == 200 else {}
+
+    def write_settings(self, tables):
+        """Write the settings file; its own addresses are added."""
+        own = {
+            "instance": self._name,
+            "data_centre": self._data_centre,
+            "listen": {"host": HOST, "port": self.port},
+            "peer": {"host": HOST, "port": self._peer.getsockname()[1]},
+        }
+        self._settings_path.write_text(format_toml({**own, **tables}))
+
+    def send(self, method, path, **options):
+        """Send a request as a caller; see :func:`calls.send`."""
+        return calls.send(self.port, method, path, **options)
+
+    def close(self):
+        """Give the ports back."""
+        self._listen.close()
+        self._peer.close()
+
+    def _ask_status(self):
+        return calls.send(self.port, "GET", "/-/status", timeout_s=STATUS_TIMEOUT_S)
+
+
+class Fleet:
+    """Stand-ins and entry instances; a context manager that ends all of them.
+
+    Parameters
+    ----------
+    options : Options
+        How the fleet is built.
+    directory : pathlib.Path, optional
+        Kept directory for settings and logs; a temporary one by default.
+    """
+
+    def __init__(self, *, options, directory=None):
+        self._options = options
+        self._is_temporary = directory is None
+        self._directory = pathlib.Path(directory or tempfile.mkdtemp(prefix="fleet-"))
+        self._directory.mkdir(parents=True, exist_ok=True)
+        self._log = self._list = self._backends = self._workers = None
+        self._ports = {}
+        self._server_ports = {}
+        self._entries = []
+        self._watchdog = threading.Timer(options.max_seconds, self._end_processes)
+        self._watchdog.daemon = True
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *exception):
+        self.close()
+
+    @property
+    def deployment(self):
+        """The deployment."""
+        return self._options.deployment
+
+    @property
+    def directory(self):
+        """Directory with settings and logs."""
+        return self._directory
+
+    @property
+    def entries(self):
+        """Entry instances; the first has index 0."""
+        return self._entries
+
+    @property
+    def log_port(self):
+        """Port of the log service."""
+        return self._ports["log_service"]
+
+    @property
+    def list_port(self):
+        """Port of the instance list."""
+        return self._ports["instance_list"]
+
+    @property
+    def server_ports(self):
+        """Ports of backend servers and workers by name."""
+        return self._server_ports
+
+    @property
+    def process_ids(self):
+        """Process ids by name of the processes that run."""
+        return {child.name: child.pid for child in self._children if child.is_running}
+
+    def start(self):
+        """Start everything and wait until all entry instances are ready."""
+        self._watchdog.start()
+        self.start_platform()
+        self.start_entries()
+
+    def start_platform(self):
+        """Start the stand-ins and wait until they listen."""
+        options = self._options
+        self._log = self._start_standin(
+            "log_service",
+            *("--retention-s", options.retention_s),
+            *("--appends-per-second", options.appends_per_second),
+        )
+        servers = deployments.backend_servers(options.deployment)
+        workers = deployments.workers(options.deployment)
+        self._backends = self._start_standin(
+            "backend_server",
+            *("--servers", self._write_json("servers", servers)),
+            *("--slots", options.deployment.slots),
+        )
+        self._workers = self._start_standin(
+            "worker",
+            *("--workers", self._write_json("workers", workers)),
+            *("--usage-lag-s", options.usage_lag_s),
+        )
+        instances = self._describe_instances(servers, "backend_server")
+        instances += self._describe_instances(workers, "worker")
+        self._list = self._start_standin(
+            "instance_list",
+            *("--instances", self._write_json("instances", instances)),
+            *("--lag-s", options.list_lag_s),
+            *("--reboot-s", options.reboot_s),
+        )
+
+    def start_entries(self):
+        """Start the entry instances and wait until they are ready."""
+        self._write_keys()
+        centres = self._options.deployment.data_centres
+        for index in range(self._options.entry_count):
+            entry = Entry(
+                name=f"entry-{index + 1}",
+                data_centre=centres[index % len(centres)],
+                directory=self._directory,
+            )
+            self._entries.append(entry)
+            entry.write_settings(self._describe_settings())
+            entry.process.start()
+        for entry in self._entries:
+            self.wait_ready(entry)
+
+    def wait_ready(self, entry, timeout_s=READY_TIMEOUT_S):
+        """Wait until an entry instance answers its status.
+
+        Raises
+        ------
+        AssertionError
+            If it ended or the time passed; the text has the end of its log.
+        """
+        process = entry.process
+        calls.wait_until(
+            lambda: entry.is_ready or not process.is_running,
+            timeout_s,
+            lambda: f"{entry.name} is ready; its log ends with {process.log_tail()}",
+        )
+        if not process.is_running:
+            raise AssertionError(f"{entry.name} ended: {process.log_tail()}")
+
+    def replace(self, entry, *, is_graceful=False):
+        """End an entry instance and start it again without its memory."""
+        if is_graceful:
+            entry.process.terminate(timeout_s=60.0)
+        else:
+            entry.process.kill()
+        entry.process.start()
+        self.wait_ready(entry)
+
+    def control_log(self, **order):
+        """Switch faults of the log; see :mod:`standins.log_service`."""
+        return calls.post_json(self.log_port, "/control", order)
+
+    def control_list(self, **order):
+        """Change the instance list; see :mod:`standins.instance_list`."""
+        return calls.post_json(self.list_port, "/control", order)
+
+    def control_servers(self, **order):
+        """Change backend servers; see :mod:`standins.backend_server`."""
+        return calls.post_json(self._ports["backend_server"], "/control", order)
+
+    def control_workers(self, **order):
+        """Change workers; see :mod:`standins.worker`."""
+        return calls.post_json(self._ports["worker"], "/control", order)
+
+    def log_state(self):
+        """Return the counts of the log."""
+        return calls.get_json(self.log_port, "/control")
+
+    def list_state(self):
+        """Return the instances and reboots of the instance list."""
+        return calls.get_json(self.list_port, "/control")
+
+    def server_states(self):
+        """Return the state and executions of each backend server by name."""
+        return calls.get_json(self._ports["backend_server"], "/control")["servers"]
+
+    def worker_states(self):
+        """Return the tasks of each worker by name."""
+        return calls.get_json(self._ports["worker"], "/control")["workers"]
+
+    def executions(self, **fields):
+        """Return the executions of all backend servers with the given fields."""
+        found = []
+        for name, state in self.server_states().items():
+            for execution in state["executions"]:
+                if all(execution[key] == value for key, value in fields.items()):
+                    found.append({"server": name, **execution})
+        return sorted(found, key=lambda execution: execution["start"])
+
+    def key_file(self, publisher):
+        """Return the file with a publisher's key."""
+        return self._directory / f"{publisher}.key"
+
+    def run_tool(self, *arguments):
+        """Run the operator's tool.
+
+        Returns
+        -------
+        subprocess.CompletedProcess
+            With text in ``stdout`` and ``stderr``.
+        """
+        command = [sys.executable, "-m", "cranberryport.command_line.main"]
+        return subprocess.run(
+            [*command, *(str(argument) for argument in arguments)],
+            cwd=ROOT,
+            env={**os.environ, "NO_COLOR": "1", "COLUMNS": "200"},
+            capture_output=True,
+            text=True,
+            timeout=TOOL_TIMEOUT_S,
+            check=False,
+        )
+
+    def close(self):
+        """End all processes and remove the temporary directory."""
+        self._watchdog.cancel()
+        self._end_processes()
+        for entry in self._entries:
+            entry.close()
+        if self._is_temporary:
+            shutil.rmtree(self._directory, ignore_errors=True)
+
+    @property
+    def _children(self):
+        entries = [entry.process for entry in self._entries]
+        platform = [self._log, self._list, self._backends, self._workers]
+        return entries + [child for child in platform if child is not None]
+
+    def _end_processes(self):
+        # Entry instances first: they release their shares through the log.
+        processes.end_all([entry.process for entry in self._entries])
+        processes.end_all(self._children)
+
+    def _start_standin(self, module, *arguments):
+        life = ["--max-seconds", self._options.max_seconds]
+        child = processes.Child(
+            name=module,
+            arguments=["-m", f"standins.{module}", "--host", HOST, *arguments, *life],
+            directory=self._directory,
+        )
+        child.start()
+        announcement = child.read_announcement()
+        self._ports[module] = announcement["port"]
+        self._server_ports.update(announcement.get("ports", {}))
+        return child
+
+    def _write_json(self, name, value):
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(value, indent=1))
+        return path
+
+    def _describe_instances(self, rows, module):
+        control = self._ports[module]
+        return [
+            {
+                **row,
+                "host": HOST,
+                "port": self._server_ports[row["name"]],
+                "control_port": control,
+            }
+            for row in rows
+        ]
+
+    def _describe_settings(self):
+        return {
+            "log": {
+                "host": HOST,
+                "port": self.log_port,
+                "stream": "control",
+                "retention_s": self._options.retention_s,
+            },
+            "instance_list": {
+                "host": HOST,
+                "port": self.list_port,
+                "poll_interval_s": 0.5,
+            },
+            "logging": {"level": self._options.log_level},
+            "limits": self._options.limits,
+            "publishers": [
+                {
+                    "name": name,
+                    "authority": authority,
+                    "key_file": self.key_file(name).name,
+                }
+                for name, authority in PUBLISHERS
+            ],
+        }
+
+    def _write_keys(self):
+        for name, _ in PUBLISHERS:
+            path = self.key_file(name)
+            path.touch(mode=0o600)
+            path.write_text(secrets.token_hex(KEY_SIZE_BYTES) + "\n")
+
+
+def format_toml(tables):
+    """Return settings as TOML.
+
+    Parameters
+    ----------
+    tables : dict
+        Numbers and strings, tables of them, and lists of tables.
+    """
+    plain = {key: value for key, value in tables.items() if not _is_table(value)}
+    lines = _format_values(plain)
+    for name, value in tables.items():
+        if isinstance(value, dict):
+            lines += ["", f"[{name}]", *_format_values(value)]
+        elif isinstance(value, list):
+            for table in value:
+                lines += ["", f"[[{name}]]", *_format_values(table)]
+    return "\n".join(lines) + "\n"
+
+
+def _is_table(value):
+    return isinstance(value, dict | list)
+
+
+def _format_values(values):
+    # A JSON number or string in ASCII is also a TOML one.
+    return [f"{key} = {json.dumps(value)}" for key, value in values.items()]
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -9,9 +9,8 @@
 import socket
 import threading
 import time
-import urllib.request
 
-from standins import serving
+from standins import calls, serving
 
 STATUSES = {"live", "leaving", "failed", "unknown"}
 MODES = {"up", "down"}
@@ -122,7 +121,8 @@
         }
         status = "failed"
         try:
-            post_json(instance["host"], instance["control_port"], "/control", order)
+            host, port = instance["host"], instance["control_port"]
+            calls.post_json(port, "/control", order, host=host)
             if _wait_until_accepting(instance["host"], instance["port"]):
                 status = "live"
         finally:
@@ -156,18 +156,6 @@
             }
 
 
-def post_json(host, port, path, value, timeout_s=30.0):
-    """Send JSON and return the JSON answer."""
-    request = urllib.request.Request(
-        f"http://{host}:{port}{path}",
-        data=json.dumps(value).encode(),
-        headers={"Content-Type": "application/json"},
-        method="POST",
-    )
-    with urllib.request.urlopen(request, timeout=timeout_s) as answer:
-        return json.loads(answer.read() or b"{}")
-
-
 def _wait_until_accepting(host, port):
     deadline = time.monotonic() + REBOOT_DEADLINE_S
     while time.monotonic() < deadline:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,60 @@
+"""Tests of :mod:`standins.fleet`."""
+
+import pathlib
+import tempfile
+import tomllib
+import unittest
+import uuid
+
+from standins import calls, deployments, fleet, processes
+
+
+class FleetTest(unittest.TestCase):
+    """A fleet that leaves processes behind would disturb later runs."""
+
+    def test_platform_starts_reboots_and_ends(self):
+        running = fleet.Fleet(options=fleet.Options(max_seconds=60))
+        self.addCleanup(running.close)
+        running.start_platform()
+        children = running.process_ids
+        self.assertEqual(len(children), 4)
+        listing = calls.get_json(running.list_port, "/instances")["instances"]
+        self.assertEqual(len(listing), 60)
+        by_name = {row["name"]: row for row in listing}
+        port = by_name["sizing-1"]["port"]
+        self.assertEqual(calls.send(port, "POST", "/fit").status, 200)
+        self.assertEqual(len(running.executions(path="/fit")), 1)
+        processes.end_all(running._children)
+        self.assertEqual(running.process_ids, {})
+
+    def test_frozen_child_is_ended(self):
+        with tempfile.TemporaryDirectory() as name:
+            directory = pathlib.Path(name)
+            child = processes.Child(
+                name="log",
+                arguments=["-m", "standins.log_service"],
+                directory=directory,
+            )
+            self.addCleanup(child.kill)
+            child.start()
+            child.read_announcement()
+            child.freeze()
+            self.assertTrue(child.is_running)
+            self.assertTrue(child.terminate())
+            self.assertEqual(child.return_code, 0)
+
+    def test_settings_are_toml(self):
+        tables = {"instance": "a", "log": {"port": 5}, "publishers": [{"name": "ö"}]}
+        self.assertEqual(tomllib.loads(fleet.format_toml(tables)), tables)
+
+    def test_keys_are_uuids_of_version_7(self):
+        key = uuid.UUID(calls.new_key(now=1700000000.5))
+        self.assertEqual((key.version, key.variant), (7, uuid.RFC_4122))
+        self.assertEqual(key.int >> 80, 1700000000500)
+
+    def test_racks_hold_four_instances_of_one_data_centre(self):
+        rows = deployments.backend_servers(deployments.BRAZOS)
+        for rack in {row["rack"] for row in rows}:
+            members = [row for row in rows if row["rack"] == rack]
+            self.assertLessEqual(len(members), deployments.RACK_SIZE)
+            self.assertEqual(len({row["data_centre"] for row in members}), 1)
