--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -3,6 +3,8 @@
 Every backend server has its own port. The process has one more port for ``/control``,
 which changes behaviour and reports the executions. Request headers change the behaviour
 for one request: ``Test-Delay-Ms`` and ``Test-Fail`` (one of ``FAILURES``).
+``Test-Request`` is recorded with the execution and repeated in the answer, so that a
+test recognizes a request whose other ids are changed on the way.
 """
 
 import hashlib
@@ -39,6 +41,7 @@
         self.method = handler.command
         self.path = handler.path
         self.key = handler.headers.get("Idempotency-Key", "")
+        self.test_request = handler.headers.get("Test-Request", "")
         self.desk = handler.headers.get("Desk", "")
         self.start = time.time()
         self.end = None
@@ -51,6 +54,7 @@
             "method": self.method,
             "path": self.path,
             "idempotency_key": self.key,
+            "test_request": self.test_request,
             "desk": self.desk,
             "start": self.start,
             "end": self.end,
@@ -212,6 +216,7 @@
         fields = {
             "server": self.name,
             "request_id": handler.headers.get("Request-Id", ""),
+            "test_request": handler.headers.get("Test-Request", ""),
             "method": handler.command,
             "path": handler.path,
             "body_sha256": hashlib.sha256(body).hexdigest(),
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,7 +18,7 @@
 STATUS_TIMEOUT_S = 2.0
 TOOL_TIMEOUT_S = 60.0
 KEY_SIZE_BYTES = 32
-ROOT = pathlib.Path(__file__).resolve().parent.parent
+ROOT = processes.ROOT
 # Name and authority; the keys are made for each fleet.
 PUBLISHERS = (("owner", "owner"), ("planner", "team"))
 
@@ -324,8 +324,9 @@
         found = []
         for name, state in self.server_states().items():
             for execution in state["executions"]:
-                if all(execution[key] == value for key, value in fields.items()):
-                    found.append({"server": name, **execution})
+                row = {"server": name, **execution}
+                if all(row[key] == value for key, value in fields.items()):
+                    found.append(row)
         return sorted(found, key=lambda execution: execution["start"])
 
     def key_file(self, publisher):
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -3,12 +3,14 @@
 import atexit
 import ctypes
 import json
+import pathlib
 import signal
 import subprocess
 import sys
 import time
 import weakref
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 END_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.02
 _PR_SET_PDEATHSIG = 1
@@ -71,6 +73,7 @@
         with open(self._output, "wb") as output, open(self._log, "ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, *self._arguments],
+                cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=log,
