--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,18 +1,20 @@
 """Generate dataclasses from the schemas; the result is committed."""
 
 import pathlib
+import shutil
 import subprocess
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-NAMES = ("messages",)
+NAMES = ("messages", "settings")
+GENERATED = ROOT / "cranberryport" / "generated"
 
 
 def generate(name):
     """Write ``cranberryport/generated/{name}.py`` from ``schema/{name}.json``."""
     generator = pathlib.Path(sys.executable).parent / "datamodel-codegen"
     command = [str(generator), "--input", str(ROOT / "schema" / f"{name}.json")]
-    command += ["--output", str(ROOT / "cranberryport" / "generated" / f"{name}.py")]
+    command += ["--output", str(GENERATED / f"{name}.py")]
     command += ["--input-file-type", "jsonschema"]
     command += ["--output-model-type", "dataclasses.dataclass"]
     command += ["--dataclass-arguments", '{"slots": true, "kw_only": true}']
@@ -25,9 +27,13 @@
         "--use-standard-collections",
     ]
     command += ["--use-union-operator", "--disable-future-imports"]
+    # Without this a field with a default could be None as well.
+    command += ["--strict-nullable"]
     subprocess.run(command, check=True)
 
 
 if __name__ == "__main__":
     for schema_name in NAMES:
         generate(schema_name)
+    # The checks read this schema at run time, also from an installed package.
+    shutil.copyfile(ROOT / "schema" / "settings.json", GENERATED / "settings.json")
