Add the operators' tool

Cause: operators need to check and publish sheets and to see the state of a deployment without an entry instance on their machine.

Change: cranberryport.command_line with the commands settings check, sheet check, publish and show, status, pools, instances, operations, histograms and job submit, show and cancel. A publication whose append was not answered is sent again with the same writer and sequence; it is reported as accepted only after an entry instance has read it back.

--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,149 @@
+"""Tests of :mod:`cranberryport.command_line`."""
+
+import http.server
+import json
+import pathlib
+import tempfile
+import threading
+import unittest
+
+from typer import testing
+
+from cranberryport import codec
+from cranberryport.command_line import client, main, rendering
+from cranberryport.sheet import signing
+
+SHEET = pathlib.Path(__file__).parent.parent / "deployments" / "brazos" / "team.csv"
+KEY = b"k" * 32
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Log and entry instance in one; ``server.loses`` answers are lost."""
+
+    def do_GET(self):
+        self.reply(200, self.server.page)
+
+    def do_POST(self):
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        self.server.bodies.append(body)
+        if self.server.loses:
+            self.server.loses -= 1
+            return
+        if self.path.startswith("/jobs"):
+            self.reply(202, {"id": "j1"})
+            return
+        record = codec.decode(body).records[0]
+        if self.server.rejects:
+            entry = {"publication": record["publication"], "reason": "stale"}
+            self.server.page["rejected"] = [entry]
+        else:
+            present = {"version": 8, "publication": record["publication"]}
+            self.server.page["team"] = present
+        self.reply(200, {"offset": 8})
+
+    def reply(self, status, value):
+        body = json.dumps(value).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
+class CommandLineTest(unittest.TestCase):
+    """Operators act on what the tool says, so it must not claim too much."""
+
+    def setUp(self):
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        none = {"version": 7, "publication": ""}
+        self.server.page = {"owner": none, "team": none}
+        self.server.bodies, self.server.loses, self.server.rejects = [], 0, False
+        thread = threading.Thread(target=self.server.serve_forever, args=(0.01,))
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.key_file = pathlib.Path(folder.name, "planner.key")
+        self.key_file.write_text(KEY.hex())
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def run_tool(self, *arguments):
+        result = testing.CliRunner().invoke(main.app, list(map(str, arguments)))
+        return result.exit_code, result.output
+
+    def publish(self, *more):
+        options = ["--log", self.address, "--instance", self.address]
+        options += ["--publisher", "planner", "--key-file", self.key_file]
+        return self.run_tool("sheet", "publish", SHEET, *options, *more)
+
+    def test_publication_is_signed_and_lost_answers_repeat_the_same_append(self):
+        self.server.loses = 1
+        code, output = self.publish("--day", "2030-01-02", "--until", "17:30")
+        self.assertEqual(code, 0, output)
+        self.assertIn("accepted: team sheet", output)
+        first, second = self.server.bodies
+        self.assertEqual(first, second)
+        envelope = codec.decode(first)
+        publication = codec.from_map(envelope.records[0])
+        publisher = signing.Publisher(name="planner", authority="team", key=KEY)
+        self.assertEqual(signing.verify(publication, {"planner": publisher}), "")
+        self.assertEqual((publication.expected_version, envelope.sequence), (7, 1))
+
+    def test_rejected_and_undecided_are_not_reported_as_accepted(self):
+        self.server.rejects = True
+        code, output = self.publish()
+        self.assertEqual(code, main.EXIT_REJECTED)
+        self.assertIn("stale", output)
+        self.server.loses = 99
+        code, output = self.publish("--timeout-s", "1")
+        self.assertEqual(code, main.EXIT_FAILED)
+        self.assertIn("not known whether accepted", output)
+
+    def test_checks_print_every_finding_and_exit_with_2(self):
+        self.assertEqual(self.run_tool("sheet", "check", SHEET)[0], 0)
+        bad = self.key_file.with_name("bad")
+        bad.write_text(SHEET.read_text().replace(",yes,", ",maybe,") + "team,x,,,,\n")
+        code, output = self.run_tool("sheet", "check", bad)
+        self.assertEqual(code, 2)
+        self.assertIn("maybe", output)
+        self.assertIn("unknown subject", output)
+        code, output = self.run_tool("settings", "check", bad)
+        self.assertEqual(code, 2)
+        self.assertIn(f"{bad}:1: error: not TOML", output)
+        self.key_file.write_text("abcd")
+        code, output = self.publish()
+        self.assertEqual((code, self.server.bodies), (2, []))
+        self.assertNotIn("abcd", output)
+
+    def test_pages_and_jobs(self):
+        for name in ("status", "pools", "instances", "operations", "histograms"):
+            code, output = self.run_tool(name, "--instance", self.address, "--json")
+            self.assertEqual((code, json.loads(output)), (0, self.server.page))
+        options = ["--instance", self.address, "--desk", "sizing"]
+        code, output = self.run_tool("job", "submit", "sizing", *options)
+        self.assertEqual((code, json.loads(output)), (0, {"id": "j1"}))
+        self.server.loses = 1
+        code, output = self.run_tool("job", "submit", "sizing", *options)
+        self.assertEqual(code, 1)
+        self.assertTrue(output.startswith("unknown: no whole answer"), output)
+
+    def test_unreachable_instance_gives_one_line(self):
+        self.server.shutdown()
+        self.server.server_close()
+        code, output = self.run_tool("status", "--instance", self.address)
+        self.assertEqual(code, 1)
+        self.assertEqual(len(output.splitlines()), 1)
+        self.assertIn(f"cannot connect to {self.address}", output)
+
+    def test_addresses_and_text(self):
+        self.assertEqual(str(client.parse_address("[::1]:80")), "[::1]:80")
+        for text in ("host", "host:", ":80", "::1:80", "host:0", "host:65536"):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                client.parse_address(text)
+        page = {"a": [{"x": 1, "long": "\x1b"}, {"x": 22}], "b": []}
+        lines = ["a:", "  x   long", '  1   "\\u001b"', "  22", "b: none"]
+        self.assertEqual(rendering.text(page).splitlines(), lines)
