Wake stand-ins on SIGTERM whichever thread gets it

Cause: test_frozen_child_is_ended failed in about one run of six: SIGTERM right after SIGCONT may be delivered to a thread other than the main one, which then did not wake from its wait.

Change: the main thread selects on the interpreter's wake-up file. Timers of reboots no longer keep an ending stand-in alive.

--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -227,7 +227,7 @@
         self._stopped.set()
         if self._server.stop():
             self._reboots += 1
-            threading.Timer(duration_s, self._come_back).start()
+            serving.call_later(duration_s, self._come_back)
 
     def _come_back(self):
         self._stopped = threading.Event()
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -241,6 +241,13 @@
     return reservation
 
 
+def call_later(delay_s, function):
+    """Call a function in a thread that does not keep the process alive."""
+    timer = threading.Timer(delay_s, function)
+    timer.daemon = True
+    timer.start()
+
+
 def read_json(handler):
     """Return the request's body as a JSON object.
 
@@ -290,8 +297,16 @@
     max_seconds : float
         Longest life time in seconds.
     """
-    stopped = threading.Event()
+    # The kernel may deliver the signal to another thread, which doesn't wake the main
+    # thread; the byte that the interpreter then writes does.
+    reader, writer = socket.socketpair()
+    writer.setblocking(False)
+    signal.set_wakeup_fd(writer.fileno())
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+        signal.signal(number, _ignore)
     print(json.dumps(announcement), flush=True)
-    stopped.wait(max_seconds)
+    select.select([reader], [], [], max_seconds)
+
+
+def _ignore(*_):
+    """Replace the default action; the byte of the wake-up file ends the process."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -326,7 +326,7 @@
     def _reboot(self, name, duration_s):
         self._workers[name].lose_tasks()
         if self._servers[name].stop():
-            threading.Timer(duration_s, self._servers[name].restart).start()
+            serving.call_later(duration_s, self._servers[name].restart)
 
 
 def _parse_payload(payload):
