--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole system on loopback."""
--- a/features/steps/sheet_steps.py
+++ b/features/steps/sheet_steps.py
@@ -2,16 +2,18 @@
 
 import behave
 
-from standins import calls, fleet
+from standins import calls, fleet, sheets
 
 SERVING_TIMEOUT_S = 60.0
+# Scenarios state their own maintenance.
+PLANNED = (*sheets.TIME_LIMITS, "maintenance")
 
 
 @behave.given("the sheets of the deployment are in force")
 def publish_deployment(context):
-    directory = fleet.ROOT / "deployments" / context.world.fleet.deployment.name
-    for publisher, file_name in (("owner", "owner.csv"), ("planner", "team.csv")):
-        result = context.world.publish(publisher, directory / file_name)
+    for publisher in sheets.AUTHORITIES:
+        path = _copy_deployment(context, publisher, without=PLANNED)
+        result = context.world.publish(publisher, path)
         assert result.returncode == 0, _describe(result)
     context.world.wait_in_force()
     _wait_serving(context)
@@ -36,11 +38,8 @@
 
 @behave.when("the {publisher} publishes the deployment's sheet with the rows")
 def publish_changed(context, publisher):
-    authority = {"owner": "owner", "planner": "team"}[publisher]
-    name = context.world.fleet.deployment.name
-    original = fleet.ROOT / "deployments" / name / f"{authority}.csv"
-    path = context.world.fleet.directory / "scenario.csv"
-    path.write_text(original.read_text().rstrip("\n") + "\n" + context.text + "\n")
+    rows = context.text.splitlines()
+    path = _copy_deployment(context, publisher, without=PLANNED, rows=rows)
     context.world.publish(publisher, path)
 
 
@@ -65,7 +64,7 @@
 
 @behave.when('an operator runs "{arguments}" at instance {number:d}')
 def run_tool(context, arguments, number):
-    address = f"{fleet.HOST}:{context.world.instance(number).port}"
+    address = context.world.instance(number).address
     context.world.tool_result = context.world.fleet.run_tool(
         *arguments.split(), "--instance", address
     )
@@ -101,5 +100,14 @@
     return response.outcome == "answered" and response.status == 200
 
 
+def _copy_deployment(context, publisher, **options):
+    running = context.world.fleet
+    file_name = f"{sheets.AUTHORITIES[publisher]}.csv"
+    source = fleet.ROOT / "deployments" / running.deployment.name / file_name
+    path = running.directory / file_name
+    sheets.copy(source, path, **options)
+    return path
+
+
 def _describe(result):
     return f"exit code {result.returncode}: {result.stdout}{result.stderr}"
--- a/features/world.py
+++ b/features/world.py
@@ -13,7 +13,6 @@
 IN_FORCE_TIMEOUT_S = 30.0
 CALLERS = 64
 MAXIMUM_ENTRIES = 50
-UNTIL = "23:59"
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -134,36 +133,17 @@
 
     def publish(self, publisher, path, number=1):
         """Publish a sheet with the operator's tool and remember its result."""
-        running = self.fleet
-        self.tool_result = running.run_tool(
-            *("sheet", "publish", path),
-            *("--log", f"{fleet.HOST}:{running.log_port}"),
-            *("--instance", f"{fleet.HOST}:{self.instance(number).port}"),
-            *("--publisher", publisher),
-            *("--key-file", running.key_file(publisher)),
-            *("--until", UNTIL),
-        )
+        entry = self.instance(number)
+        self.tool_result = self.fleet.publish(publisher, path, entry=entry)
         return self.tool_result
 
-    def sheet_versions(self, number):
-        """Return the versions of both sheets that an instance shows."""
-        response = self.instance(number).send("GET", "/-/sheet", timeout_s=5)
-        if response.status != 200:
-            return None
-        page = response.json
-        return page["owner"]["version"], page["team"]["version"]
-
     def wait_in_force(self):
         """Wait until every running instance shows the newest sheets."""
-        numbers = [
-            number
-            for number, entry in enumerate(self.fleet.entries, start=1)
-            if entry.process.is_running
-        ]
+        entries = [entry for entry in self.fleet.entries if entry.process.is_running]
         calls.wait_until(
-            lambda: len({self.sheet_versions(number) for number in numbers}) == 1,
+            lambda: len({entry.sheet_versions for entry in entries}) == 1,
             IN_FORCE_TIMEOUT_S,
-            lambda: f"same sheets at {[self.sheet_versions(n) for n in numbers]}",
+            lambda: f"same sheets at {[entry.sheet_versions for entry in entries]}",
         )
 
     def reset(self):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,7 +11,7 @@
 import tempfile
 import threading
 
-from standins import calls, deployments, processes, serving
+from standins import calls, deployments, processes, serving, sheets
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 30.0
@@ -97,6 +97,20 @@
         """Port for callers."""
         return self._listen.getsockname()[1]
 
+    @property
+    def address(self):
+        """Host and port for callers, as the tool takes them."""
+        return f"{HOST}:{self.port}"
+
+    @property
+    def sheet_versions(self):
+        """Versions of the owner's and the team's sheet; None without an answer."""
+        response = self.send("GET", "/-/sheet", timeout_s=STATUS_TIMEOUT_S)
+        if response.status != 200:
+            return None
+        page = response.json
+        return page["owner"]["version"], page["team"]["version"]
+
     @property
     def process(self):
         """The process."""
@@ -352,6 +366,29 @@
             check=False,
         )
 
+    def publish(self, publisher, path, *, entry=None):
+        """Publish a sheet with the operator's tool; see :meth:`run_tool`.
+
+        Parameters
+        ----------
+        publisher : str
+            One of ``PUBLISHERS``.
+        path : pathlib.Path
+            The sheet.
+        entry : Entry, optional
+            Entry instance for the read-back; the first by default.
+        """
+        entry = entry or self._entries[0]
+        return self.run_tool(
+            *("sheet", "publish", path),
+            *("--log", f"{HOST}:{self.log_port}"),
+            *("--instance", entry.address),
+            *("--publisher", publisher),
+            *("--key-file", self.key_file(publisher)),
+            *("--until", sheets.UNTIL),
+            *("--day", sheets.publication_day()),
+        )
+
     def close(self):
         """End all processes and remove the temporary directory."""
         self._watchdog.cancel()
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import threading
 import time
 import unittest
@@ -54,11 +55,18 @@
         self.assertEqual(len(self.server.describe()["executions"]), 1)
         self.assertEqual(self.send(Test_Fail="error")[0].status, 500)
         self.assertIsNone(self.send(Test_Fail="no-length")[0].headers["Content-Length"])
-        connection = self.connect()
-        answer, body = self.send(connection, Test_Fail="twice")
-        # http.client reads no further than the first answer.
-        self.assertEqual(int(answer.headers["Content-Length"]), len(body))
-        self.assertTrue(connection.sock.recv(1))
+
+    def test_two_answers_to_one_request(self):
+        request = b"GET / HTTP/1.1\r\nHost: a\r\nTest-Fail: twice\r\n\r\n"
+        received = b""
+        address = ("127.0.0.1", self.server.port)
+        with socket.create_connection(address, timeout=10) as connection:
+            connection.sendall(request)
+            while received.count(b"HTTP/1.1 200") < 2:
+                data = connection.recv(65536)
+                self.assertTrue(data, received)
+                received += data
+        self.assertEqual(len(self.server.describe()["executions"]), 1)
 
     def test_forgotten_connection_is_silent_and_new_one_works(self):
         connection = self.connect(timeout_s=0.3)
