--- /dev/null
+++ b/cranberryport/planner.py
@@ -0,0 +1,169 @@
+"""Which planned stops and moves to start next; a pure decision.
+
+Several failure domains of a pool are never worked on at once, so that a failure during
+a wave meets at most one domain that is already weakened by the wave.
+"""
+
+import dataclasses
+
+REBOOT = "reboot"
+MOVE = "move"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Intent:
+    """An operation that the sheet asks for and that is not done.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the instance.
+    purpose : {'reboot', 'move'}
+        What to do.
+    target_pool : str
+        Pool to move to; empty for a reboot.
+    authority : {'owner', 'team'}
+        Whose row asks for it.
+    """
+
+    instance: str
+    purpose: str
+    target_pool: str
+    authority: str
+
+
+def intents(state):
+    """Return what the sheets in force ask for and is not done.
+
+    Parameters
+    ----------
+    state : cranberryport.state.fold.State
+        Control state.
+
+    Returns
+    -------
+    list of Intent
+        Ordered by instance; a move goes before a reboot of the same instance.
+    """
+    found = []
+    for name, entry in sorted(state.fleet.instances.items()):
+        if entry.operation:
+            continue
+        found += _moves(state, name, entry)
+        found += _reboots(state, name, entry)
+    return found
+
+
+def _moves(state, name, entry):
+    target = state.configuration.instance_pools.get(name, "")
+    if not target or not entry.pool or target == entry.pool:
+        return []
+    if target not in state.configuration.pools:
+        return []
+    authority = _authority(state, name, "pool")
+    return [
+        Intent(instance=name, purpose=MOVE, target_pool=target, authority=authority)
+    ]
+
+
+def _reboots(state, name, entry):
+    if state.configuration.maintenance.get(name) != REBOOT:
+        return []
+    authority = _authority(state, name, "maintenance")
+    sheet = state.sheets.get(authority)
+    if sheet is None or entry.maintained >= sheet.day:
+        return []
+    return [Intent(instance=name, purpose=REBOOT, target_pool="", authority=authority)]
+
+
+def _authority(state, name, setting):
+    owner = state.sheets.get("owner")
+    rows = owner.rows if owner else []
+    is_owner = any(
+        (row.subject, row.name, row.setting) == ("instance", name, setting)
+        for row in rows
+    )
+    return "owner" if is_owner else "team"
+
+
+def next_operations(state, *, now, local_time):
+    """Return the operations that may start now.
+
+    Parameters
+    ----------
+    state : cranberryport.state.fold.State
+        Control state.
+    now : float
+        Unix time; the team's intents end with the day of its sheet.
+    local_time : str
+        HH:MM; compared with the limits of the waves.
+
+    Returns
+    -------
+    list of Intent
+        Within every pool's budget and in one failure domain of each pool.
+    """
+    team = state.sheets.get("team")
+    is_team_day_over = team is not None and now >= team.until
+    allowed = [
+        intent
+        for intent in intents(state)
+        if intent.authority == "owner" or not is_team_day_over
+    ]
+    by_pool = {}
+    for intent in allowed:
+        pool = state.fleet.instances[intent.instance].pool
+        by_pool.setdefault(pool, []).append(intent)
+    chosen = []
+    for pool in sorted(by_pool):
+        if _may_start_in(state, pool, by_pool, local_time):
+            chosen += _within_budget(state, pool, by_pool[pool])
+    return chosen
+
+
+def _may_start_in(state, pool, by_pool, local_time):
+    """Return whether the waves that name a pool let it begin."""
+    for wave in state.configuration.waves.values():
+        if pool not in wave.order:
+            continue
+        if not wave.not_before <= local_time <= wave.not_after:
+            return False
+        earlier = wave.order[: wave.order.index(pool)]
+        if any(other in by_pool or _is_busy(state, other) for other in earlier):
+            return False
+    return True
+
+
+def _is_busy(state, pool):
+    return any(entry.operation for entry in state.fleet.members(pool))
+
+
+def _within_budget(state, pool, pool_intents):
+    if not pool:
+        return pool_intents
+    budget = state.configuration.pool(pool).max_unavailable
+    room = budget - state.fleet.down_count(pool)
+    members = state.fleet.members(pool)
+    domains = {_domain(entry) for entry in members if entry.operation}
+    chosen = []
+    for intent in sorted(pool_intents, key=lambda item: _order(state, item)):
+        entry = state.fleet.instances[intent.instance]
+        # An instance that is down already takes nothing from the budget.
+        cost = 0 if entry.is_down else 1
+        if domains and _domain(entry) not in domains:
+            continue
+        if cost > room or any(item.instance == intent.instance for item in chosen):
+            continue
+        room -= cost
+        domains.add(_domain(entry))
+        chosen.append(intent)
+    return chosen
+
+
+def _order(state, intent):
+    entry = state.fleet.instances[intent.instance]
+    return (*_domain(entry), intent.instance)
+
+
+def _domain(entry):
+    return entry.data_centre, entry.rack
--- /dev/null
+++ b/cranberryport/retention_keeper.py
@@ -0,0 +1,91 @@
+"""Re-appends the control state before its records expire, and forgets old keys."""
+
+import logging
+import time
+import uuid
+
+from circuits import BaseComponent, handler
+
+from cranberryport import idempotency, log_writer_events
+from cranberryport.generated import messages
+from cranberryport.state import snapshot
+
+TICK_S = 1.0
+APPEND_DEADLINE_S = 30.0
+RANK_DELAY_S = 5.0
+SNAPSHOT_PART_OF_RETENTION = 1 / 3
+KEY_EXPIRY_INTERVAL_S = 600.0
+
+_logger = logging.getLogger(__name__)
+
+
+class RetentionKeeper(BaseComponent):
+    """Writes snapshots and expires idempotency keys.
+
+    Parameters
+    ----------
+    follower : cranberryport.log_follower.LogFollower
+        For the control state.
+    keeper : cranberryport.session_keeper.SessionKeeper
+        For the own rank; lower ranks propose first.
+    timers : cranberryport.timers.Timers
+        For the regular check.
+    retention_s : float
+        Time for which the log keeps a record, in seconds.
+    """
+
+    channel = "retention_keeper"
+
+    def __init__(self, *, follower, keeper, timers, retention_s):
+        super().__init__()
+        self._follower = follower
+        self._keeper = keeper
+        self._timers = timers
+        self._interval_s = retention_s * SNAPSHOT_PART_OF_RETENTION
+        self._snapshot_at = time.monotonic()
+        self._expired_at = time.monotonic()
+        self._gap_count = 0
+
+    @handler("started", channel="*")
+    def _on_started(self, *_):
+        self._timers.after(TICK_S, self._tick)
+
+    @handler("folded", channel="*")
+    def _on_folded(self, offset, body, outcomes):
+        for outcome in outcomes:
+            record = outcome.record
+            is_chunk = isinstance(record, messages.SnapshotChunk)
+            if is_chunk and record.index == record.count - 1:
+                self._snapshot_at = time.monotonic()
+
+    def _tick(self):
+        self._timers.after(TICK_S, self._tick)
+        if not self._keeper.is_open or not self._follower.dispatch_right:
+            return
+        now = time.monotonic()
+        delay_s = self._keeper.rank * min(RANK_DELAY_S, self._interval_s / 16)
+        has_gap = self._follower.gap_count > self._gap_count
+        if has_gap or now - self._snapshot_at >= self._interval_s + delay_s:
+            self._gap_count = self._follower.gap_count
+            self._snapshot_at = now
+            self._write_snapshot()
+        if now - self._expired_at >= KEY_EXPIRY_INTERVAL_S + delay_s:
+            self._expired_at = now
+            issued_before = time.time() - idempotency.KEY_RETENTION_S
+            self._append(messages.KeysExpired(issued_before=issued_before))
+
+    def _write_snapshot(self):
+        state = self._follower.state
+        parts = snapshot.chunks(state, snapshot=uuid.uuid4().hex)
+        for part in parts:
+            self._append(part)
+        size = sum(len(part.data) for part in parts)
+        _logger.info("snapshot of %d bytes at offset %d", size, state.position)
+
+    def _append(self, record):
+        ticket = log_writer_events.Ticket(
+            reply_channel=self.channel,
+            context=None,
+            deadline=time.monotonic() + APPEND_DEADLINE_S,
+        )
+        self.fire(log_writer_events.append(record, ticket), "log_writer")
--- a/cranberryport/state/fleet.py
+++ b/cranberryport/state/fleet.py
@@ -37,6 +37,9 @@
         Id of the operation on it; empty for none.
     step : {'', 'draining', 'quiesced', 'stopped'}
         Step of the operation.
+    maintained : str
+        ISO date of the latest sheet in force when the last finished reboot started;
+        a sheet asks for a reboot once, however often it is published that day.
     """
 
     instance: str
@@ -51,6 +54,7 @@
     version: int = 0
     operation: str = ""
     step: Literal["", "draining", "quiesced", "stopped"] = ""
+    maintained: str = ""
 
     @property
     def state(self):
@@ -79,6 +83,8 @@
         Last step that is done.
     waiting : list of str
         Sessions that may still have requests in flight at the instance.
+    day : str
+        ISO date of the latest sheet in force at the start.
     """
 
     operation: str
@@ -89,6 +95,7 @@
     started: int
     step: Literal["draining", "quiesced", "stopped"] = DRAINING
     waiting: list[str] = dataclasses.field(default_factory=list)
+    day: str = ""
 
 
 class Fleet:
@@ -159,7 +166,7 @@
             entry = self._instances[name]
             self._take_sheet_pool(entry, configuration, context.offset)
 
-    def start(self, record, configuration, sessions, context):
+    def start(self, record, configuration, sessions, context, *, day=""):
         """Start an operation if the pool's budget allows one more instance down.
 
         Parameters
@@ -172,6 +179,8 @@
             Sessions that are live, ended or fenced; the drain waits for them.
         context : object
             Offset of the record.
+        day : str
+            ISO date of the latest sheet in force.
 
         Returns
         -------
@@ -190,6 +199,7 @@
             by=record.by,
             started=context.offset,
             waiting=list(sessions),
+            day=day,
         )
         self._operations[record.operation] = operation
         entry.operation = record.operation
@@ -240,6 +250,7 @@
         operation, reason = self._at_step(record.operation, STOPPED)
         if reason:
             return reason
+        self._instances[operation.instance].maintained = operation.day
         self._end(operation, configuration, context)
         return ""
 
--- a/cranberryport/state/fold.py
+++ b/cranberryport/state/fold.py
@@ -110,6 +110,10 @@
         """The :class:`jobs.Jobs`."""
         return self._jobs
 
+    def skip_to(self, offset):
+        """Go on at a later offset, as the records before it have expired unread."""
+        self._position = max(self._position, offset)
+
     def units(self, session, resource):
         """Return the units that a session holds of a resource."""
         return self._shares.units(session, resource)
@@ -465,7 +469,9 @@
 @fold_record.register
 def _(record: messages.OperationStarted, state, context):
     sessions = list(state.sessions.entries)
-    return state.fleet.start(record, state.configuration, sessions, context)
+    sheets = map(state.sheets.get, sheets_module.AUTHORITIES)
+    day = max((sheet.day for sheet in sheets if sheet is not None), default="")
+    return state.fleet.start(record, state.configuration, sessions, context, day=day)
 
 
 @fold_record.register
--- /dev/null
+++ b/cranberryport/view.py
@@ -0,0 +1,127 @@
+"""What the dispatcher needs to know of the control state."""
+
+import dataclasses
+
+from cranberryport.state import fleet, shares
+
+# Contact older than this means that a peer cannot read the log; reads end after 1 s.
+OUTAGE_AGE_S = 3.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class BackendServer:
+    """A backend server of a service's pools.
+
+    Attributes
+    ----------
+    name, host, port, data_centre
+        As in the platform's list.
+    slots_share : int
+        Slots that the own session may use.
+    is_usable : bool
+        Whether it may get new work.
+    """
+
+    name: str
+    host: str
+    port: int
+    data_centre: str
+    slots_share: int
+    is_usable: bool
+
+
+class View:
+    """The control state as seen by the own session.
+
+    Parameters
+    ----------
+    follower : cranberryport.log_follower.LogFollower
+        Folded state and freshness.
+    keeper : cranberryport.session_keeper.SessionKeeper
+        The own session.
+    instances : cranberryport.instance_list.InstanceList
+        Tells of leaving instances before the control state does.
+    peers : cranberryport.peers.Peers
+        Tell what they know of the log and of leaving instances.
+    """
+
+    __slots__ = ("_follower", "_instances", "_keeper", "_peers")
+
+    def __init__(self, *, follower, keeper, instances, peers):
+        self._follower = follower
+        self._keeper = keeper
+        self._instances = instances
+        self._peers = peers
+
+    @property
+    def session(self):
+        """Id of the own session; empty while none is open."""
+        return self._keeper.session
+
+    @property
+    def dispatch_right(self):
+        """Whether work may be sent to backend servers now."""
+        if not self._keeper.is_open:
+            return False
+        return self._follower.dispatch_right or self._is_outage_for_all()
+
+    def configuration(self):
+        """Return the configuration in force."""
+        return self._follower.state.configuration
+
+    def servers(self, service):
+        """Return the backend servers of a service's pools, ordered by name."""
+        state = self._follower.state
+        pools = self._pools_of(service)
+        leaving = self._leaving()
+        return [
+            BackendServer(
+                name=name,
+                host=entry.host,
+                port=entry.port,
+                data_centre=entry.data_centre,
+                slots_share=state.units(self.session, shares.slots(name)),
+                is_usable=entry.state == fleet.IN_SERVICE and name not in leaving,
+            )
+            for name, entry in sorted(state.fleet.instances.items())
+            if entry.pool in pools
+        ]
+
+    def connections_share(self, service):
+        """Return the connections that the own session may open to a service."""
+        resource = shares.connections(service)
+        return self._follower.state.units(self.session, resource)
+
+    def key(self, key):
+        """Return the entry of an idempotency key, or None."""
+        return self._follower.state.keys.get(key)
+
+    def _pools_of(self, service):
+        pools = self.configuration().pools.values()
+        return {pool.name for pool in pools if pool.service == service}
+
+    def _leaving(self):
+        leaving = {
+            name for name in self._instances.entries if self._instances.is_leaving(name)
+        }
+        for status in self._peers.statuses().values():
+            leaving.update(status.leaving)
+        return leaving
+
+    def _is_outage_for_all(self):
+        """Return whether a majority of the live sessions cannot reach the log.
+
+        Nothing can be granted or ended then, so an old view is harmless. A peer that
+        answers here votes against this session at the earliest 6 s after it has
+        reached the log again, which is longer than an answer counts.
+        """
+        if self._follower.contact_age_s == float("inf"):
+            return False
+        live = self._follower.state.sessions.live()
+        count = 1
+        for session, status in self._peers.statuses().items():
+            if session not in live or self.session in status.suspected:
+                continue
+            if status.contact_age_s > OUTAGE_AGE_S:
+                count += 1
+        return count > len(live) // 2
