Assemble the control plane

Cause: the daemon needs one place that wires the parts around the control stream. Change: control_plane.py; the view asks for usable units, so that units that are about to be released are not used.

--- /dev/null
+++ b/cranberryport/control_plane.py
@@ -0,0 +1,166 @@
+"""Puts together the parts that keep an entry instance in agreement with the others."""
+
+from cranberryport import (
+    instance_list,
+    log_client,
+    log_follower,
+    log_writer,
+    operations,
+    peers,
+    relay,
+    retention_keeper,
+    session_keeper,
+    settings,
+    share_keeper,
+    view,
+)
+from cranberryport.generated import messages
+from cranberryport.http import connection
+
+UNKNOWN_AGE_S = 1e9
+
+
+class ControlPlane:
+    """The components around the control stream.
+
+    Parameters
+    ----------
+    root : circuits.BaseComponent
+        Gets the components registered.
+    timers : cranberryport.timers.Timers
+        Timers of the process.
+    loaded : cranberryport.generated.settings.Settings
+        Checked settings.
+    in_flight : callable
+        Takes an instance's name; requests of this process that may be running there.
+    in_use : callable
+        Takes a resource's name; units of it in use by this process.
+    failed_servers : callable
+        Returns the names of the servers that this process cannot connect to.
+    """
+
+    __slots__ = (
+        "_failed_servers",
+        "client",
+        "follower",
+        "instances",
+        "keeper",
+        "operations",
+        "peers",
+        "relay",
+        "retention",
+        "shares",
+        "view",
+        "writer",
+    )
+
+    def __init__(self, *, root, timers, loaded, in_flight, in_use, failed_servers):
+        self._failed_servers = failed_servers
+        self.client = connection.Client(timers=timers).register(root)
+        log = self._log_client(loaded)
+        self.follower = log_follower.LogFollower(
+            client=log, timers=timers, publishers=settings.publishers(loaded)
+        ).register(root)
+        self.writer = log_writer.LogWriter(client=log, timers=timers).register(root)
+        self.peers = self._make_peers(root, timers, loaded)
+        self.keeper = self._make_keeper(root, timers, loaded)
+        self.peers.connect_sources(
+            sessions=self._peer_addresses,
+            own_session=lambda: self.keeper.session,
+            make_status=self._make_status,
+        )
+        self.relay = relay.Relay(
+            follower=self.follower, peers=self.peers, timers=timers
+        ).register(root)
+        self.instances = instance_list.InstanceList(
+            client=self.client,
+            timers=timers,
+            settings=loaded.instance_list,
+            follower=self.follower,
+            keeper=self.keeper,
+        ).register(root)
+        self.retention = retention_keeper.RetentionKeeper(
+            follower=self.follower,
+            keeper=self.keeper,
+            timers=timers,
+            retention_s=loaded.log.retention_s,
+        ).register(root)
+        self.shares = share_keeper.ShareKeeper(
+            follower=self.follower, keeper=self.keeper, timers=timers, in_use=in_use
+        ).register(root)
+        self.operations = operations.Operations(
+            follower=self.follower,
+            keeper=self.keeper,
+            instances=self.instances,
+            timers=timers,
+            client=self.client,
+            platform=loaded.instance_list,
+            in_flight=in_flight,
+        ).register(root)
+        self.view = view.View(
+            follower=self.follower,
+            keeper=self.keeper,
+            instances=self.instances,
+            peers=self.peers,
+            usable_units=self.shares.usable,
+        )
+
+    def _log_client(self, loaded):
+        return log_client.LogClient(
+            client=self.client,
+            host=loaded.log.host,
+            port=loaded.log.port,
+            stream=loaded.log.stream,
+            name=loaded.instance,
+        )
+
+    @staticmethod
+    def _make_peers(root, timers, loaded):
+        watcher = connection.Client(timers=timers, channel="peer_sockets")
+        watcher.register(root)
+        return peers.Peers(
+            watcher=watcher,
+            timers=timers,
+            host=loaded.peer.host,
+            port=loaded.peer.port,
+            instance=loaded.instance,
+        ).register(root)
+
+    def _make_keeper(self, root, timers, loaded):
+        identity = {
+            "instance": loaded.instance,
+            "data_centre": loaded.data_centre,
+            "host": loaded.peer.host,
+            "port": self.peers.port,
+        }
+        return session_keeper.SessionKeeper(
+            follower=self.follower,
+            writer=self.writer,
+            timers=timers,
+            identity=identity,
+            is_peer_silent=self.peers.is_silent,
+        ).register(root)
+
+    def _peer_addresses(self):
+        sessions = self.follower.state.sessions
+        own = self.keeper.session
+        return {
+            entry.session: (entry.host, entry.port)
+            for entry in sessions.entries.values()
+            if entry.state == "live" and entry.session != own
+        }
+
+    def _make_status(self):
+        leaving = [
+            name
+            for name in sorted(self.instances.entries)
+            if self.instances.is_leaving(name)
+        ]
+        return messages.PeerStatus(
+            session=self.keeper.session,
+            position=self.follower.state.position,
+            contact_age_s=min(self.follower.contact_age_s, UNKNOWN_AGE_S),
+            suspected=self.keeper.suspected(),
+            leaving=leaving,
+            failed=sorted(self._failed_servers()),
+        )
--- a/cranberryport/session_keeper.py
+++ b/cranberryport/session_keeper.py
@@ -103,6 +103,14 @@
         """Position among the live sessions; the lowest proposes first."""
         return self._sessions.rank(self._session) if self.is_open else None
 
+    def suspected(self):
+        """Return the sessions that this one has voted against and that still live."""
+        return [
+            session
+            for session, observation in sorted(self._observations.items())
+            if observation.voted_for is not None and self._sessions.is_live(session)
+        ]
+
     @property
     def _sessions(self):
         return self._follower.state.sessions
@@ -201,6 +209,8 @@
             observation = Observation(mark=mark, now=now)
             self._observations[session.session] = observation
         age_s = observation.age_s(mark, now)
+        if observation.voted_for not in (None, session.heartbeat):
+            observation.voted_for = None
         if session.state == "live":
             self._suspect(session, observation, age_s)
         elif session.state == "ended":
--- a/cranberryport/view.py
+++ b/cranberryport/view.py
@@ -43,15 +43,18 @@
         Tells of leaving instances before the control state does.
     peers : cranberryport.peers.Peers
         Tell what they know of the log and of leaving instances.
+    usable_units : callable
+        Takes a resource's name; units of it that this process may use.
     """
 
-    __slots__ = ("_follower", "_instances", "_keeper", "_peers")
+    __slots__ = ("_follower", "_instances", "_keeper", "_peers", "_usable_units")
 
-    def __init__(self, *, follower, keeper, instances, peers):
+    def __init__(self, *, follower, keeper, instances, peers, usable_units):
         self._follower = follower
         self._keeper = keeper
         self._instances = instances
         self._peers = peers
+        self._usable_units = usable_units
 
     @property
     def session(self):
@@ -80,7 +83,7 @@
                 host=entry.host,
                 port=entry.port,
                 data_centre=entry.data_centre,
-                slots_share=state.units(self.session, shares.slots(name)),
+                slots_share=self._usable_units(shares.slots(name)),
                 is_usable=entry.state == fleet.IN_SERVICE and name not in leaving,
             )
             for name, entry in sorted(state.fleet.instances.items())
@@ -89,8 +92,7 @@
 
     def connections_share(self, service):
         """Return the connections that the own session may open to a service."""
-        resource = shares.connections(service)
-        return self._follower.state.units(self.session, resource)
+        return self._usable_units(shares.connections(service))
 
     def key(self, key):
         """Return the entry of an idempotency key, or None."""
