Tests for the log writer, follower, session and share keepers

Cause: outcomes must come from read-back only, a living session must not be ended, and units must not be used while they are given back. Change: fakes for timers and the log client; tests of each promise with lost answers, expired records, gaps in contact and undecided releases.

--- /dev/null
+++ b/tests/test_log_follower.py
@@ -0,0 +1,111 @@
+"""Tests of :mod:`cranberryport.log_follower`."""
+
+import unittest
+
+import cbor2
+from circuits import Component
+
+from cranberryport import log_follower
+from cranberryport.generated import messages
+from cranberryport.state import snapshot
+from tests import control_stream, fakes
+
+
+class LogFollowerTest(unittest.TestCase):
+    """The view may count as fresh only if it holds every record of the stream."""
+
+    def setUp(self):
+        self.root = Component()
+        self.client = fakes.FakeLogClient()
+        self.timers = fakes.FakeTimers()
+        self.follower = log_follower.LogFollower(
+            client=self.client,
+            timers=self.timers,
+            publishers=control_stream.PUBLISHERS,
+        ).register(self.root)
+        fakes.settle(self.root)
+        self.follower._read()
+        self.stream = control_stream.Stream("ab")
+
+    def _answer(self, *, first=0, end=None, start=0, stop=None):
+        bodies = self.stream.bodies
+        stop = len(bodies) if stop is None else stop
+        fields = {
+            "first": first,
+            "next": len(bodies) if end is None else end,
+            "records": [[offset, bodies[offset]] for offset in range(start, stop)],
+        }
+        exchange = self.client.reads[-1]
+        event = fakes.answered(exchange, cbor2.dumps(fields))
+        self.root.fire(event, exchange.reply_channel)
+        fakes.settle(self.root)
+
+    def _write_snapshot(self, *, snapshot_id="s1"):
+        for chunk in snapshot.chunks(self.stream.state, snapshot=snapshot_id):
+            self.stream.accept("a", chunk)
+
+    def _plain(self):
+        return control_stream.plain_bytes(self.follower.state)
+
+    def test_no_dispatch_right_before_the_end_was_reached(self):
+        self.assertFalse(self.follower.dispatch_right)
+        self._answer(stop=1)
+        self.assertFalse(self.follower.dispatch_right)
+        self._answer(start=1)
+        self.assertTrue(self.follower.dispatch_right)
+        self.assertEqual(self._plain(), control_stream.plain_bytes(self.stream.state))
+
+    def test_the_right_lapses_without_contact(self):
+        self._answer()
+        self.follower._confirmed_at -= log_follower.DISPATCH_RIGHT_S + 0.1
+        self.assertFalse(self.follower.dispatch_right)
+
+    def test_starts_from_a_snapshot_after_expiry(self):
+        self.stream.accept("a", control_stream.observed("s-1"))
+        base = self.stream.state.position
+        self._write_snapshot()
+        self.stream.accept("b", messages.SessionHeartbeat(session="b", position=1))
+        self._answer(first=base, start=base)
+        self._answer(first=base, start=base)
+        self._answer(first=base, start=base)
+        self.assertEqual(self._plain(), control_stream.plain_bytes(self.stream.state))
+        self.assertTrue(self.follower.dispatch_right)
+        self.assertFalse(self.follower.is_state_lost)
+
+    def test_an_older_snapshot_never_takes_the_view_back(self):
+        self._answer()
+        base = self.stream.state.position
+        self._write_snapshot()
+        self.stream.accept("a", control_stream.observed("s-1"))
+        self._answer(start=base)
+        before = self._plain()
+        position = self.follower.state.position
+        self._answer(first=position + 1, end=position + 1, start=0, stop=0)
+        self._answer(first=position + 1, end=position + 1, start=0, stop=0)
+        self.assertEqual(self.follower.gap_count, 1)
+        self.assertGreaterEqual(self.follower.state.position, position)
+        self.assertIn("s-1", self.follower.state.fleet.instances)
+        self.assertNotEqual(before, b"")
+
+    def test_expired_records_without_snapshot_are_reported_as_loss(self):
+        self._answer(first=2, end=2, stop=0)
+        self._answer(first=2, end=2, stop=0)
+        self.assertTrue(self.follower.is_state_lost)
+
+    def test_relayed_records_must_join_on(self):
+        bodies = self.stream.bodies
+        late = messages.RecordsRelayed(position=1, end=2, age_s=0.0, bodies=bodies[1:])
+        self.follower.fold_relayed(late, requested_at=1e12)
+        self.assertEqual(self.follower.state.position, 0)
+        whole = messages.RecordsRelayed(position=0, end=2, age_s=0.0, bodies=bodies)
+        self.follower.fold_relayed(whole, requested_at=1e12)
+        self.assertEqual(self.follower.state.position, 2)
+        self.assertTrue(self.follower.dispatch_right)
+
+    def test_a_failed_read_is_repeated(self):
+        exchange = self.client.reads[-1]
+        self.root.fire(fakes.failed(exchange), exchange.reply_channel)
+        fakes.settle(self.root)
+        self.assertIsNotNone(self.follower.failed_since)
+        self.timers.run()
+        self.assertEqual(len(self.client.reads), 2)
