Handle events of due timers at once

Cause: an event fired by a timer's call stayed in the queue until the poller woke up, because generate_events had been reduced only to the next due time. A 0.05 s header timeout was answered after 18.8 s, when the next timer was due. Change: after a call was made, the remaining wait is reduced to 0. Ruled out: waking the poller from every callback; callers would have to know about it. Tested: tests/test_timers.py fails without the change and passes with it.

--- a/cranberryport/timers.py
+++ b/cranberryport/timers.py
@@ -76,6 +76,9 @@
         now = time.monotonic()
         while self._heap and self._heap[0][0] <= now:
             heapq.heappop(self._heap)[2].run()
+            # Events that the call fired are in the queue; without this the poller
+            # would wait for the next due time before they are handled.
+            event.reduce_time_left(0)
         while self._heap and not self._heap[0][2].is_pending:
             heapq.heappop(self._heap)
         if self._heap:
--- /dev/null
+++ b/tests/test_timers.py
@@ -0,0 +1,40 @@
+"""Tests of :mod:`cranberryport.timers`."""
+
+import threading
+import unittest
+
+from circuits import BaseComponent, Event, handler
+from circuits.core import pollers
+
+from cranberryport import timers
+
+HANG_LIMIT_S = 20.0
+
+
+class Listener(BaseComponent):
+    """Notes that the event arrived."""
+
+    def __init__(self):
+        super().__init__()
+        self.arrived = threading.Event()
+
+    @handler("due")
+    def _on_due(self):
+        self.arrived.set()
+
+
+class TimersTest(unittest.TestCase):
+    """What a due call fires must not wait for the next due time."""
+
+    def test_event_fired_by_a_call_is_handled_at_once(self):
+        root = BaseComponent()
+        pollers.Poller().register(root)
+        clock = timers.Timers().register(root)
+        listener = Listener().register(root)
+        clock.after(10 * HANG_LIMIT_S, lambda: None)
+        clock.after(0.01, lambda: listener.fire(Event.create("due")))
+        thread, _ = root.start()
+        arrived = listener.arrived.wait(HANG_LIMIT_S)
+        root.stop()
+        thread.join(HANG_LIMIT_S)
+        self.assertTrue(arrived)
