--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,45 @@
+"""Tests of :mod:`cranberryport.logs`."""
+
+import io
+import json
+import logging
+import unittest
+
+from cranberryport import logs
+
+
+class LogsTest(unittest.TestCase):
+    """Log lines must be readable by machine and hold no secret."""
+
+    def setUp(self):
+        root = logging.getLogger()
+        self.addCleanup(root.setLevel, root.level)
+        self.addCleanup(root.handlers.__setitem__, slice(None), root.handlers[:])
+        self.stream = io.StringIO()
+        logs.configure(instance="entry-1", stream=self.stream)
+
+    def lines(self):
+        return [json.loads(line) for line in self.stream.getvalue().splitlines()]
+
+    def test_fields(self):
+        extra = {"request": "r1", "offset": 7, "key": "secret", "body": b"secret"}
+        logging.getLogger("a").info("folded %s", "x\ny", extra=extra)
+        (line,) = self.lines()
+        self.assertRegex(line.pop("time"), r"^\d{4}-\d\d-\d\dT[0-9:.]{12}\+00:00$")
+        expected = {"level": "INFO", "message": "folded x\ny", "instance": "entry-1"}
+        self.assertEqual(line, {**expected, "request": "r1", "offset": 7})
+
+    def test_text_of_an_exception_is_left_out(self):
+        try:
+            int("secret")
+        except ValueError:
+            logging.getLogger("a").exception("cannot read")
+        (line,) = self.lines()
+        self.assertIn("ValueError", line["exc_info"])
+        self.assertIn("test_logs.py", line["exc_info"])
+        # The source line is part of the trace, so only the exception's text counts.
+        self.assertNotIn("invalid literal", line["exc_info"])
+
+    def test_level_is_kept(self):
+        logging.getLogger("a").debug("detail")
+        self.assertEqual(self.lines(), [])
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,44 @@
+"""Tests of :mod:`cranberryport.metrics`."""
+
+import socket
+import unittest
+
+from cranberryport import metrics
+from tests import loopback
+
+
+class MetricsTest(unittest.TestCase):
+    """Metrics must never disturb a request."""
+
+    def count(self, sender):
+        sender.count_request(request_class="rush", outcome="not-run", latency_s=0.25)
+
+    def test_counter_and_timer_arrive(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+            receiver.bind(("127.0.0.1", 0))
+            receiver.settimeout(loopback.HANG_LIMIT_S)
+            sender = metrics.Metrics(address=receiver.getsockname())
+            self.addCleanup(sender.close)
+            self.count(sender)
+            lines = receiver.recv(1024).decode("ascii").splitlines()
+        name = "cranberryport.requests.rush.not-run"
+        self.assertEqual(lines, [f"{name}:1|c", f"{name}:250.000000|ms"])
+
+    def test_failures_do_not_raise(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as unused:
+            unused.bind(("127.0.0.1", 0))
+            closed_port = unused.getsockname()
+        closed = metrics.Metrics(address=closed_port)
+        closed.close()
+        cases = {
+            "no address": metrics.Metrics(address=None),
+            "closed": closed,
+            "no listener": metrics.Metrics(address=closed_port),
+        }
+        for name, sender in cases.items():
+            with self.subTest(name=name):
+                for _ in range(3):
+                    self.count(sender)
+                    sender.count("folded", 2)
+                    sender.gauge("connections", 3)
+                sender.close()
