Harden client connections and wake the poller after timers

Cause: reading the connection as its user showed these faults. The event of a timeout waited until something else woke the poller. A request could be sent after a pause while connecting, when the dispatch right had lapsed. A 408 for idle time on a reused connection passed as the request's answer. select() fails for descriptors above 1023. Running out of descriptors or a host name raised out of send().

Change: Timers sets the poller's time to zero when it makes a call. Exchange.is_allowed is asked immediately before the first byte. A reused connection needs the repeated request id. A peek replaces select(). close_if_stale() and on_closed let a pool count its connections.

Ruled out: a check of the right before send() only, since connecting can span a pause of the process.

--- a/cranberryport/http/connection.py
+++ b/cranberryport/http/connection.py
@@ -8,7 +8,6 @@
 import dataclasses
 import errno
 import itertools
-import select
 import socket
 import time
 
@@ -58,7 +57,7 @@
 
     Attributes
     ----------
-    reason : {'connect', 'timeout', 'closed', 'protocol', 'cancelled'}
+    reason : {'connect', 'timeout', 'closed', 'protocol', 'cancelled', 'refused'}
         What ended the exchange.
     detail : str
         One clear sentence.
@@ -92,6 +91,11 @@
         Sent as ``Request-Id``. An answer with another id is a protocol error, and the
         connection is used again only if the answer repeats the id: nothing else shows
         that a late second answer does not belong to an earlier request.
+    is_allowed : callable or None
+        Called without arguments immediately before the first byte is sent. If it
+        returns False the exchange fails as ``refused`` with no byte sent. Connecting
+        can take long, or the process can be paused while it connects, so a check
+        before :meth:`Connection.send` would not be enough.
     """
 
     __slots__ = (
@@ -100,6 +104,7 @@
         "context",
         "deadline",
         "headers",
+        "is_allowed",
         "method",
         "reply_channel",
         "request_id",
@@ -119,6 +124,7 @@
         body=b"",
         context=None,
         request_id=None,
+        is_allowed=None,
     ):
         self.method = method
         self.target = target
@@ -128,6 +134,7 @@
         self.reply_channel = reply_channel
         self.context = context
         self.request_id = request_id
+        self.is_allowed = is_allowed
         self.result = None
         self.connection = None
         self.started = None
@@ -144,18 +151,23 @@
         IP address.
     port : int
         TCP port.
+    on_closed : callable or None
+        Called once with the connection when it closes.
     """
 
     __slots__ = (
         "_answer_body",
         "_answer_head",
+        "_answer_size",
         "_bytes_sent",
         "_client",
         "_connected_at",
         "_exchange",
         "_host",
-        "_is_open",
         "_is_connecting",
+        "_is_open",
+        "_is_reused",
+        "_on_closed",
         "_outgoing",
         "_port",
         "_protocol",
@@ -163,8 +175,9 @@
         "_timer",
     )
 
-    def __init__(self, *, client, host, port):
+    def __init__(self, *, client, host, port, on_closed=None):
         self._client = client
+        self._on_closed = on_closed
         self._host = host
         self._port = port
         self._socket = None
@@ -176,8 +189,10 @@
         self._connected_at = None
         self._is_open = True
         self._is_connecting = False
+        self._is_reused = False
         self._answer_head = None
         self._answer_body = []
+        self._answer_size = 0
 
     @property
     def address(self):
@@ -224,7 +239,9 @@
         exchange.started = time.monotonic()
         self._answer_head = None
         self._answer_body = []
+        self._answer_size = 0
         self._bytes_sent = 0
+        self._is_reused = self._connected_at is not None
         delay_s = exchange.deadline - time.monotonic()
         self._timer = self._client.timers.after(delay_s, self._on_timeout)
         if self._socket is None:
@@ -234,6 +251,20 @@
         else:
             self._write_request()
 
+    def close_if_stale(self):
+        """Close an idle connection that the peer has closed or written to.
+
+        Returns
+        -------
+        bool
+            Whether the connection was closed.
+        """
+        is_stale = self.is_idle and self._socket is not None
+        is_stale = is_stale and self._was_closed_by_peer()
+        if is_stale:
+            self.close()
+        return is_stale
+
     def cancel(self):
         """End the exchange in flight as cancelled and close the connection."""
         if self._exchange is not None:
@@ -252,13 +283,20 @@
         if self._socket is not None:
             self._client.release(self._socket)
             self._socket.close()
+        if self._on_closed is not None:
+            self._on_closed(self)
 
     def _start_connecting(self):
         self._is_connecting = True
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = self._socket.connect_ex(self.address)
+        try:
+            self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self._socket.setblocking(False)
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = self._socket.connect_ex(self.address)
+        except OSError as error:
+            # No descriptor is free, or the host is no IP address.
+            self._fail("connect", f"cannot connect: {error.strerror}")
+            return
         if code not in (0, errno.EINPROGRESS):
             self._fail("connect", f"cannot connect: {errno.errorcode.get(code, code)}")
             return
@@ -280,10 +318,20 @@
     def _was_closed_by_peer(self):
         # Any readable byte on an idle connection is an end of file or an answer that
         # nobody asked for; both forbid to use it again.
-        return bool(select.select([self._socket], [], [], 0)[0])
+        # select() is not used here: it fails for descriptors above 1023.
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
     def _write_request(self):
         exchange = self._exchange
+        if exchange.is_allowed is not None and not exchange.is_allowed():
+            self._fail("refused", "the sender may not send this request any more")
+            return
         host = f"{self._host}:{self._port}".encode()
         headers = [(b"host", host), *exchange.headers]
         if exchange.request_id is not None:
@@ -298,7 +346,7 @@
             if exchange.body:
                 data += self._protocol.send(h11.Data(data=exchange.body))
             data += self._protocol.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             self._fail("protocol", f"the request is not valid HTTP: {error}")
             return
         self._outgoing = data
@@ -372,7 +420,8 @@
 
     def _add_body(self, data):
         self._answer_body.append(data)
-        if sum(map(len, self._answer_body)) > ANSWER_BODY_LIMIT_BYTES:
+        self._answer_size += len(data)
+        if self._answer_size > ANSWER_BODY_LIMIT_BYTES:
             limit = ANSWER_BODY_LIMIT_BYTES
             self._fail("protocol", f"the answer is larger than {limit} bytes")
 
@@ -386,6 +435,11 @@
         if request_id is not None and echoed not in (None, request_id):
             self._fail("protocol", f"the answer is for request {echoed!r}")
             return
+        if request_id is not None and echoed is None and self._is_reused:
+            # A server that repeated the id before sends an answer without it for
+            # something else, such as a 408 for the idle time.
+            self._fail("protocol", "the answer repeats no request id any more")
+            return
         result = Answer(
             status=self._answer_head.status_code,
             headers=headers,
@@ -468,7 +522,7 @@
         """Number of open sockets."""
         return len(self._connections)
 
-    def connect(self, *, host, port):
+    def connect(self, *, host, port, on_closed=None):
         """Return a new connection; the socket is made with the first request.
 
         Parameters
@@ -477,13 +531,15 @@
             IP address.
         port : int
             TCP port.
+        on_closed : callable or None
+            Called once with the connection when it closes.
 
         Returns
         -------
         Connection
             Idle connection.
         """
-        return Connection(client=self, host=host, port=port)
+        return Connection(client=self, host=host, port=port, on_closed=on_closed)
 
     def adopt(self, sock, connection):
         """Watch the socket of a connection that is being made."""
--- a/cranberryport/timers.py
+++ b/cranberryport/timers.py
@@ -75,6 +75,9 @@
     def _on_generate_events(self, event):
         now = time.monotonic()
         while self._heap and self._heap[0][0] <= now:
+            # The events that a call fires are already in the queue; the poller, which
+            # comes after this handler, must not wait while they are.
+            event.reduce_time_left(0)
             heapq.heappop(self._heap)[2].run()
         while self._heap and not self._heap[0][2].is_pending:
             heapq.heappop(self._heap)
