Let the raw test server close after the first answer was read

Cause: in one run of three the server's close was seen while the test still waited for the first answer, so the idle connection was gone before its reuse.

Change: the server waits for the test before it closes.

--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -40,6 +40,9 @@
             sock.settimeout(LIMIT_S)
             self._held.append(sock)
             for step in script:
+                if isinstance(step, threading.Event):
+                    step.wait(LIMIT_S)
+                    continue
                 if step is None:
                     sock.close()
                     break
@@ -147,8 +150,10 @@
             self.assertEqual((result.reason, result.bytes_sent), ("connect", 0))
 
     def test_close_of_an_idle_connection_sends_nothing(self):
-        link = self.connect(self.serve([OK, None]))
+        answered = threading.Event()
+        link = self.connect(self.serve([OK, answered, None]))
         self.exchange(link)
+        answered.set()
         deadline = time.monotonic() + LIMIT_S
         while not link._was_closed_by_peer():
             self.assertLess(time.monotonic(), deadline)
