--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,67 @@
+"""Tests of :mod:`cranberryport.health`."""
+
+import types
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cranberryport import health
+
+POOL = ("a", "b", "c", "d")
+
+
+def eject(evidence, *servers, now=0.0):
+    """Let servers fail until they are ejected."""
+    for server in servers:
+        for _ in range(health.CONSECUTIVE_FAILURES):
+            evidence.record_failure(server, now)
+
+
+class HealthTest(unittest.TestCase):
+    """A fault that is not the server's must not take servers away."""
+
+    def test_only_connections_of_the_same_age_are_closed(self):
+        ages = [types.SimpleNamespace(connected_at=at) for at in (1.0, 10.5, 20.0)]
+        self.assertEqual(health.connections_to_close(10.0, ages), ages[:2])
+
+    def test_down_needs_two_signals(self):
+        evidence = health.Health()
+        evidence.record_connect_failure("a", 0.0)
+        self.assertFalse(evidence.is_down("a", 0.0))
+        evidence.record_peer_report("a", "peer", 0.0)
+        self.assertTrue(evidence.is_down("a", 1.0))
+        self.assertFalse(evidence.is_down("a", health.REPORT_LIFETIME_S))
+        evidence.record_list_status("a", "gone")
+        self.assertTrue(evidence.is_down("a", 100.0))
+        evidence.record_connected("a")
+        self.assertFalse(evidence.is_down("a", 100.0))
+
+    def test_failing_server_is_ejected_for_a_growing_time_and_probed(self):
+        evidence = health.Health()
+        eject(evidence, "a")
+        self.assertEqual(evidence.ejected(POOL, 4.9), {"a"})
+        self.assertEqual(evidence.ejected(POOL, 5.0), set())
+        self.assertTrue(evidence.is_probed("a", 5.0))
+        evidence.record_failure("a", 5.0)
+        self.assertEqual(evidence.ejected(POOL, 14.9), {"a"})
+        for _ in range(health.PROBES_NEEDED):
+            evidence.record_success("a", 15.0)
+        self.assertFalse(evidence.is_probed("a", 15.0))
+        eject(evidence, "a", now=16.0)
+        self.assertEqual(evidence.ejected(POOL, 21.0), set())
+
+    def test_server_that_fails_most_but_not_all_is_ejected(self):
+        evidence = health.Health()
+        for number in range(60):
+            record = evidence.record_success if number % 4 == 0 else None
+            (record or evidence.record_failure)("a", 0.0)
+        self.assertEqual(evidence.ejected(POOL, 1.0), {"a"})
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(strategies.sets(strategies.sampled_from(POOL)))
+    def test_at_most_half_is_ejected(self, failing):
+        evidence = health.Health()
+        eject(evidence, *failing)
+        expected = failing if len(failing) <= 2 else set()
+        self.assertEqual(evidence.ejected(POOL, 1.0), expected)
--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,54 @@
+"""Tests of :mod:`cranberryport.retry`."""
+
+import random
+import unittest
+
+from cranberryport import retry
+
+
+def decide(budget, **changes):
+    """Return the decision for a request that did not run."""
+    options = {
+        "attempts": 1,
+        "is_not_run": True,
+        "is_repeatable": False,
+        "now": 0.0,
+        "deadline": 100.0,
+        "random": random.Random(1),
+    }
+    return retry.next_attempt(budget=budget, **{**options, **changes})
+
+
+class RetryTest(unittest.TestCase):
+    """A retry must neither run work twice nor multiply the load."""
+
+    def test_only_what_cannot_run_twice_is_retried(self):
+        budget = retry.RetryBudget()
+        self.assertIsNotNone(decide(budget))
+        self.assertIsNotNone(decide(budget, is_not_run=False, is_repeatable=True))
+        self.assertIsNone(decide(budget, is_not_run=False))
+        self.assertIsNone(decide(budget, deadline=0.0))
+
+    def test_budget_is_a_burst_and_a_tenth_of_first_attempts(self):
+        budget = retry.RetryBudget()
+        retries = 0
+        for _ in range(1000):
+            budget.add_first_attempt()
+            while decide(budget) is not None:
+                retries += 1
+        self.assertAlmostEqual(retries, retry.BUDGET_BURST + 100, delta=1)
+
+    def test_refused_retry_costs_nothing(self):
+        budget = retry.RetryBudget()
+        decide(budget, deadline=0.0)
+        self.assertEqual(budget.tokens, retry.BUDGET_BURST)
+
+    def test_backoff_grows_to_its_limit(self):
+        source = random.Random(2)
+        for attempts, limit_s in ((1, 0.05), (2, 0.1), (6, 1.6), (7, 2.0), (99, 2.0)):
+            delays = [
+                decide(retry.RetryBudget(), attempts=attempts, random=source)
+                for _ in range(200)
+            ]
+            self.assertLessEqual(max(delays), limit_s)
+            self.assertGreater(max(delays), 0.9 * limit_s)
