Add the dispatcher, key claims and the backend pool

Change: Dispatcher admits requests, claims keys, sends attempts, retries and fires one outcome per request. BackendPool keeps connections and slots within the session's shares; slots of abandoned requests stay held.

Decided: the dispatch right, the claim and the server's state are checked again immediately before the first byte, since connecting can span a pause. A release is appended once per claim, and the key is not claimed again before the release is decided: a late release could end a new claim while it runs. A request stays unknown if any of its attempts may have run. A connection attempt without answer is given up after 1 s, which leaves time for another server. All failures after the first byte hold the slot, not only timeouts: the server may run the work in each case.

Ruled out: a claim before the admission check, which would cost two appends for each refused request.

Tested: tests/test_dispatcher.py against backend servers in threads and a log that folds at once, holds records back or is down.

--- /dev/null
+++ b/cranberryport/backend_pool.py
@@ -0,0 +1,278 @@
+"""Connections and slots of the backend servers, within the session's shares."""
+
+import collections
+import functools
+
+from circuits import BaseComponent, Event, handler
+
+from cranberryport.http import connection
+
+ABANDONED_SLOT_HOLD_S = 5.0
+CONNECT_TIMEOUT_S = 1.0
+
+
+class slot_freed(Event):
+    """Tell the dispatcher that a held slot is free; goes to channel ``dispatcher``.
+
+    Parameters
+    ----------
+    service : str
+        Service of the server.
+    """
+
+
+class Attempt:
+    """One try of a request at a backend server.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    server : BackendServer
+        Where the request goes.
+    is_new_connection : bool
+        Whether the connection is made for this attempt.
+    on_done : callable
+        Called with the attempt and the ended exchange.
+    """
+
+    __slots__ = ("is_new_connection", "on_done", "server", "service")
+
+    def __init__(self, *, service, server, is_new_connection, on_done):
+        self.service = service
+        self.server = server
+        self.is_new_connection = is_new_connection
+        self.on_done = on_done
+
+
+class BackendPool(BaseComponent):
+    """Owns the connections to all backend servers.
+
+    Parameters
+    ----------
+    client : connection.Client
+        Owner of the sockets.
+    timers : timers.Timers
+        For held slots.
+    view : object
+        Control state: ``servers(service)`` and ``connections_share(service)``.
+    abandoned_slot_hold_s : float
+        Time for which a slot stays taken after its request was abandoned. The server
+        may still be running the work, and closing the connection does not stop it.
+    """
+
+    channel = "backend_pool"
+
+    def __init__(
+        self, *, client, timers, view, abandoned_slot_hold_s=ABANDONED_SLOT_HOLD_S
+    ):
+        super().__init__()
+        self._client = client
+        self._clock = timers
+        self._view = view
+        self._abandoned_slot_hold_s = abandoned_slot_hold_s
+        self._slots_in_use = collections.Counter()
+        self._places = {}
+        self._connection_counts = collections.Counter()
+        self._idle = collections.defaultdict(list)
+
+    def in_flight(self, server):
+        """Return the slots in use at a server, held slots included.
+
+        Parameters
+        ----------
+        server : str
+            Name.
+
+        Returns
+        -------
+        int
+            Zero means that nothing of this entry instance can run there.
+        """
+        return self._slots_in_use[server]
+
+    def connection_count(self, service):
+        """Return the open connections of a service."""
+        return self._connection_counts[service]
+
+    def idle_connections(self, server):
+        """Return the idle connections to a server, the longest idle first."""
+        return list(self._idle.get(server, ()))
+
+    def slots_total(self, server):
+        """Return how many requests this entry instance may have at a server.
+
+        Parameters
+        ----------
+        server : BackendServer
+            From the view.
+        """
+        return server.slots_share if server.is_usable else 0
+
+    def can_start(self, service, server):
+        """Return whether a slot and a connection are free for one more request."""
+        if self._slots_in_use[server.name] >= self.slots_total(server):
+            return False
+        share = self._view.connections_share(service)
+        if self._connection_counts[service] < share:
+            return True
+        if self._connection_counts[service] > share:
+            # The share has shrunk, and the surplus is not closed yet.
+            return False
+        if self._idle.get(server.name):
+            return True
+        return self._find_oldest_idle(service) is not None
+
+    def start(self, service, server, exchange, on_done):
+        """Send a request to a server.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        server : BackendServer
+            From the view.
+        exchange : connection.Exchange
+            Its context and reply channel are set here.
+        on_done : callable
+            Called with the attempt and the ended exchange.
+
+        Returns
+        -------
+        bool
+            False if no slot or connection is free; nothing was sent then.
+        """
+        if not self.can_start(service, server):
+            return False
+        link = self._take_idle(server)
+        is_new = link is None
+        if is_new:
+            link = self._open(service, server)
+        if link is None:
+            return False
+        exchange.reply_channel = self.channel
+        exchange.context = Attempt(
+            service=service, server=server, is_new_connection=is_new, on_done=on_done
+        )
+        self._slots_in_use[server.name] += 1
+        link.send(exchange)
+        return True
+
+    def close_idle(self, connections):
+        """Close connections that are idle."""
+        for link in connections:
+            if link.is_idle:
+                link.close()
+
+    def refresh(self):
+        """Close idle connections that the shares or the servers no longer allow."""
+        for service in list(self._connection_counts):
+            usable = self._usable_addresses(service)
+            for link, (owner, name) in list(self._places.items()):
+                if owner == service and usable.get(name) != link.address:
+                    self.close_idle([link])
+            self._trim(service)
+
+    @handler("folded", channel="*")
+    def _on_folded(self, *_):
+        self.refresh()
+
+    @handler("exchange_done")
+    def _on_exchange_done(self, exchange):
+        attempt = exchange.context
+        self._settle_slot(attempt, exchange.result)
+        self._settle_connection(attempt, exchange.connection)
+        attempt.on_done(attempt, exchange)
+
+    def _settle_slot(self, attempt, result):
+        if isinstance(result, connection.Failed) and result.bytes_sent:
+            self._clock.after(
+                self._abandoned_slot_hold_s,
+                functools.partial(self._free_held_slot, attempt),
+            )
+        else:
+            self._free_slot(attempt.server.name)
+
+    def _free_held_slot(self, attempt):
+        self._free_slot(attempt.server.name)
+        self.fire(slot_freed(attempt.service), "dispatcher")
+
+    def _free_slot(self, name):
+        self._slots_in_use[name] -= 1
+        if not self._slots_in_use[name]:
+            del self._slots_in_use[name]
+
+    def _settle_connection(self, attempt, link):
+        if not link.is_open:
+            return
+        usable = self._usable_addresses(attempt.service)
+        if usable.get(attempt.server.name) != link.address:
+            link.close()
+            return
+        self._idle[attempt.server.name].append(link)
+        self._trim(attempt.service)
+
+    def _usable_addresses(self, service):
+        servers = self._view.servers(service)
+        return {one.name: (one.host, one.port) for one in servers if one.is_usable}
+
+    def _take_idle(self, server):
+        # The newest comes first, so that surplus connections stay idle and are closed.
+        idle = self._idle.get(server.name)
+        while idle:
+            link = idle[-1]
+            if link.address != (server.host, server.port):
+                link.close()
+            elif not link.close_if_stale():
+                return idle.pop()
+        return None
+
+    def _open(self, service, server):
+        if self._connection_counts[service] >= self._view.connections_share(service):
+            surplus = self._find_oldest_idle(service)
+            if surplus is None:
+                return None
+            surplus.close()
+        link = self._client.connect(
+            host=server.host, port=server.port, on_closed=self._on_connection_closed
+        )
+        self._places[link] = (service, server.name)
+        self._connection_counts[service] += 1
+        self._clock.after(
+            CONNECT_TIMEOUT_S, functools.partial(self._check_connected, link)
+        )
+        return link
+
+    def _check_connected(self, link):
+        # A connection attempt that is not answered would use up the whole deadline,
+        # while another server could still do the work.
+        if link.is_open and link.connected_at is None:
+            link.cancel()
+
+    def _on_connection_closed(self, link):
+        service, name = self._places.pop(link)
+        self._connection_counts[service] -= 1
+        if not self._connection_counts[service]:
+            del self._connection_counts[service]
+        idle = self._idle.get(name)
+        if idle and link in idle:
+            idle.remove(link)
+        if name in self._idle and not self._idle[name]:
+            del self._idle[name]
+
+    def _trim(self, service):
+        share = self._view.connections_share(service)
+        while self._connection_counts[service] > share:
+            surplus = self._find_oldest_idle(service)
+            if surplus is None:
+                return
+            surplus.close()
+
+    def _find_oldest_idle(self, service):
+        links = [
+            link
+            for idle in self._idle.values()
+            for link in idle
+            if self._places[link][0] == service
+        ]
+        return min(links, key=lambda link: link.connected_at, default=None)
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,8 +1,14 @@
-"""An event loop that a test turns itself."""
+"""An event loop that a test turns itself, and what surrounds a dispatcher."""
 
+import contextlib
+import dataclasses
+import re
+import socket
+import threading
 import time
+import types
 
-from circuits import Manager
+from circuits import BaseComponent, Event, Manager, handler
 from circuits.core import pollers
 
 from cranberryport import timers
@@ -10,6 +16,18 @@
 LIMIT_S = 10
 
 
+class Failures(BaseComponent):
+    """Collects exceptions of handlers, which circuits only turns into events."""
+
+    def __init__(self):
+        super().__init__()
+        self.errors = []
+
+    @handler("exception", channel="*")
+    def _on_exception(self, _kind, value, trace, **_):
+        self.errors.append((value, trace))
+
+
 class Loop:
     """A manager with poller and timers."""
 
@@ -17,6 +35,7 @@
         self.manager = Manager()
         # tick() polls only in a running manager, and run() would not return.
         self.manager._running = True
+        self._failures = self.add(Failures())
         self.add(pollers.EPoll())
         self.timers = self.add(timers.Timers())
 
@@ -32,3 +51,163 @@
             if time.monotonic() > limit:
                 raise AssertionError("the condition never became true")
             self.manager.tick(timeout=0.05)
+            if self._failures.errors:
+                error, trace = self._failures.errors[0]
+                raise AssertionError("".join(trace)) from error
+
+    def fire(self, name, *arguments, channel="*"):
+        """Fire an event made from its name."""
+        self.manager.fire(Event.create(name, *arguments), channel)
+
+    def close(self):
+        """Let the components close their sockets."""
+        self.fire("stopped", self.manager)
+        self.run_until(lambda: not len(self.manager))
+
+
+class Recorder(BaseComponent):
+    """Collects the arguments of one kind of event on one channel."""
+
+    def __init__(self, name, channel):
+        super().__init__(channel=channel)
+        self.events = []
+        self.addHandler(handler(name)(self._make_handler()))
+
+    def _make_handler(self):
+        def _on_event(_, *arguments):
+            self.events.append(arguments)
+
+        return _on_event
+
+
+class BackendServer:
+    """Answers HTTP requests on loopback from a function in threads.
+
+    Parameters
+    ----------
+    behave : callable
+        Gets the request's head and body as bytes and returns the bytes to send; None
+        closes the connection, and empty bytes keep it silent.
+    """
+
+    def __init__(self, behave):
+        self.heads = []
+        self._behave = behave
+        self._sockets = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def connection_count(self):
+        """Connections accepted so far."""
+        return len(self._sockets)
+
+    def close(self):
+        """Stop accepting and close everything."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock in self._sockets:
+            sock.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            sock.settimeout(LIMIT_S)
+            self._sockets.append(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with contextlib.suppress(OSError):
+            data = b""
+            while True:
+                while b"\r\n\r\n" not in data:
+                    received = sock.recv(65536)
+                    if not received:
+                        return
+                    data += received
+                head, _, data = data.partition(b"\r\n\r\n")
+                length = re.search(rb"content-length: (\d+)", head, re.I)
+                length = int(length[1]) if length else 0
+                while len(data) < length:
+                    data += sock.recv(65536)
+                body, data = data[:length], data[length:]
+                self.heads.append(head)
+                answer = self._behave(head, body)
+                if answer is None:
+                    sock.shutdown(socket.SHUT_RDWR)
+                    return
+                sock.sendall(answer)
+
+
+def answer(head, body=b"ok", *, status=200, extra=b""):
+    """Return an answer that repeats the request id."""
+    request_id = re.search(rb"request-id: (\S+)", head, re.I)[1]
+    return b"HTTP/1.1 %d X\r\nRequest-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s" % (
+        status,
+        request_id,
+        len(body),
+        extra,
+        body,
+    )
+
+
+@dataclasses.dataclass
+class Server:
+    """A backend server as the view gives it."""
+
+    name: str
+    port: int
+    host: str = "127.0.0.1"
+    data_centre: str = "north"
+    slots_share: int = 2
+    is_usable: bool = True
+
+
+@dataclasses.dataclass
+class Key:
+    """A key's record as the view gives it."""
+
+    session: str
+    digest: str
+    finished: object = None
+    is_orphaned: bool = False
+
+
+class View:
+    """Control state that a test sets."""
+
+    def __init__(self, *servers):
+        self.all_servers = list(servers)
+        self.share = 8
+        self.keys = {}
+        self.dispatch_right = True
+        self.session = "s1"
+        self.reserved_rush_percent = 0
+
+    def servers(self, _service):
+        """Return the servers of every service."""
+        return self.all_servers
+
+    def connections_share(self, _service):
+        """Return the share of connections."""
+        return self.share
+
+    def configuration(self):
+        """Return itself, with the settings of :meth:`desk` and :meth:`service`."""
+        return self
+
+    def desk(self, _name):
+        """Return a desk's settings."""
+        return types.SimpleNamespace(weight=1)
+
+    def service(self, _name):
+        """Return a service's settings."""
+        return types.SimpleNamespace(reserved_rush_percent=self.reserved_rush_percent)
+
+    def key(self, key):
+        """Return the record of a key or None."""
+        return self.keys.get(key)
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -69,6 +69,7 @@
 
     def setUp(self):
         self.loop = support.Loop()
+        self.addCleanup(self.loop.close)
         self.client = self.loop.add(connection.Client(timers=self.loop.timers))
         self.replies = self.loop.add(Replies())
 
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,314 @@
+"""Tests of :mod:`cranberryport.dispatcher` with :mod:`cranberryport.backend_pool`."""
+
+import dataclasses
+import random
+import time
+import unittest
+
+from circuits import BaseComponent, handler
+
+from cranberryport import (
+    backend_pool,
+    claims,
+    dispatcher,
+    log_writer_events,
+    outcomes,
+    requests,
+)
+from cranberryport.generated import messages
+from cranberryport.http import connection
+from tests import support
+
+KEY = "01930000-0000-7000-8000-000000000001"
+
+
+@dataclasses.dataclass
+class Accepted:
+    """Equal to the fold's outcome."""
+
+    record: object
+
+
+@dataclasses.dataclass
+class Rejected:
+    """Equal to the fold's outcome."""
+
+    record: object
+    reason: str
+
+
+class Log(BaseComponent):
+    """Folds keys into the view at once, or holds the records back."""
+
+    channel = "log_writer"
+
+    def __init__(self, view):
+        super().__init__()
+        self.view = view
+        self.records = []
+        self.held = []
+        self.is_holding = False
+        self.is_down = False
+
+    @handler("append")
+    def _on_append(self, record, ticket):
+        self.records.append(record)
+        if self.is_holding:
+            self.held.append((record, ticket))
+        else:
+            self.decide(record, ticket)
+
+    def decide(self, record, ticket):
+        """Fold a record and tell the outcome."""
+        outcome = log_writer_events.Undecided(record=record)
+        if not self.is_down:
+            outcome = self._fold(record)
+        self.fire(log_writer_events.decided(ticket, outcome), ticket.reply_channel)
+
+    def decide_held(self):
+        """Fold what was held back."""
+        held, self.held = self.held, []
+        for record, ticket in held:
+            self.decide(record, ticket)
+
+    def _fold(self, record):
+        keys = self.view.keys
+        known = keys.get(record.key)
+        if isinstance(record, messages.KeyClaimed):
+            if known is not None:
+                return Rejected(record, "claimed")
+            keys[record.key] = support.Key(record.session, record.digest)
+        elif known is None or known.session != record.session:
+            return Rejected(record, "no such claim")
+        elif isinstance(record, messages.KeyReleased):
+            del keys[record.key]
+        else:
+            known.finished = record
+        return Accepted(record)
+
+
+class DispatcherTest(unittest.TestCase):
+    """Each request gets one true outcome, and keyed work runs at most once."""
+
+    def start(self, *behaviours, **settings):
+        self.loop = support.Loop()
+        self.backends = [support.BackendServer(behave) for behave in behaviours]
+        for backend in self.backends:
+            self.addCleanup(backend.close)
+        servers = [
+            support.Server(f"b{number}", backend.port)
+            for number, backend in enumerate(self.backends)
+        ]
+        self.view = support.View(*servers)
+        self.log = self.loop.add(Log(self.view))
+        clock = self.loop.timers
+        client = self.loop.add(connection.Client(timers=clock))
+        self.pool = self.loop.add(
+            backend_pool.BackendPool(
+                client=client, timers=clock, view=self.view, abandoned_slot_hold_s=0.2
+            )
+        )
+        self.dispatcher = self.loop.add(
+            dispatcher.Dispatcher(
+                timers=clock,
+                pool=self.pool,
+                view=self.view,
+                data_centre="north",
+                random=random.Random(1),
+                **settings,
+            )
+        )
+        self.outcomes = self.loop.add(support.Recorder("outcome", "frontend"))
+        self.finished = self.loop.add(support.Recorder("request_finished", "metrics"))
+        self.addCleanup(self.loop.close)
+
+    def submit(self, *, method="GET", target="/", key=None, wait_s=5, **options):
+        now = time.monotonic()
+        request = requests.CallerRequest(
+            id=f"r{len(self.finished.events)}-{random.random()}",
+            service="sizing",
+            desk="d",
+            request_class=options.get("request_class", "interactive"),
+            method=method,
+            target=target,
+            headers=options.get("headers", []),
+            body=options.get("body", b""),
+            deadline=now + wait_s,
+            arrived=now,
+            key=key,
+        )
+        self.loop.manager.fire(requests.submit(request), "dispatcher")
+        return request
+
+    def result(self, request):
+        def find():
+            return [end for one, end in self.outcomes.events if one is request]
+
+        self.loop.run_until(find)
+        self.assertEqual(len(find()), 1)
+        return find()[0]
+
+    def run_one(self, **options):
+        return self.result(self.submit(**options))
+
+    def cancel(self, request):
+        self.loop.manager.fire(requests.cancel(request), "dispatcher")
+
+    def kinds(self):
+        return [type(record).__name__ for record in self.log.records]
+
+    def test_answer_comes_back_whole_and_connection_is_reused(self):
+        self.start(lambda head, body: support.answer(head, body, extra=b"A: b\r\n"))
+        for _ in range(3):
+            end = self.run_one(method="POST", body=b"abc", headers=[(b"TE", b"x")])
+            self.assertEqual((end.status, end.body), (200, b"abc"))
+            self.assertEqual(end.headers, [(b"a", b"b")])
+        self.assertEqual(self.backends[0].connection_count, 1)
+        self.assertNotIn(b"TE:", self.backends[0].heads[0])
+        self.assertEqual(self.pool.in_flight("b0"), 0)
+
+    def test_refusal_before_execution_goes_to_another_server(self):
+        refused = b"Request-Refused: before-execution\r\n"
+        self.start(
+            lambda head, _: support.answer(head, status=503, extra=refused),
+            lambda head, _: support.answer(head),
+        )
+        for _ in range(5):
+            self.assertEqual(self.run_one(method="POST").status, 200)
+
+    def test_broken_answer_is_unknown_and_not_repeated(self):
+        self.start(lambda *_: None)
+        end = self.run_one(method="POST")
+        self.assertIsInstance(end, outcomes.Unknown)
+        self.assertEqual(end.status, 502)
+        self.assertEqual(len(self.backends[0].heads), 1)
+
+    def test_unknown_attempt_stays_unknown_after_a_retry_that_did_not_run(self):
+        def close(*_):
+            self.view.all_servers[0].is_usable = False
+
+        self.start(close)
+        end = self.run_one(method="GET", wait_s=0.5)
+        self.assertIsInstance(end, outcomes.Unknown)
+
+    def test_timeout_is_unknown_and_holds_the_slot(self):
+        self.start(lambda *_: b"")
+        end = self.run_one(wait_s=0.1)
+        self.assertEqual((type(end), end.status), (outcomes.Unknown, 504))
+        self.assertEqual(self.pool.in_flight("b0"), 1)
+        self.assertEqual(self.pool.connection_count("sizing"), 0)
+        self.loop.run_until(lambda: self.pool.in_flight("b0") == 0)
+
+    def test_without_dispatch_right_nothing_is_sent(self):
+        self.start(lambda head, _: support.answer(head))
+        self.view.dispatch_right = False
+        for key in (None, KEY):
+            end = self.run_one(key=key)
+            self.assertEqual((type(end), end.status), (outcomes.NotRun, 503))
+        self.assertEqual(self.backends[0].heads, [])
+        self.assertEqual(self.log.records, [])
+
+    def test_leaving_server_gets_nothing_new(self):
+        self.start(lambda head, _: support.answer(head))
+        self.run_one()
+        self.view.all_servers[0].is_usable = False
+        self.pool.refresh()
+        self.assertEqual(self.pool.connection_count("sizing"), 0)
+        self.assertIsInstance(self.run_one(wait_s=0.1), outcomes.NotRun)
+        self.assertEqual(len(self.backends[0].heads), 1)
+
+    def test_connections_stay_within_the_share(self):
+        ok = [lambda head, _: support.answer(head)] * 2
+        self.start(*ok)
+        self.view.share = 1
+        ends = [self.submit() for _ in range(6)]
+        for request in ends:
+            self.assertEqual(self.result(request).status, 200)
+            self.assertLessEqual(self.pool.connection_count("sizing"), 1)
+
+    def test_full_queue_and_cancellation_of_waiting_requests(self):
+        self.start(lambda *_: b"", queue_capacity=1)
+        running = [self.submit(wait_s=0.5) for _ in range(2)]
+        batch = self.submit(request_class="batch", wait_s=0.5)
+        rush = self.submit(request_class="rush", wait_s=0.5)
+        self.assertIsInstance(self.result(batch), outcomes.NotRun)
+        self.cancel(rush)
+        self.assertIsInstance(self.result(rush), outcomes.NotRun)
+        self.cancel(running[0])
+        for request in running:
+            self.assertIsInstance(self.result(request), outcomes.Unknown)
+
+    def test_key_is_claimed_before_and_finished_after_the_run(self):
+        self.start(lambda head, _: support.answer(head, b"licence"))
+        self.log.is_holding = True
+        request = self.submit(method="POST", key=KEY)
+        self.loop.run_until(lambda: self.log.held)
+        self.assertEqual(self.backends[0].heads, [])
+        self.log.decide_held()
+        self.loop.run_until(lambda: self.log.held)
+        self.assertEqual(self.kinds(), ["KeyClaimed", "KeyFinished"])
+        self.assertEqual(self.outcomes.events, [])
+        self.log.decide_held()
+        self.assertEqual(self.result(request).body, b"licence")
+        self.assertEqual(self.run_one(method="POST", key=KEY).body, b"licence")
+        self.assertEqual(self.run_one(method="PUT", key=KEY).status, 422)
+        self.assertEqual(len(self.backends[0].heads), 1)
+
+    def test_simultaneous_repeats_run_once(self):
+        self.start(lambda head, _: support.answer(head, b"licence"))
+        repeats = [self.submit(method="POST", key=KEY) for _ in range(5)]
+        for request in repeats:
+            self.assertEqual(self.result(request).body, b"licence")
+        self.assertEqual(len(self.backends[0].heads), 1)
+
+    def test_claims_of_other_sessions(self):
+        self.start(lambda head, _: support.answer(head))
+        digest = claims.digest(self.submit(method="POST"))
+        self.view.keys[KEY] = support.Key("s2", digest)
+        waiting = self.submit(method="POST", key=KEY)
+        end = self.run_one(method="POST", key=KEY, wait_s=0.1)
+        self.assertEqual((type(end), end.status), (outcomes.Unknown, 504))
+        del self.view.keys[KEY]
+        self.loop.fire("folded", [])
+        self.assertEqual(self.result(waiting).status, 200)
+        self.view.keys[KEY] = support.Key("s2", digest, is_orphaned=True)
+        end = self.run_one(method="POST", key=KEY)
+        self.assertIsInstance(end, outcomes.Unknown)
+
+    def test_unsent_request_releases_its_key(self):
+        self.start(lambda head, _: support.answer(head))
+        self.view.all_servers[0].is_usable = False
+        end = self.run_one(method="POST", key=KEY, wait_s=0.2)
+        self.assertIsInstance(end, outcomes.NotRun)
+        self.assertEqual(self.kinds(), ["KeyClaimed", "KeyReleased"])
+        self.loop.run_until(lambda: KEY not in self.view.keys)
+        self.view.all_servers[0].is_usable = True
+        self.assertEqual(self.run_one(method="POST", key=KEY).status, 200)
+
+    def test_key_is_not_claimed_again_before_its_release_is_decided(self):
+        # The late release would end the second claim while its request runs.
+        self.start(lambda head, _: support.answer(head))
+        self.log.is_down = True
+        end = self.run_one(method="POST", key=KEY)
+        self.assertEqual((type(end), end.status), (outcomes.NotRun, 503))
+        self.log.is_down = False
+        end = self.run_one(method="POST", key=KEY, wait_s=0.2)
+        self.assertIsInstance(end, outcomes.NotRun)
+        self.assertEqual(self.kinds(), ["KeyClaimed", "KeyReleased"])
+
+    def test_session_lost_between_claim_and_dispatch_sends_nothing(self):
+        self.start(lambda head, _: support.answer(head))
+        self.log.is_holding = True
+        request = self.submit(method="POST", key=KEY)
+        self.loop.run_until(lambda: self.log.held)
+        self.view.session = "s2"
+        self.log.decide_held()
+        self.assertIsInstance(self.result(request), outcomes.NotRun)
+        self.assertEqual(self.backends[0].heads, [])
+
+    def test_answer_is_given_at_the_deadline_without_read_back(self):
+        self.start(lambda head, _: support.answer(head))
+        request = self.submit(method="POST", key=KEY, wait_s=0.5)
+        self.loop.run_until(lambda: self.log.records)
+        self.log.is_holding = True
+        self.assertEqual(self.result(request).status, 200)
