--- a/cranberryport/backend_pool.py
+++ b/cranberryport/backend_pool.py
@@ -6,9 +6,11 @@
 from circuits import BaseComponent, Event, handler
 
 from cranberryport.http import connection
+from cranberryport.state import shares
 
 ABANDONED_SLOT_HOLD_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
+TICK_S = 0.25
 
 
 class slot_freed(Event):
@@ -91,6 +93,19 @@
         """
         return self._slots_in_use[server]
 
+    def in_use(self, resource):
+        """Return the units of a shared resource that are in use.
+
+        Parameters
+        ----------
+        resource : str
+            ``slots/<server>`` or ``connections/<service>``.
+        """
+        kind, _, name = resource.partition("/")
+        if kind + "/" == shares.SLOTS_PREFIX:
+            return self._slots_in_use[name]
+        return self._connection_counts[name]
+
     def connection_count(self, service):
         """Return the open connections of a service."""
         return self._connection_counts[service]
@@ -173,8 +188,14 @@
                     self.close_idle([link])
             self._trim(service)
 
-    @handler("folded", channel="*")
-    def _on_folded(self, *_):
+    @handler("started", channel="*")
+    def _on_started(self, *_):
+        self._clock.after(TICK_S, self._tick)
+
+    def _tick(self):
+        # Not at each folded record: the platform's list and peers also tell of leaving
+        # servers, and hundreds of records a second can be folded.
+        self._clock.after(TICK_S, self._tick)
         self.refresh()
 
     @handler("exchange_done")
--- a/cranberryport/claims.py
+++ b/cranberryport/claims.py
@@ -91,7 +91,7 @@
             An outcome if the key already settles the request.
         """
         key = work.request.key
-        if key in self._owned:
+        if self._is_owned(key):
             return NextStep.WAIT
         record = self._view.key(key)
         if record is None:
@@ -100,9 +100,9 @@
             return outcomes.NotRun(
                 status=422, reason="the key was used for a different request"
             )
-        if record.finished is not None:
-            return _repeat(record.finished)
-        if record.is_orphaned:
+        if record.state == "finished":
+            return _repeat(record)
+        if record.state == "unknown":
             return outcomes.Unknown(
                 status=502,
                 reason="the entry instance that ran the first request of this key "
@@ -112,7 +112,8 @@
 
     def waited_too_long(self, work):
         """Return the outcome of a repeat whose deadline came while it waited."""
-        if self._owned.get(work.request.key) is Purpose.RELEASE:
+        purpose, _ = self._owned.get(work.request.key, (None, None))
+        if purpose is Purpose.RELEASE:
             return outcomes.NotRun(
                 status=503,
                 reason="the key is being released by a request that did not run",
@@ -125,8 +126,8 @@
     def claim(self, work):
         """Append the claim of a request."""
         key = work.request.key
-        self._owned[key] = Purpose.CLAIM
         work.session = self._view.session
+        self._owned[key] = (Purpose.CLAIM, work.session)
         record = messages.KeyClaimed(
             key=key,
             session=work.session,
@@ -139,7 +140,7 @@
     def holds(self, work):
         """Return whether the claim of a request is in force and still its own."""
         record = self._view.key(work.request.key)
-        if record is None or record.finished is not None or record.is_orphaned:
+        if record is None or record.state != "claimed":
             return False
         if record.session != work.session or record.digest != work.digest:
             return False
@@ -166,7 +167,7 @@
     def release(self, work):
         """Append the release of a claim whose request provably did not run."""
         key = work.request.key
-        self._owned[key] = Purpose.RELEASE
+        self._owned[key] = (Purpose.RELEASE, work.session)
         record = messages.KeyReleased(key=key, session=work.session)
         self._append(record, Purpose.RELEASE, work, RECORD_LIFETIME_S)
 
@@ -174,19 +175,29 @@
         """Stop owning a key; its record in the log, if any, says what comes next."""
         self._owned.pop(work.request.key, None)
 
+    def _is_owned(self, key):
+        if key not in self._owned:
+            return False
+        purpose, session = self._owned[key]
+        if purpose is Purpose.RELEASE and session != self._view.session:
+            # Records of an earlier session cannot end a claim of the present one.
+            del self._owned[key]
+            return False
+        return True
+
 
-def _repeat(finished):
-    if finished.truncated:
+def _repeat(record):
+    if record.truncated:
         return outcomes.Unknown(
             status=502,
-            reason=f"the request ran and was answered {finished.status}, but its "
+            reason=f"the request ran and was answered {record.status}, but its "
             "answer was too large to keep",
         )
     return outcomes.Answered(
-        status=finished.status,
+        status=record.status,
         headers=[
             (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in finished.headers
+            for name, value in record.headers
         ],
-        body=finished.body,
+        body=record.body,
     )
--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -18,7 +18,9 @@
     routing,
 )
 from cranberryport.http import connection
+from cranberryport.state import outcomes as fold_outcomes
 
+TICK_S = 0.25
 QUEUE_CAPACITY = 256
 NO_RIGHT_RETRY_AFTER_S = 1.0
 REFUSED_HEADER = b"request-refused"
@@ -188,9 +190,18 @@
         """Return the number of requests that wait for a slot of a service."""
         return len(self._services[service].queue) if service in self._services else 0
 
-    def health_of(self, service):
-        """Return the :class:`health.Health` of a service, to add other evidence."""
-        return self._service(service).health
+    def failed_servers(self):
+        """Return the names of the servers whose last new connection failed."""
+        return {
+            name
+            for service in self._services.values()
+            for name in service.health.connect_failures()
+        }
+
+    def record_peer_report(self, server, peer):
+        """Note that another entry instance cannot connect to a server."""
+        for service in self._services.values():
+            service.health.record_peer_report(server, peer, time.monotonic())
 
     @handler("submit")
     def _on_submit(self, request):
@@ -221,7 +232,7 @@
     @handler("decided")
     def _on_decided(self, ticket, outcome):
         purpose, work = ticket.context
-        is_accepted = type(outcome).__name__ == "Accepted"
+        is_accepted = isinstance(outcome, fold_outcomes.Accepted)
         is_decided = not isinstance(outcome, log_writer_events.Undecided)
         if purpose is claims.Purpose.CLAIM:
             self._on_claim_decided(work, outcome, is_accepted, is_decided)
@@ -239,6 +250,15 @@
     @handler("folded", channel="*")
     def _on_folded(self, *_):
         self._recheck_waiting()
+
+    @handler("started", channel="*")
+    def _on_started(self, *_):
+        self._clock.after(TICK_S, self._tick)
+
+    def _tick(self):
+        # Shares and servers also change without a folded record, by the platform's
+        # list, by peers and by withheld shares.
+        self._clock.after(TICK_S, self._tick)
         for name, service in list(self._services.items()):
             service.health.keep({one.name for one in self._view.servers(name)})
             self._pump(name)
--- a/cranberryport/health.py
+++ b/cranberryport/health.py
@@ -91,6 +91,14 @@
         """Note that a new connection failed."""
         self._of(server).connect_failed_at = now
 
+    def connect_failures(self):
+        """Return the names of the servers whose last new connection failed."""
+        return [
+            name
+            for name, evidence in self._servers.items()
+            if evidence.connect_failed_at is not None
+        ]
+
     def record_list_status(self, server, status):
         """Note the status in the platform's list, or ``gone`` for an absent server."""
         self._of(server).list_status = status
--- a/cranberryport/log_writer_events.py
+++ b/cranberryport/log_writer_events.py
@@ -1,13 +1,14 @@
-"""Events between the log writer and its users."""
+"""Events and types for appending records through the log writer."""
 
 import dataclasses
+from typing import Any
 
 from circuits import Event
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Ticket:
-    """Says to whom the outcome of an append goes.
+    """Where the outcome of a record goes.
 
     Attributes
     ----------
@@ -20,42 +21,41 @@
     """
 
     reply_channel: str
-    context: object
+    context: Any
     deadline: float
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Undecided:
-    """The record was not read back in time; it may still be folded later.
+    """The record may or may not be folded later.
 
     Attributes
     ----------
     record : object
-        The record that was appended.
+        The message.
     """
 
-    record: object
+    record: Any
 
 
 class append(Event):
-    """Append a record to the control stream; goes to channel ``log_writer``.
+    """Ask the log writer to append a record.
 
     Parameters
     ----------
     record : object
         Instance of a class in :mod:`cranberryport.generated.messages`.
     ticket : Ticket
-        For the outcome.
+        Where the outcome goes.
     """
 
 
 class decided(Event):
-    """Tell the outcome of an append.
+    """The outcome of a record is known.
 
     Parameters
     ----------
     ticket : Ticket
-        Of the append.
+        As given with the record.
     outcome : Accepted, Rejected or Undecided
-        From the read-back.
     """
