--- a/cranberryport/http/server.py
+++ b/cranberryport/http/server.py
@@ -536,6 +536,11 @@
         elif sock not in self._closeq:
             self._closeq.append(sock)
 
+    def stop_accepting(self):
+        """Close the listening socket; open connections stay."""
+        if self._sock is not None:
+            self._close(self._sock)
+
     def drop(self, sock):
         """Close a socket at once, without its data."""
         self._close(sock)
@@ -588,6 +593,7 @@
         self._timers = timers
         self._limits = limits
         self._connections = {}
+        self._is_stopping = False
         self._schedule_sweep()
 
     @property
@@ -637,10 +643,19 @@
             server=self._server,
         )
         response = CallerResponse(request, self._encoding)
-        response.close = _asks_to_close(head)
+        response.close = self._is_stopping or _asks_to_close(head)
         self.fire(web_events.request(request, response))
         return request, response
 
+    def stop_keeping_alive(self):
+        """Close idle connections now and the others after their present request."""
+        self._is_stopping = True
+        for connection in list(self._connections.values()):
+            if connection.is_idle:
+                self._server.drop(connection.sock)
+            elif connection.current is not None:
+                connection.current[1].close = True
+
     def on_written(self, sock):
         """Handle that all data of a socket is with the kernel."""
         connection = self._connections.get(sock)
@@ -793,6 +808,11 @@
         """TCP port that the server listens on."""
         return self._sockets.port
 
+    def stop_accepting(self):
+        """Take no new connections; requests in progress are answered."""
+        self._sockets.stop_accepting()
+        self._http.stop_keeping_alive()
+
     @property
     def connection_count(self):
         """Number of callers' connections."""
--- a/cranberryport/session_keeper.py
+++ b/cranberryport/session_keeper.py
@@ -98,6 +98,11 @@
             return False
         return self._sessions.is_live(self._session)
 
+    @property
+    def is_closed(self):
+        """Whether the own session was closed, or never was open."""
+        return self._is_closing and not self._is_open
+
     @property
     def rank(self):
         """Position among the live sessions; the lowest proposes first."""
@@ -161,6 +166,8 @@
                 _logger.info("opened session %s", subject)
             else:
                 self._session = None
+        elif purpose == "close":
+            self._is_open = False
         elif purpose == "heartbeat":
             self._is_heartbeat_pending = False
         elif not is_accepted:
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -7,6 +7,7 @@
 from circuits.core import pollers
 
 from cranberryport import timers
+from tests import support
 
 HANG_LIMIT_S = 20.0
 
@@ -38,3 +39,12 @@
         root.stop()
         thread.join(HANG_LIMIT_S)
         self.assertTrue(arrived)
+
+    def test_cancelled_call_is_not_made(self):
+        loop = support.Loop()
+        calls = []
+        timer = loop.timers.after(0, lambda: calls.append("cancelled"))
+        loop.timers.after(0.01, lambda: calls.append("kept"))
+        timer.cancel()
+        loop.run_until(lambda: calls)
+        self.assertEqual(calls, ["kept"])
