--- a/cranberryport/relay.py
+++ b/cranberryport/relay.py
@@ -8,10 +8,11 @@
 from cranberryport.generated import messages
 
 TICK_S = 0.5
-ASK_AFTER_S = 1.5
+# A view in contact is up to 2 s old, since a read waits for 1 s.
+ASK_AFTER_S = 2.5
 KEPT_BYTES = 1024 * 1024
 BATCH_BYTES = 256 * 1024
-FRESH_S = 2.0
+FRESH_S = 2.5
 
 
 class Relay(BaseComponent):
--- a/cranberryport/sheet/merge.py
+++ b/cranberryport/sheet/merge.py
@@ -117,7 +117,10 @@
         self._instance_pools = _pick(instances, "pool")
         self._maintenance = _pick(instances, "maintenance")
         self._desks = _build(Desk, settings["desk"])
-        self._services = _build(Service, settings["service"])
+        # A service is known by its own rows or by a pool that serves it.
+        served = {pool.service for pool in self._pools.values() if pool.service}
+        services = {**dict.fromkeys(served, {}), **settings["service"]}
+        self._services = _build(Service, services)
         self._waves = _build(Wave, settings["wave"])
 
     @property
@@ -142,7 +145,7 @@
 
     @property
     def services(self):
-        """Map of name to :class:`Service`, for services with a row."""
+        """Map of name to :class:`Service`, for services with a row or a pool."""
         return self._services
 
     @property
--- a/cranberryport/state/sheets.py
+++ b/cranberryport/state/sheets.py
@@ -21,7 +21,7 @@
     Attributes
     ----------
     version : int
-        Offset of its publication.
+        Offset after its publication, so that 0 can stand for no sheet.
     publication, publisher, day, until, rows
         As in ``SheetPublished``.
     """
@@ -84,7 +84,7 @@
         return self._sheets.get(authority)
 
     def version(self, authority):
-        """Return the offset of the publication in force, 0 for none."""
+        """Return the version of the publication in force, 0 for none."""
         sheet = self._sheets.get(authority)
         return sheet.version if sheet else 0
 
@@ -103,7 +103,7 @@
         if record.publication in self._accepted:
             return ""
         self._sheets[record.authority] = Sheet(
-            version=context.offset,
+            version=context.offset + 1,
             publication=record.publication,
             publisher=record.publisher,
             day=record.day,
@@ -151,9 +151,8 @@
                 f"expected version {record.expected_version} of the "
                 f"{record.authority} sheet; the present version is {version}"
             )
-        if context.offset <= version:
-            # The version is the offset, so one offset carries one sheet of an
-            # authority, and offset 0 stands for no sheet.
+        if context.offset < version:
+            # One offset gives one version, so it carries one sheet of an authority.
             return f"offset {context.offset} cannot become the version after {version}"
         errors = [
             finding
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -109,8 +109,8 @@
 
     @property
     def is_ready(self):
-        """Whether the instance answers its status."""
-        return self._ask_status().status == 200
+        """Whether the instance says that it takes part."""
+        return bool(self.status.get("is_ready"))
 
     @property
     def status(self):
@@ -262,7 +262,7 @@
             self.wait_ready(entry)
 
     def wait_ready(self, entry, timeout_s=READY_TIMEOUT_S):
-        """Wait until an entry instance answers its status.
+        """Wait until an entry instance takes part.
 
         Raises
         ------
--- a/tests/test_sheet_merge.py
+++ b/tests/test_sheet_merge.py
@@ -54,3 +54,11 @@
         self.assertEqual(configuration.desk("shop").request_class, "rush")
         self.assertEqual(configuration.desk("x").weight, 1)
         self.assertEqual(configuration.pool("x").max_unavailable, 1)
+
+    def test_a_service_is_known_by_the_pool_that_serves_it(self):
+        # Without it, callers of a service without own rows got 404.
+        pool_rows = rows(("pool", "a", "service", "sizing"))
+        configuration = merge.effective(owner_rows=[], team_rows=pool_rows)
+        self.assertEqual(
+            configuration.services, {"sizing": merge.Service(name="sizing")}
+        )
