Wait for abandoned requests before a session is closed

Cause: closing a session passes its shares on at once; a server may still be running a request that timed out, so the sum of requests could exceed the server's slots. Change: a stopping daemon waits until no slot is in use, held slots included. Measured: not yet under load; the whole suite passes.

--- a/cranberryport/backend_pool.py
+++ b/cranberryport/backend_pool.py
@@ -93,6 +93,11 @@
         """
         return self._slots_in_use[server]
 
+    @property
+    def slots_in_use_count(self):
+        """Slots in use at all servers, held slots included."""
+        return self._slots_in_use.total()
+
     def in_use(self, resource):
         """Return the units of a shared resource that are in use.
 
--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -94,7 +94,7 @@
             random=random.Random(),
             queue_capacity=self._loaded.limits.queue_length,
         ).register(self)
-        self._frontend = frontend.FrontEnd(control=view).register(self)
+        frontend.FrontEnd(control=view).register(self)
 
     def _make_reports(self):
         measured = histograms.Histograms()
@@ -129,7 +129,10 @@
 
     def _wait_for_requests(self):
         is_over = time.monotonic() > self._stop_by
-        if self._frontend.in_progress_count and not is_over:
+        # Slots of abandoned requests count, too: closing the session passes its shares
+        # on at once, while a server may still be running such a request.
+        is_busy = self._requests.request_count or self._pool.slots_in_use_count
+        if is_busy and not is_over:
             self._timers.after(DRAIN_POLL_S, self._wait_for_requests)
             return
         self._stop_by = time.monotonic() + CLOSE_LIMIT_S
