Tests of the fold by module and by generated interleavings

Cause: the promises on budgets, pools, keys, shares and sheets must hold in every order of records, and a restart must give the state of the living instances. Change: one test file for each module; tests/interleavings.py makes streams of 100 steps in which sessions race, end, repeat envelopes and write damaged bytes, and checks the promises after each step. Tested: unit tests and linter.

--- /dev/null
+++ b/tests/interleavings.py
@@ -0,0 +1,169 @@
+"""Generated streams in which sessions race, end, repeat and write damaged bytes."""
+
+import random
+
+from hypothesis import strategies
+
+from cranberryport.state import outcomes, shares
+from tests import control_stream
+
+SHEETS = [
+    ["pool p max_unavailable 1", "pool q max_unavailable 1", "service s connections 5"],
+    ["pool p service s", "pool q max_unavailable 2", "service s slots_per_instance 4"],
+]
+KINDS = """SessionOpened SessionHeartbeat SessionSuspected SessionSuspected
+    SessionSuspected SessionClosed SessionFenced SessionFenced SessionFenced
+    SessionSettled SessionSettled SheetPublished InstanceObserved InstanceObserved
+    OperationStarted OperationStarted DrainReported DrainReported DrainReported
+    DrainReported InstanceStopped InstanceStopped InstanceReturned MoveCompleted
+    MoveCompleted OperationCancelled SharesReleased SharesReleased KeyClaimed KeyClaimed
+    KeyReleased KeyFinished KeysExpired JobAccepted JobPlaced JobPlaced JobFailed
+    JobFinished JobCheckpointed JobCancelled repeat repeat noise"""
+# Lists drawn by hypothesis stay short, and a drain alone takes five steps that fit.
+STEPS_PER_STREAM = 100
+SEEDS = strategies.integers(0, 2**32)
+
+
+def stream_for(seed):
+    """Return a stream with three sessions and instances, and steps to send to it."""
+    random_numbers = random.Random(seed)
+    stream = control_stream.Stream("abc")
+    send(stream, "SheetPublished", "a", "a", 2)
+    for name in "abc":
+        send(stream, "InstanceObserved", "a", name, 0)
+    kinds = KINDS.split()
+    steps = [
+        (
+            random_numbers.choice(kinds),
+            random_numbers.choice("aaabbbcccde"),
+            random_numbers.choice("aaabbcde"),
+            random_numbers.randrange(5),
+        )
+        for _ in range(STEPS_PER_STREAM)
+    ]
+    return stream, steps
+
+
+def send(stream, kind, session, name, number):
+    """Append one step and return its outcomes."""
+    state = stream.state
+    if kind == "noise":
+        return stream.append_body(bytes([number]))
+    if kind == "repeat":
+        return stream.append_body(stream.bodies[-ord(name) % len(stream.bodies)])
+    if kind == "SheetPublished":
+        version = state.sheets.version("owner") if number else 1
+        rows = [*SHEETS[number % 2], *(f"instance {x} pool p" for x in "abc")]
+        record = control_stream.sheet(f"s{state.position}", version, rows)
+        return stream.append(session, record)
+    entry = state.fleet.get(name)
+    seen = state.sessions.get(name)
+    resource = shares.slots(name) if number else "connections/s"
+    units = 1
+    if kind == "SharesReleased":
+        units = state.surplus(session).get(resource, 1)
+    task = state.jobs.get(name)
+    term = (task.term if task else 0) + (kind == "JobPlaced")
+    started = {
+        "operation": f"o{state.position}",
+        "instance": name,
+        "purpose": ("reboot", "move", "reboot", "move", "retire")[number],
+        "target_pool": "q" if number in (1, 3) else "",
+        "expected_version": entry.version if entry else 0,
+    }
+    statuses = ("live", "live", "live", "failed", "gone")
+    observed = {"instance": name, "slots": 8 - number, "status": statuses[number]}
+    job = {"job": name, "term": term, "worker": task.worker if task else session}
+    values = {
+        "SessionSuspected": {
+            "session": name,
+            "heartbeat": seen.heartbeat if seen else 0,
+        },
+        "SessionFenced": {"session": name},
+        "SessionSettled": {"session": name},
+        "InstanceObserved": observed,
+        "OperationStarted": started,
+        "SharesReleased": {"resource": resource, "units": units},
+        "KeyClaimed": {"key": name, "issued": float(ord(name))},
+        "KeyReleased": {"key": name},
+        "KeyFinished": {"key": name},
+        "KeysExpired": {"issued_before": float(ord("a") + number) - 1},
+        "JobAccepted": {"job": name},
+        "JobPlaced": {**job, "worker": session},
+        "JobFailed": job,
+        "JobFinished": {"job": name, "term": term},
+        "JobCheckpointed": {"job": name, "term": term},
+        "JobCancelled": {"job": name},
+    }.get(kind, {"operation": entry.operation if entry else ""})
+    if kind in ("SessionOpened", "SessionHeartbeat", "SessionClosed"):
+        values = {}
+    return [stream.send(session, kind, **values)]
+
+
+class Invariants:
+    """Checks the promises after each step.
+
+    Parameters
+    ----------
+    test : unittest.TestCase
+        Reports a broken promise.
+    stream : control_stream.Stream
+        The stream.
+    """
+
+    def __init__(self, test, stream):
+        self._test = test
+        self._stream = stream
+        self._claims = {}
+        self._version = 0
+        self._pools = {}
+        self._held = self._held_units()
+
+    def check(self, result):
+        """Check the state after the outcomes of one step."""
+        state = self._stream.state
+        accepted = [one for one in result if isinstance(one, outcomes.Accepted)]
+        for record in (outcome.record for outcome in accepted):
+            kind = type(record).__name__
+            if kind in ("KeyClaimed", "KeyReleased"):
+                count = self._claims.get(record.key, 0)
+                self._claims[record.key] = count + (1 if kind == "KeyClaimed" else -1)
+            if kind == "OperationStarted":
+                self._check_budget(state.fleet.get(record.instance).pool)
+        self._test.assertLessEqual(max(self._claims.values(), default=0), 1)
+        self._check_shares()
+        self._test.assertGreaterEqual(state.sheets.version("owner"), self._version)
+        self._version = state.sheets.version("owner")
+        pools = {name: entry.pool for name, entry in state.fleet.instances.items()}
+        moved = any(type(one.record).__name__ == "MoveCompleted" for one in accepted)
+        for name in pools.keys() & self._pools.keys():
+            # Only a completed move takes an instance out of its one pool.
+            if self._pools[name] and not moved:
+                self._test.assertEqual(pools[name], self._pools[name])
+        self._pools = pools
+        self._test.assertEqual(state.faults, 0)
+
+    def _check_budget(self, pool):
+        state = self._stream.state
+        budget = state.configuration.pool(pool).max_unavailable
+        if pool:
+            self._test.assertLessEqual(state.fleet.down_count(pool), budget)
+
+    def _check_shares(self):
+        # A smaller capacity leaves an excess that may only shrink from then on.
+        state = self._stream.state
+        live = state.sessions.live()
+        surpluses = [state.surplus(session) for session in live]
+        held_before, self._held = self._held, self._held_units()
+        for name, entry in state.shares.resources.items():
+            held = self._held[name]
+            limit = max(entry.capacity, held_before.get(name, 0))
+            self._test.assertLessEqual(held, limit)
+            units = entry.held.items()
+            locked = sum(count for session, count in units if session not in live)
+            surplus = sum(one.get(name, 0) for one in surpluses)
+            self._test.assertLessEqual(held - entry.capacity, surplus + locked)
+
+    def _held_units(self):
+        resources = self._stream.state.shares.resources
+        return {name: sum(entry.held.values()) for name, entry in resources.items()}
--- /dev/null
+++ b/tests/test_state_fleet.py
@@ -0,0 +1,121 @@
+"""Tests of :mod:`cranberryport.state.fleet`."""
+
+import unittest
+
+from tests import control_stream
+
+POOLS = ["pool p max_unavailable 1", "pool q max_unavailable 1"]
+ROWS = [*POOLS, "instance i pool p", "instance j pool p", "instance k pool q"]
+
+
+class FleetTest(unittest.TestCase):
+    """A planned stop must neither exceed a budget nor cut off a request."""
+
+    def setUp(self):
+        self.stream = control_stream.Stream("abc")
+        self.fleet = self.stream.state.fleet
+        self.accept(control_stream.sheet("s", 0, ROWS))
+        for instance in "ijk":
+            self.observe(instance, "live")
+
+    def accept(self, record, **values):
+        self.stream.accept("a", record, **values)
+
+    def reject(self, kind, **values):
+        return self.stream.reject("a", kind, **values)
+
+    def observe(self, instance, status):
+        self.accept("InstanceObserved", instance=instance, status=status)
+
+    def started(self, operation, instance, purpose="reboot", target=""):
+        return control_stream.make(
+            "OperationStarted",
+            operation=operation,
+            instance=instance,
+            purpose=purpose,
+            target_pool=target,
+            expected_version=self.fleet.get(instance).version,
+        )
+
+    def quiesce(self, operation, *arguments):
+        self.accept(self.started(operation, *arguments))
+        for session in "abc":
+            self.stream.accept(session, "DrainReported", operation=operation)
+
+    def test_reboot_waits_for_every_session_open_at_its_start(self):
+        self.accept(self.started("o", "i"))
+        self.stream.accept("d", "SessionOpened")
+        self.accept("DrainReported", operation="o")
+        self.stream.accept("b", "DrainReported", operation="o")
+        forged = self.reject("DrainReported", operation="o", session="c")
+        self.assertIn("not the writer", forged)
+        early = self.reject("InstanceStopped", operation="o")
+        self.assertIn("expected: quiesced", early)
+        self.stream.accept("c", "DrainReported", operation="o")
+        late = self.reject("OperationCancelled", operation="o")
+        self.assertIn("expected: draining", late)
+        self.accept("InstanceStopped", operation="o")
+        self.assertEqual(self.fleet.get("i").state, "stopped")
+        self.accept("InstanceReturned", operation="o")
+        self.assertEqual(self.fleet.get("i").state, "in_service")
+
+    def test_drain_waits_for_an_ended_session_until_it_is_settled(self):
+        self.accept(self.started("o", "i"))
+        self.stream.vote("c", "ab")
+        self.accept("DrainReported", operation="o")
+        self.stream.accept("b", "SessionClosed")
+        self.accept("SessionFenced", session="c")
+        self.assertEqual(self.fleet.operations["o"].waiting, ["c"])
+        self.accept("SessionSettled", session="c")
+        self.assertEqual(self.fleet.operations["o"].step, "quiesced")
+
+    def test_failures_count_against_the_budget(self):
+        for status in ("leaving", "failed", "unknown", "gone"):
+            self.observe("j", status)
+            self.assertIn("2 of at most 1 down", self.reject(self.started("o", "i")))
+        # The failed instance itself takes no further instance down.
+        self.accept(self.started("o", "j"))
+
+    def test_races_on_one_instance_have_one_winner(self):
+        first, second = self.started("o", "i"), self.started("n", "i")
+        self.accept(first)
+        self.assertIn("has operation 'o'", self.reject(second))
+        self.accept("OperationCancelled", operation="o")
+        self.assertIn("present version", self.reject(second))
+
+    def test_move_counts_in_its_source_until_it_is_complete(self):
+        self.quiesce("o", "i", "move", "q")
+        self.assertIn("2 of at most 1", self.reject(self.started("n", "j")))
+        self.assertIn("is a move", self.reject("InstanceStopped", operation="o"))
+        self.assertEqual(self.fleet.get("i").pool, "p")
+        self.accept("MoveCompleted", operation="o")
+        self.assertEqual(self.fleet.get("i").pool, "q")
+        self.assertEqual([self.fleet.down_count(pool) for pool in "pq"], [0, 0])
+
+    def test_move_of_a_failed_instance_keeps_the_target_within_budget(self):
+        self.quiesce("o", "i", "move", "q")
+        self.observe("i", "failed")
+        self.observe("k", "failed")
+        self.assertIn("2 of at most 1", self.reject("MoveCompleted", operation="o"))
+        self.observe("k", "live")
+        self.accept("MoveCompleted", operation="o")
+
+    def test_bad_targets_are_rejected(self):
+        for target, text in {"p": "already", "z": "unknown", "": "unknown"}.items():
+            self.assertIn(text, self.reject(self.started("o", "i", "move", target)))
+        reason = self.reject(self.started("o", "i", "reboot", "q"))
+        self.assertIn("no target pool", reason)
+
+    def test_retired_instance_does_not_come_back_by_the_list(self):
+        self.quiesce("o", "i", "retire")
+        self.accept("InstanceStopped", operation="o")
+        self.assertIn("retired", self.reject("InstanceObserved", instance="i"))
+        self.assertEqual([entry.instance for entry in self.fleet.members("p")], ["j"])
+
+    def test_sheet_moves_only_instances_without_pool(self):
+        self.observe("new", "live")
+        rows = [*POOLS, "instance i pool q", "instance new pool q"]
+        version = self.stream.state.sheets.version("owner")
+        self.accept(control_stream.sheet("t", version, rows))
+        pools = [self.fleet.get(instance).pool for instance in ("i", "new")]
+        self.assertEqual(pools, ["p", "q"])
--- /dev/null
+++ b/tests/test_state_sheets.py
@@ -0,0 +1,73 @@
+"""Tests of :mod:`cranberryport.state.sheets`."""
+
+import dataclasses
+import unittest
+
+from cranberryport.state import sheets
+from tests import control_stream
+
+ROWS = ["pool p max_unavailable 2"]
+OTHER_ROWS = ["pool p max_unavailable 5"]
+
+
+class SheetsTest(unittest.TestCase):
+    """An accepted sheet must stay in force until its authority replaces it."""
+
+    def setUp(self):
+        self.stream = control_stream.Stream("a")
+        self.sheets = self.stream.state.sheets
+
+    def publish(self, *arguments, **options):
+        record = control_stream.sheet(*arguments, **options)
+        return self.stream.accept("a", record).offset
+
+    def budget(self):
+        return self.stream.state.configuration.pool("p").max_unavailable
+
+    def test_stale_version_and_late_repeat_do_not_revert(self):
+        first = control_stream.sheet("one", 0, ROWS)
+        version = self.stream.accept("a", first).offset
+        stale = control_stream.sheet("two", 0, OTHER_ROWS)
+        self.assertIn(f"present version is {version}", self.stream.reject("a", stale))
+        self.assertEqual(self.budget(), 2)
+        version = self.publish("three", version, OTHER_ROWS)
+        self.stream.accept("a", first)
+        self.assertEqual((self.budget(), self.sheets.version("owner")), (5, version))
+
+    def test_owner_outranks_a_later_team_sheet(self):
+        self.publish("one", 0, ROWS)
+        self.publish("two", 0, OTHER_ROWS, publisher="timo", authority="team")
+        self.assertEqual(self.budget(), 2)
+
+    def test_unsigned_unauthorized_and_changed_content_is_rejected(self):
+        good = control_stream.sheet("one", 0, ROWS)
+        bad_rows = ["pool p max_unavailable -1"]
+        cases = {
+            "unknown publisher": dataclasses.replace(good, publisher="nobody"),
+            "may not publish": control_stream.sheet("x", 0, ROWS, publisher="timo"),
+            "signature": dataclasses.replace(good, day="2026-12-04"),
+            "rows are wrong": control_stream.sheet("bad", 0, bad_rows),
+        }
+        for text, record in cases.items():
+            self.assertIn(text, self.stream.reject("a", record))
+        kept = [entry.publication for entry in self.sheets.rejected]
+        self.assertEqual(kept, ["one", "x", "one", "bad"])
+        version = self.stream.accept("a", good).offset
+        other = control_stream.sheet("one", version, OTHER_ROWS)
+        self.assertIn("another content", self.stream.reject("a", other))
+
+    def test_two_sheets_at_one_offset_never_share_a_version(self):
+        # The offset is the version, so the second could not be told from the first.
+        first = control_stream.sheet("one", 0, ROWS)
+        second = control_stream.sheet("two", len(self.stream.bodies), OTHER_ROWS)
+        outcomes = self.stream.append("a", first, second)
+        self.assertIn("cannot become the version", outcomes[1].reason)
+        self.assertEqual(self.budget(), 2)
+
+    def test_memory_of_publications_is_bounded(self):
+        for number in range(sheets.ACCEPTED_KEPT + 5):
+            self.publish(f"p{number}", self.sheets.version("owner"), ROWS)
+            self.stream.reject("a", control_stream.sheet(f"r{number}", 0, ROWS))
+        self.assertEqual(len(self.sheets.rejected), sheets.REJECTED_KEPT)
+        kept = [self.sheets.is_accepted(name) for name in ("p4", "p5")]
+        self.assertEqual(kept, [False, True])
