--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -45,7 +45,7 @@
             self.stream.accept("a", chunk)
 
     def _plain(self):
-        return control_stream.plain_bytes(self.follower.state)
+        return snapshot.encode(self.follower.state)
 
     def test_no_dispatch_right_before_the_end_was_reached(self):
         self.assertFalse(self.follower.dispatch_right)
@@ -53,7 +53,7 @@
         self.assertFalse(self.follower.dispatch_right)
         self._answer(start=1)
         self.assertTrue(self.follower.dispatch_right)
-        self.assertEqual(self._plain(), control_stream.plain_bytes(self.stream.state))
+        self.assertEqual(self._plain(), snapshot.encode(self.stream.state))
 
     def test_the_right_lapses_without_contact(self):
         self._answer()
@@ -61,14 +61,14 @@
         self.assertFalse(self.follower.dispatch_right)
 
     def test_starts_from_a_snapshot_after_expiry(self):
-        self.stream.accept("a", control_stream.observed("s-1"))
+        self.stream.accept("a", "InstanceObserved", instance="s-1")
         base = self.stream.state.position
         self._write_snapshot()
         self.stream.accept("b", messages.SessionHeartbeat(session="b", position=1))
         self._answer(first=base, start=base)
         self._answer(first=base, start=base)
         self._answer(first=base, start=base)
-        self.assertEqual(self._plain(), control_stream.plain_bytes(self.stream.state))
+        self.assertEqual(self._plain(), snapshot.encode(self.stream.state))
         self.assertTrue(self.follower.dispatch_right)
         self.assertFalse(self.follower.is_state_lost)
 
@@ -76,7 +76,7 @@
         self._answer()
         base = self.stream.state.position
         self._write_snapshot()
-        self.stream.accept("a", control_stream.observed("s-1"))
+        self.stream.accept("a", "InstanceObserved", instance="s-1")
         self._answer(start=base)
         before = self._plain()
         position = self.follower.state.position
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,10 +1,8 @@
 """Tests of :mod:`cranberryport.planner`."""
 
-import dataclasses
 import unittest
 
 from cranberryport import planner
-from cranberryport.generated import messages
 from tests import control_stream
 
 NOON = {"now": 0.0, "local_time": "12:00"}
@@ -13,29 +11,53 @@
 def _stream(rows, instances, *, until=1e12):
     stream = control_stream.Stream("a")
     for name, data_centre, rack in instances:
-        record = control_stream.observed(name)
-        record = dataclasses.replace(record, data_centre=data_centre, rack=rack)
-        stream.accept("a", record)
-    sheet = control_stream.sheet("p1", 0, rows, publisher="timo", authority="team")
-    sheet = dataclasses.replace(sheet, until=until)
-    sheet.signature = control_stream.signing.sign(
-        sheet, control_stream.PUBLISHERS["timo"].key
+        _observe(stream, name, data_centre, rack)
+    _publish(stream, "p1", rows, until=until)
+    return stream
+
+
+def _observe(stream, name, data_centre, rack, status="live"):
+    stream.accept(
+        "a",
+        "InstanceObserved",
+        instance=name,
+        data_centre=data_centre,
+        rack=rack,
+        status=status,
     )
+
+
+def _publish(stream, publication, rows, *, until=1e12):
+    expected = stream.state.sheets.version("team")
+    sheet = control_stream.sheet(
+        publication, expected, rows, publisher="timo", authority="team"
+    )
+    sheet.until = until
+    sheet.day = "2026-12-04"
+    key = control_stream.PUBLISHERS["timo"].key
+    sheet.signature = control_stream.signing.sign(sheet, key)
     stream.accept("a", sheet)
-    return stream
+
+
+def _start_reboot(stream, instance):
+    stream.accept(
+        "a",
+        "OperationStarted",
+        operation="o1",
+        instance=instance,
+        purpose="reboot",
+        expected_version=stream.state.fleet.get(instance).version,
+    )
 
 
 def _pool(name, budget):
-    return [
-        ("pool", name, "service", name),
-        ("pool", name, "max_unavailable", str(budget)),
-    ]
+    return [f"pool {name} service {name}", f"pool {name} max_unavailable {budget}"]
 
 
 def _member(instance, pool):
     return [
-        ("instance", instance, "pool", pool),
-        ("instance", instance, "maintenance", "reboot"),
+        f"instance {instance} pool {pool}",
+        f"instance {instance} maintenance reboot",
     ]
 
 
@@ -60,24 +82,19 @@
 
     def test_keeps_to_the_rack_of_a_running_operation(self):
         stream = _stream(ROWS, INSTANCES)
-        version = stream.state.fleet.get("s-3").version
-        stream.accept("a", control_stream.started("o1", "s-3", version))
+        _start_reboot(stream, "s-3")
         self.assertEqual(self._names(stream), [])
 
     def test_a_failed_instance_uses_up_the_budget(self):
         stream = _stream(ROWS, INSTANCES)
-        failed = control_stream.observed("s-3", status="failed")
-        failed = dataclasses.replace(failed, data_centre="west", rack="r3")
-        stream.accept("a", failed)
+        _observe(stream, "s-3", "west", "r3", "failed")
         self.assertEqual(self._names(stream), ["s-1"])
 
     def test_one_reboot_for_a_day_of_the_sheet(self):
         stream = _stream(ROWS, INSTANCES)
-        version = stream.state.fleet.get("s-1").version
-        stream.accept("a", control_stream.started("o1", "s-1", version))
-        stream.accept("a", messages.DrainReported(operation="o1", session="a"))
-        stream.accept("a", messages.InstanceStopped(operation="o1", by="a"))
-        stream.accept("a", messages.InstanceReturned(operation="o1", by="a"))
+        _start_reboot(stream, "s-1")
+        for kind in ("DrainReported", "InstanceStopped", "InstanceReturned"):
+            stream.accept("a", kind, operation="o1")
         self.assertEqual(self._names(stream), ["s-4"])
 
     def test_team_intents_end_in_the_evening(self):
@@ -86,19 +103,20 @@
 
     def test_a_later_pool_of_a_wave_waits_for_the_earlier(self):
         rows = ROWS + _pool("t", 1) + _member("t-1", "t")
-        rows += [("wave", "w", "order", "t s"), ("wave", "w", "not_before", "09:00")]
+        rows += ["wave w not_before 09:00"]
         stream = _stream(rows, [*INSTANCES, ("t-1", "east", "r9")])
+        order = control_stream.make(
+            "SheetRow", subject="wave", name="w", setting="order", value="t s"
+        )
+        stream.state.sheets.get("team").rows.append(order)
+        stream.state.sheets._merge()
         self.assertEqual(self._names(stream), ["t-1"])
         self.assertEqual(self._names(stream, local_time="08:59"), [])
 
     def test_moves_an_instance_whose_sheet_pool_differs(self):
         stream = _stream(ROWS, INSTANCES)
-        rows = ROWS + _pool("t", 1) + [("instance", "s-2", "pool", "t")]
-        expected = stream.state.sheets.version("team")
-        record = control_stream.sheet(
-            "p2", expected, rows, publisher="timo", authority="team"
-        )
-        stream.accept("a", record)
+        rows = ROWS + _pool("t", 1) + ["instance s-2 pool t"]
+        _publish(stream, "p2", rows)
         moves = [
             (intent.instance, intent.target_pool)
             for intent in planner.intents(stream.state)
--- a/tests/test_session_keeper.py
+++ b/tests/test_session_keeper.py
@@ -115,7 +115,7 @@
 
     def test_an_ended_session_opens_a_new_one(self):
         first = self.keeper.session
-        self.stream.end(first, "bcd")
+        self.stream.vote(first, "bcd")
         self.assertFalse(self.keeper.is_open)
         self._pass(1, alive="bcd")
         self.assertTrue(self.keeper.is_open)
--- a/tests/test_share_keeper.py
+++ b/tests/test_share_keeper.py
@@ -18,7 +18,7 @@
         self.root = Component()
         self.collector = fakes.Collector().register(self.root)
         self.stream = control_stream.Stream("a")
-        self.stream.accept("a", control_stream.observed("s-1", slots=8))
+        self.stream.accept("a", "InstanceObserved", instance="s-1", slots=8)
         self.follower = mock.Mock(state=self.stream.state, dispatch_right=True)
         self.used = 0
         self.keeper = share_keeper.ShareKeeper(
@@ -44,7 +44,7 @@
         fakes.settle(self.root)
 
     def _open_second_session(self):
-        self.stream.append("b", control_stream.opened("b"))
+        self.stream.accept("b", "SessionOpened")
         self._tick()
 
     def test_surplus_is_withheld_at_once_and_released(self):
