Pass answers on without a content type that the server did not give

Cause: circuits.web calls an answer without Content-Type text/html, so the caller would not get the backend server's answer as it was. Change: the default is removed. A test case for Transfer-Encoding in HTTP/1.0 is added. Tested: tests/test_frontend.py.

--- a/cranberryport/http/server.py
+++ b/cranberryport/http/server.py
@@ -162,7 +162,8 @@
         super().prepare()
         if self.status in BODILESS_STATUSES or self.request.method == "HEAD":
             self._restore("Content-Length", declared_length)
-        if declared_type is None and not self.body:
+        if declared_type is None:
+            # circuits.web would call an answer of unknown type text/html.
             del self.headers["Content-Type"]
 
     def _restore(self, name, value):
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -162,6 +162,7 @@
         self.assertEqual((status, body), (201, b"\x00\xff\r\n"))
         self.assertEqual(received["request-outcome"], "answered")
         self.assertNotIn("connection", received)
+        self.assertNotIn("content-type", received)
         last = b"GET /quota/ HTTP/1.0\r\nDesk: sulina\r\n\r\n"
         cookies = self.thread.exchange(last).lower().split(b"\r\nset-cookie: ")[1:]
         self.assertEqual([cookie[:3] for cookie in cookies], [b"a=1", b"b=2"])
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -227,6 +227,11 @@
                 "'3' together with Transfer-Encoding 'chunked'",
             ),
             (POST % (b"Transfer-Encoding: gzip", b""), 501, "'gzip'"),
+            (
+                b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+                400,
+                "HTTP/1.0",
+            ),
             (POST % (b"Transfer-Encoding: chunked", b"zz\r\n"), 400, "malformed"),
             (POST % (b"Content-Length: %d" % large, b""), 413, f"'{large}'"),
             (POST % (b"Transfer-Encoding: chunked", chunk), 413, "1048576"),
