--- /dev/null
+++ b/tests/test_request_recorder.py
@@ -0,0 +1,37 @@
+"""Tests of :mod:`cranberryport.request_recorder`."""
+
+import time
+import types
+import unittest
+
+from circuits import BaseComponent, Event
+
+from cranberryport import histograms, metrics, outcomes, request_recorder
+
+
+class RequestRecorderTest(unittest.TestCase):
+    """Every outcome must be counted under its own name."""
+
+    def test_outcomes(self):
+        root = BaseComponent()
+        recorded = histograms.Histograms()
+        request_recorder.RequestRecorder(
+            histograms=recorded, metrics=metrics.Metrics(address=None)
+        ).register(root)
+        request = types.SimpleNamespace(
+            desk="sulina", request_class="batch", arrived=time.monotonic()
+        )
+        for outcome in (
+            outcomes.Answered(status=200, headers=[], body=b""),
+            outcomes.NotRun(status=503, reason="r"),
+            outcomes.Unknown(status=504, reason="r"),
+        ):
+            event = Event.create("request_finished", request, outcome, 1, None)
+            root.fire(event, "metrics")
+        while len(root):
+            root.flush()
+        summary = recorded.summary()
+        counts = {name: part["count"] for name, part in summary["outcomes"].items()}
+        self.assertEqual(counts, {"answered": 1, "not-run": 1, "unknown": 1})
+        self.assertEqual(summary["desks"]["sulina"]["count"], 3)
+        self.assertEqual(list(summary["classes"]), ["batch"])
