--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks."""
+"""Benchmarks; they hold all bounds on time."""
