--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,100 @@
+"""Tests of :mod:`cranberryport.lending`."""
+
+import collections
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cranberryport import lending
+
+SHARE = 2
+HOLD_S = 5.0
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["ask", "deliver", "start", "end", "own", "own_end", "wait", "return"]
+        ),
+        strategies.integers(0, 7),
+    ),
+    max_size=80,
+)
+
+# A request is abandoned just before its loan ends, and the lender wants the slot.
+ABANDONED_NEAR_THE_END = [
+    ("ask", 7),
+    ("deliver", 0),
+    ("wait", 2),
+    ("start", 7),
+    ("wait", 7),
+    ("wait", 3),
+    ("own", 0),
+    ("own", 0),
+]
+
+
+class LendingTest(unittest.TestCase):
+    """A slot must never be used by lender and borrower at the same time."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.example(ABANDONED_NEAR_THE_END)
+    @hypothesis.given(STEPS)
+    def test_own_and_borrowed_use_stay_within_the_share(self, steps):
+        now, own, running, messages = 0.0, 0, [], []
+        borrower = lending.Borrower()
+        lender = lending.Lender(
+            free_slots=lambda _: {"a": SHARE - own - lender.lent("a", now)}
+        )
+        for number, (step, value) in enumerate(steps):
+            # Abandoned work runs on after its deadline for as long as slots are held.
+            running = [(loan, end) for loan, end in running if end + HOLD_S > now]
+            if step == "ask":
+                loan = str(number)
+                borrower.ask(now, loan, "s", 4.0 + value)
+                now += value / 4
+                granted = lender.lend(now, "sizing", value, 4.0 + value, loan=loan)
+                self.assertEqual(
+                    lender.lend(now, "sizing", value, 4.0 + value, loan=loan), granted
+                )
+                messages.append((loan, granted))
+            elif step == "deliver" and messages:
+                borrower.grant(*messages.pop(value % len(messages)))
+            elif step == "start":
+                deadline = now + value
+                count = borrower.usable("a", deadline, now)
+                loan = borrower.take("a", deadline, now)
+                self.assertEqual(loan is None, count == 0)
+                if loan is not None:
+                    running.append((loan, deadline))
+            elif step == "end" and running:
+                loan, _ = running.pop(value % len(running))
+                borrower.give_back(loan, "a")
+            elif step == "own" and own + lender.lent("a", now) < SHARE:
+                own += 1
+            elif step == "own_end" and own:
+                own -= 1
+            elif step == "wait":
+                now += value
+                borrower.expire(now)
+            elif step == "return":
+                for _, loan in borrower.return_unused():
+                    lender.take_back(loan)
+            self.assertLessEqual(own + lender.lent("a", now), SHARE)
+            self.assertLessEqual(own + len(running), SHARE)
+
+    def test_loans_of_an_ended_session_are_not_used(self):
+        borrower = lending.Borrower()
+        borrower.ask(0.0, "l", "s", 10.0)
+        borrower.grant("l", ["a"])
+        self.assertEqual(borrower.usable("a", 9.0, 0.0), 1)
+        self.assertEqual(borrower.usable("a", 10.0, 0.0), 0)
+        borrower.drop_lender("s")
+        self.assertIsNone(borrower.take("a", 9.0, 0.0))
+
+    def test_lender_keeps_half_and_spreads_the_loan(self):
+        free = {"a": 3, "b": 2, "c": 1}
+        lender = lending.Lender(free_slots=lambda _: free)
+        granted = lender.lend(0.0, "sizing", 9, 1.0, loan="l")
+        self.assertEqual(collections.Counter(granted), {"a": 2, "b": 1})
+        self.assertEqual(lender.lend(0.0, "sizing", 1, 99.0, loan="m"), [])
