--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; figures are measured here and nowhere else."""
--- a/cranberryport/admission.py
+++ b/cranberryport/admission.py
@@ -174,10 +174,14 @@
         del desk.entries[entry]
         self._settle(entry.desk, desk)
 
+    @property
+    def first(self):
+        """The entry that :meth:`take` returns."""
+        return next(iter(self._active[self._find_first()].entries))
+
     def take(self):
-        """Return the first entry of the desk with the earliest finish time."""
-        # Finish times come from the present weights, so a changed weight acts at once.
-        name = min(self._active, key=self._finish)
+        """Remove and return the first entry of the desk with the earliest finish."""
+        name = self._find_first()
         desk = self._active[name]
         finish = self._finish(name)
         entry, _ = desk.entries.popitem(last=False)
@@ -196,6 +200,10 @@
         rounds = (own + 1) / weight
         return min(len(self), own + math.floor(rounds * total))
 
+    def _find_first(self):
+        # Finish times come from the present weights, so a changed weight acts at once.
+        return min(self._active, key=self._finish)
+
     def _finish(self, name):
         return self._active[name].start + 1.0 / self._weight(name)
 
@@ -330,6 +338,13 @@
         heapq.heappush(self._deadlines, (entry.deadline, next(self._order), entry))
         return Queued(displaced=displaced)
 
+    def peek(self):
+        """Return the entry that starts next if every class may start, or None."""
+        for members in self._classes.values():
+            if members:
+                return members.first
+        return None
+
     def take(self, now, *, rush_only=False):
         """Remove and return the entry that starts next.
 
--- a/cranberryport/backend_pool.py
+++ b/cranberryport/backend_pool.py
@@ -2,15 +2,19 @@
 
 import collections
 import functools
+import time
 
 from circuits import BaseComponent, Event, handler
 
+from cranberryport import lending
 from cranberryport.http import connection
 from cranberryport.state import shares
 
 ABANDONED_SLOT_HOLD_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 TICK_S = 0.25
+# For messages and scheduling between the end of a held slot and the lender's count.
+LOAN_END_MARGIN_S = 1.0
 
 
 class slot_freed(Event):
@@ -34,13 +38,16 @@
         Where the request goes.
     is_new_connection : bool
         Whether the connection is made for this attempt.
+    loan : str or None
+        Loan whose slot is used; None for an own slot.
     on_done : callable
         Called with the attempt and the ended exchange.
     """
 
-    __slots__ = ("is_new_connection", "on_done", "server", "service")
+    __slots__ = ("is_new_connection", "loan", "on_done", "server", "service")
 
-    def __init__(self, *, service, server, is_new_connection, on_done):
+    def __init__(self, *, service, server, is_new_connection, loan, on_done):
+        self.loan = loan
         self.service = service
         self.server = server
         self.is_new_connection = is_new_connection
@@ -74,10 +81,26 @@
         self._view = view
         self._abandoned_slot_hold_s = abandoned_slot_hold_s
         self._slots_in_use = collections.Counter()
+        self._borrowed_in_use = collections.Counter()
+        self._lender = lending.Lender(
+            free_slots=self._free_slots,
+            margin_s=abandoned_slot_hold_s + LOAN_END_MARGIN_S,
+        )
+        self._borrower = lending.Borrower()
         self._places = {}
         self._connection_counts = collections.Counter()
         self._idle = collections.defaultdict(list)
 
+    @property
+    def lender(self):
+        """Loans to other entry instances."""
+        return self._lender
+
+    @property
+    def borrower(self):
+        """Loans from other entry instances."""
+        return self._borrower
+
     def in_flight(self, server):
         """Return the slots in use at a server, held slots included.
 
@@ -103,7 +126,7 @@
         """
         kind, _, name = resource.partition("/")
         if kind + "/" == shares.SLOTS_PREFIX:
-            return self._slots_in_use[name]
+            return self.own_in_use(name) + self._lender.lent(name, time.monotonic())
         return self._connection_counts[name]
 
     def connection_count(self, service):
@@ -114,20 +137,44 @@
         """Return the idle connections to a server, the longest idle first."""
         return list(self._idle.get(server, ()))
 
-    def slots_total(self, server):
-        """Return how many requests this entry instance may have at a server.
+    def own_in_use(self, server):
+        """Return the slots of the own share in use at a server, without lent ones."""
+        return self._slots_in_use[server] - self._borrowed_in_use[server]
+
+    def slots_total(self, server, deadline=None):
+        """Return how many requests may be at a server on own and borrowed slots.
 
         Parameters
         ----------
         server : BackendServer
             From the view.
-        """
-        return server.slots_share if server.is_usable else 0
+        deadline : float or None
+            Deadline of a request that may use a borrowed slot; None for own slots.
 
-    def can_start(self, service, server):
-        """Return whether a slot and a connection are free for one more request."""
-        if self._slots_in_use[server.name] >= self.slots_total(server):
+        Returns
+        -------
+        int
+            To compare with :meth:`own_in_use`.
+        """
+        if not server.is_usable:
+            return 0
+        now = time.monotonic()
+        total = server.slots_share - self._lender.lent(server.name, now)
+        if deadline is not None:
+            total += self._borrower.usable(server.name, deadline, now)
+        return total
+
+    def can_start(self, service, server, deadline=None):
+        """Return whether a slot and a connection are free for one more request.
+
+        A deadline allows borrowed slots, as in :meth:`slots_total`.
+        """
+        if self.own_in_use(server.name) >= self.slots_total(server, deadline):
             return False
+        return self.has_connection(service, server)
+
+    def has_connection(self, service, server):
+        """Return whether a connection to a server is idle or can be opened."""
         share = self._view.connections_share(service)
         if self._connection_counts[service] < share:
             return True
@@ -157,7 +204,7 @@
         bool
             False if no slot or connection is free; nothing was sent then.
         """
-        if not self.can_start(service, server):
+        if not self.can_start(service, server, exchange.deadline):
             return False
         link = self._take_idle(server)
         is_new = link is None
@@ -167,12 +214,31 @@
             return False
         exchange.reply_channel = self.channel
         exchange.context = Attempt(
-            service=service, server=server, is_new_connection=is_new, on_done=on_done
+            service=service,
+            server=server,
+            is_new_connection=is_new,
+            loan=self._take_slot(server, exchange.deadline),
+            on_done=on_done,
         )
-        self._slots_in_use[server.name] += 1
         link.send(exchange)
         return True
 
+    def _take_slot(self, server, deadline):
+        """Count a slot as in use; return the loan if it is a borrowed one."""
+        name = server.name
+        is_own = self.own_in_use(name) < self.slots_total(server)
+        self._slots_in_use[name] += 1
+        if is_own:
+            return None
+        self._borrowed_in_use[name] += 1
+        return self._borrower.take(name, deadline, time.monotonic())
+
+    def _free_slots(self, service):
+        return {
+            server.name: max(0, self.slots_total(server) - self.own_in_use(server.name))
+            for server in self._view.servers(service)
+        }
+
     def close_idle(self, connections):
         """Close connections that are idle."""
         for link in connections:
@@ -188,6 +254,12 @@
                     self.close_idle([link])
             self._trim(service)
 
+    @handler("folded", channel="*")
+    def _on_folded(self, _offset, _body, outcomes):
+        for outcome in outcomes:
+            for session in getattr(outcome, "ended", ()):
+                self._borrower.drop_lender(session)
+
     @handler("started", channel="*")
     def _on_started(self, *_):
         self._clock.after(TICK_S, self._tick)
@@ -197,6 +269,7 @@
         # servers, and hundreds of records a second can be folded.
         self._clock.after(TICK_S, self._tick)
         self.refresh()
+        self._borrower.expire(time.monotonic())
 
     @handler("exchange_done")
     def _on_exchange_done(self, exchange):
@@ -212,13 +285,17 @@
                 functools.partial(self._free_held_slot, attempt),
             )
         else:
-            self._free_slot(attempt.server.name)
+            self._free_slot(attempt)
 
     def _free_held_slot(self, attempt):
-        self._free_slot(attempt.server.name)
+        self._free_slot(attempt)
         self.fire(slot_freed(attempt.service), "dispatcher")
 
-    def _free_slot(self, name):
+    def _free_slot(self, attempt):
+        name = attempt.server.name
+        if attempt.loan is not None:
+            self._borrowed_in_use[name] -= 1
+            self._borrower.give_back(attempt.loan, name)
         self._slots_in_use[name] -= 1
         if not self._slots_in_use[name]:
             del self._slots_in_use[name]
@@ -226,10 +303,7 @@
     def _settle_connection(self, attempt, link):
         if not link.is_open:
             return
-        usable = self._usable_addresses(attempt.service)
-        if usable.get(attempt.server.name) != link.address:
-            link.close()
-            return
+        # If the server is leaving, the next tick closes the connection.
         self._idle[attempt.server.name].append(link)
         self._trim(attempt.service)
 
--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -404,7 +404,7 @@
         servers = self._view.servers(service.name)
         return admission.estimate_wait(
             entries_ahead=service.queue.entries_ahead(work),
-            slots_in_use=sum(self._pool.in_flight(one.name) for one in servers),
+            slots_in_use=sum(self._pool.own_in_use(one.name) for one in servers),
             slots_total=sum(self._pool.slots_total(one) for one in servers),
             service_time_s=service.service_time.mean_s,
         )
@@ -416,8 +416,11 @@
         for work in service.queue.expire(now):
             self._finish_not_run(work, "no slot became free before the deadline")
         while service.queue:
-            servers = self._find_servers(service, now)
+            servers = self._find_servers(service, now, None)
             work = self._take_next(service, servers, now)
+            if work is None and self._pool.borrower:
+                servers = self._find_servers(service, now, service.queue.peek())
+                work = self._take_for_borrowed(service, servers, now)
             if work is None:
                 break
             self._start(service, work, servers)
@@ -435,23 +438,37 @@
         )
         return service.queue.take(now, rush_only=not is_open)
 
-    def _find_servers(self, service, now):
-        """Return candidates and servers by name, for servers that get work."""
+    def _take_for_borrowed(self, service, servers, now):
+        in_use = sum(self._pool.own_in_use(name) for name in servers)
+        own = sum(self._pool.slots_total(server) for _, server in servers.values())
+        if in_use < own:
+            # Own slots are left to the reserve for rush requests.
+            return None
+        if not any(candidate.has_free_slot for candidate, _ in servers.values()):
+            return None
+        return service.queue.take(now)
+
+    def _find_servers(self, service, now, work):
+        """Return candidates and servers by name, for servers that get work.
+
+        With a request that starts next, borrowed slots count too.
+        """
+        deadline = None if work is None else work.deadline
         servers = [one for one in self._view.servers(service.name) if one.is_usable]
         ejected = service.health.ejected([one.name for one in servers], now)
         return {
-            one.name: (self._make_candidate(service, one, now), one)
+            one.name: (self._make_candidate(service, one, now, deadline), one)
             for one in servers
             if one.name not in ejected and not service.health.is_down(one.name, now)
         }
 
-    def _make_candidate(self, service, server, now):
-        in_use = self._pool.in_flight(server.name)
-        total = self._pool.slots_total(server)
+    def _make_candidate(self, service, server, now, deadline):
+        in_use = self._pool.own_in_use(server.name)
+        total = self._pool.slots_total(server, deadline)
         if service.health.is_probed(server.name, now):
             total = min(total, 1)
-        if not self._pool.can_start(service.name, server):
-            total = min(total, in_use)
+        if in_use < total and not self._pool.has_connection(service.name, server):
+            total = in_use
         return routing.Candidate(
             name=server.name,
             data_centre=server.data_centre,
@@ -525,7 +542,11 @@
 
     def _may_send(self, work):
         """Return whether the first byte may go out now."""
-        if not self._view.dispatch_right:
+        if not self._view.dispatch_right or work.is_cancelled:
+            return False
+        if time.monotonic() >= work.deadline:
+            # After a pause the timeout may come later than the end of connecting, and
+            # a borrowed slot may belong to its lender again.
             return False
         if not self._holds_claim(work):
             return False
--- a/cranberryport/lending.py
+++ b/cranberryport/lending.py
@@ -81,6 +81,8 @@
 
     def lent(self, server, now):
         """Return the slots of a server that count as in use by borrowers."""
+        if not self._loans:
+            return 0
         self.expire(now)
         return sum(servers.count(server) for servers, _ in self._loans.values())
 
@@ -110,6 +112,9 @@
     def __init__(self):
         self._loans = {}
 
+    def __len__(self):
+        return len(self._loans)
+
     def ask(self, now, loan, lender, duration_s):
         """Note that a loan is about to be asked for.
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -208,6 +208,30 @@
             self.assertEqual(self.result(request).status, 200)
             self.assertLessEqual(self.pool.connection_count("sizing"), 1)
 
+    def test_borrowed_slot_is_used_only_until_its_loan_ends(self):
+        self.start(lambda *_: b"")
+        self.view.all_servers[0].slots_share = 0
+        self.pool.borrower.ask(time.monotonic(), "loan", "s2", 1.0)
+        self.pool.borrower.grant("loan", ["b0"])
+        self.assertIsInstance(self.run_one(wait_s=1.5), outcomes.NotRun)
+        self.pool.borrower.ask(time.monotonic(), "next", "s2", 1.0)
+        self.pool.borrower.grant("next", ["b0"])
+        self.assertIsInstance(self.run_one(wait_s=0.2), outcomes.Unknown)
+        self.assertEqual(self.pool.in_flight("b0"), 1)
+        self.assertEqual(self.pool.in_use("slots/b0"), 0)
+
+    def test_lent_slot_is_not_used_and_not_released(self):
+        self.start(lambda head, _: support.answer(head))
+        self.view.all_servers[0].slots_share = 2
+        loan = {"duration_s": 30.0, "loan": "loan"}
+        now = time.monotonic()
+        self.assertEqual(self.pool.lender.lend(now, "sizing", 2, **loan), ["b0"])
+        self.assertEqual(self.pool.in_use("slots/b0"), 1)
+        self.view.all_servers[0].slots_share = 1
+        self.assertIsInstance(self.run_one(wait_s=0.2), outcomes.NotRun)
+        self.pool.lender.take_back("loan")
+        self.assertEqual(self.run_one().status, 200)
+
     def test_full_queue_and_cancellation_of_waiting_requests(self):
         self.start(lambda *_: b"", queue_capacity=1)
         running = [self.submit(wait_s=0.5) for _ in range(2)]
@@ -251,7 +275,7 @@
         end = self.run_one(method="POST", key=KEY, wait_s=0.1)
         self.assertEqual((type(end), end.status), (outcomes.Unknown, 504))
         self.view.keys.release(messages.KeyReleased(key=KEY, session="s2"))
-        self.loop.fire("folded", [])
+        self.loop.fire("folded", 0, b"", [])
         self.assertEqual(self.result(waiting).status, 200)
 
     def test_claim_of_an_ended_session_stays_unknown(self):
