--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -455,17 +455,19 @@
         """
         deadline = None if work is None else work.deadline
         servers = [one for one in self._view.servers(service.name) if one.is_usable]
-        ejected = service.health.ejected([one.name for one in servers], now)
+        names = [one.name for one in servers]
+        ejected = service.health.ejected(names, now)
+        probed = service.health.restricted(names) - ejected
         return {
-            one.name: (self._make_candidate(service, one, now, deadline), one)
+            one.name: (self._make_candidate(service, one, probed, deadline), one)
             for one in servers
             if one.name not in ejected and not service.health.is_down(one.name, now)
         }
 
-    def _make_candidate(self, service, server, now, deadline):
+    def _make_candidate(self, service, server, probed, deadline):
         in_use = self._pool.own_in_use(server.name)
         total = self._pool.slots_total(server, deadline)
-        if service.health.is_probed(server.name, now):
+        if server.name in probed:
             total = min(total, 1)
         if in_use < total and not self._pool.has_connection(service.name, server):
             total = in_use
--- a/cranberryport/health.py
+++ b/cranberryport/health.py
@@ -78,10 +78,12 @@
 class Health:
     """Evidence about all backend servers of one service."""
 
-    __slots__ = ("_servers",)
+    __slots__ = ("_bad", "_servers")
 
     def __init__(self):
         self._servers = {}
+        # Servers that were ejected and have not passed their probes.
+        self._bad = set()
 
     def record_connected(self, server):
         """Note that a new connection was made."""
@@ -115,6 +117,7 @@
         if not self._is_ejected(evidence, now) and evidence.probes_left:
             evidence.probes_left -= 1
             if not evidence.probes_left:
+                self._bad.discard(server)
                 evidence.ejections = 0
                 evidence.forget_results()
 
@@ -127,6 +130,7 @@
         evidence.consecutive_failures += 1
         self._add_sample(evidence, 1.0)
         if evidence.probes_left or evidence.fails_most:
+            self._bad.add(server)
             self._eject(evidence, now)
 
     def is_down(self, server, now):
@@ -153,22 +157,39 @@
         now : float
             Monotonic seconds.
 
+        Returns
+        -------
+        set of str
+            Part of :meth:`restricted`.
+        """
+        return {
+            server
+            for server in self.restricted(pool)
+            if self._is_ejected(self._servers[server], now)
+        }
+
+    def restricted(self, pool):
+        """Return the servers of a pool that are ejected or only probed.
+
+        A server that was ejected gets one request at a time until some succeeded.
+
+        Parameters
+        ----------
+        pool : collection of str
+            All servers of the pool.
+
         Returns
         -------
         set of str
             At most half of the pool. If more look bad the set is empty, since the cause
-            is then probably not in the servers.
+            is then probably not in the servers. This holds for probes too: with a slot
+            for each server the pool would lose nearly all of its capacity.
         """
-        bad = {server for server in pool if self._looks_bad(server, now)}
+        if not self._bad:
+            return set()
+        bad = {server for server in pool if server in self._bad}
         return bad if 2 * len(bad) <= len(pool) else set()
 
-    def is_probed(self, server, now):
-        """Return whether only one request at a time may go to the server."""
-        evidence = self._servers.get(server)
-        if evidence is None or self._is_ejected(evidence, now):
-            return False
-        return evidence.probes_left > 0
-
     def keep(self, servers):
         """Forget all servers but the given ones."""
         self._servers = {
@@ -176,6 +197,7 @@
             for name, evidence in self._servers.items()
             if name in servers
         }
+        self._bad.intersection_update(servers)
 
     def _of(self, server):
         evidence = self._servers.get(server)
@@ -183,10 +205,6 @@
             evidence = self._servers[server] = _Evidence()
         return evidence
 
-    def _looks_bad(self, server, now):
-        evidence = self._servers.get(server)
-        return evidence is not None and self._is_ejected(evidence, now)
-
     def _is_ejected(self, evidence, now):
         return evidence.ejected_until is not None and now < evidence.ejected_until
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -42,12 +42,12 @@
         eject(evidence, "a")
         self.assertEqual(evidence.ejected(POOL, 4.9), {"a"})
         self.assertEqual(evidence.ejected(POOL, 5.0), set())
-        self.assertTrue(evidence.is_probed("a", 5.0))
+        self.assertEqual(evidence.restricted(POOL), {"a"})
         evidence.record_failure("a", 5.0)
         self.assertEqual(evidence.ejected(POOL, 14.9), {"a"})
         for _ in range(health.PROBES_NEEDED):
             evidence.record_success("a", 15.0)
-        self.assertFalse(evidence.is_probed("a", 15.0))
+        self.assertEqual(evidence.restricted(POOL), set())
         eject(evidence, "a", now=16.0)
         self.assertEqual(evidence.ejected(POOL, 21.0), set())
 
@@ -65,3 +65,4 @@
         eject(evidence, *failing)
         expected = failing if len(failing) <= 2 else set()
         self.assertEqual(evidence.ejected(POOL, 1.0), expected)
+        self.assertEqual(evidence.restricted(POOL), expected)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -41,3 +41,11 @@
         timer.cancel()
         loop.run_until(lambda: calls)
         self.assertEqual(calls, ["kept"])
+
+    def test_cancelled_calls_do_not_pile_up(self):
+        loop = support.Loop()
+        kept = [loop.timers.after(60, lambda: None) for _ in range(500)]
+        for _ in range(2000):
+            loop.timers.after(60, lambda: None).cancel()
+        loop.manager.tick(timeout=0)
+        self.assertEqual(loop.timers.entry_count, len(kept))
