Test key claims with two dispatchers on one key table

Change: hypothesis drives two dispatchers through submits, folds, lost and undecided appends, answers, cancellations and ended sessions, and checks that the work runs once and that no "not run" is told of work that ran.

Cause: random steps alone found neither of two trial faults (a claim released after a broken answer, a request sent without an accepted claim). Two explicit examples find both.

--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,269 @@
+"""Tests of :mod:`cranberryport.claims` with two dispatchers on one key table."""
+
+import random
+import time
+import unittest
+
+import hypothesis
+from circuits import BaseComponent, Manager, handler
+from hypothesis import strategies
+
+from cranberryport import (
+    claims,
+    dispatcher,
+    lending,
+    log_writer_events,
+    outcomes,
+    requests,
+)
+from cranberryport.generated import messages
+from cranberryport.http import connection
+from cranberryport.state import keys
+from cranberryport.state import outcomes as fold_outcomes
+from tests import fakes, support
+
+KEY = "01930000-0000-7000-8000-000000000001"
+
+KINDS = ["submit", "timers", "late", "undecided", "lost", "end_session", "cancel"]
+KINDS += 3 * ["fold"] + 2 * ["send", "finish"]
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(KINDS),
+        strategies.integers(0, 1),
+        strategies.integers(0, 5),
+    ),
+    max_size=60,
+)
+
+# Random steps seldom get two instances as far as this.
+BOTH_CLAIM = [
+    (kind, number, 3)
+    for kind in ("submit", "fold", "send", "finish", "fold")
+    for number in (0, 1)
+]
+REPEAT_AFTER_BROKEN_ANSWER = [
+    ("submit", 0, 3),
+    ("fold", 0, 3),
+    ("send", 0, 3),
+    ("finish", 0, 1),
+    ("fold", 0, 3),
+    ("submit", 1, 3),
+    ("fold", 1, 3),
+    ("send", 1, 3),
+    ("finish", 1, 3),
+]
+
+
+class Pool:
+    """Keeps the exchanges that a dispatcher starts."""
+
+    channel = "pool"
+
+    def __init__(self):
+        self.borrower = lending.Borrower()
+        self.waiting = []
+        self.running = []
+
+    def own_in_use(self, _server):
+        """Return that nothing is in use."""
+        return 0
+
+    def slots_total(self, _server, _deadline=None):
+        """Return some slots."""
+        return 9
+
+    def has_connection(self, _service, _server):
+        """Return that a connection is free."""
+        return True
+
+    def start(self, _service, server, exchange, on_done):
+        """Keep an exchange."""
+        self.waiting.append((server, exchange, on_done))
+        return True
+
+
+class Instance(BaseComponent):
+    """One entry instance: a dispatcher, its view and its ordered log writer."""
+
+    channel = "log_writer"
+
+    def __init__(self, name, key_table, runs):
+        super().__init__()
+        self.root = Manager()
+        self.register(self.root)
+        self.view = support.View(support.Server("b", 1))
+        self.view.keys = key_table
+        self.view.session = name
+        self.log = []
+        self.requests = []
+        self.ran = set()
+        self._runs = runs
+        self.pool = Pool()
+        self.timers = fakes.FakeTimers()
+        self.outcomes = support.Recorder("outcome", "frontend").register(self.root)
+        self.failures = support.Failures().register(self.root)
+        dispatcher.Dispatcher(
+            timers=self.timers,
+            pool=self.pool,
+            view=self.view,
+            data_centre="north",
+            random=random.Random(1),
+        ).register(self.root)
+
+    @handler("append")
+    def _on_append(self, record, ticket):
+        self.log.append([record, ticket])
+
+    def step(self, kind, value):
+        """Let one thing happen, if it can."""
+        getattr(self, "_" + kind)(value)
+        fakes.settle(self.root)
+
+    def _submit(self, value):
+        now = time.monotonic()
+        request = requests.CallerRequest(
+            id=str(len(self.requests)),
+            service="sizing",
+            desk="d",
+            request_class="rush",
+            method="POST",
+            target="/",
+            headers=[],
+            body=b"",
+            deadline=now + 1000,
+            arrived=now,
+            key=KEY,
+        )
+        self.requests.append(request)
+        self.root.fire(requests.submit(request), "dispatcher")
+
+    def _fold(self, _value):
+        if not self.log:
+            return
+        record, ticket = self.log.pop(0)
+        table = self.view.keys
+        fold = {
+            messages.KeyClaimed: table.claim,
+            messages.KeyReleased: table.release,
+            messages.KeyFinished: table.finish,
+        }[type(record)]
+        is_over = record.session != self.view.session
+        reason = "the session is over" if is_over else fold(record)
+        place = {"offset": 0, "writer": record.session, "sequence": 1, "index": 0}
+        outcome = fold_outcomes.Accepted(record=record, **place)
+        if reason:
+            outcome = fold_outcomes.Rejected(record=record, reason=reason, **place)
+        self._decide(ticket, outcome)
+
+    def _decide(self, ticket, outcome):
+        if ticket is not None:
+            self.root.fire(log_writer_events.decided(ticket, outcome), "dispatcher")
+
+    def _undecided(self, value):
+        if self.log:
+            entry = self.log[value % len(self.log)]
+            ticket, entry[1] = entry[1], None
+            self._decide(ticket, log_writer_events.Undecided(record=entry[0]))
+
+    def _lost(self, value):
+        if self.log:
+            record, ticket = self.log.pop(value % len(self.log))
+            self._decide(ticket, log_writer_events.Undecided(record=record))
+
+    def _send(self, value):
+        if not self.pool.waiting:
+            return
+        attempt = self.pool.waiting.pop(value % len(self.pool.waiting))
+        if value == 0 or not attempt[1].is_allowed():
+            self._end(
+                attempt, connection.Failed(reason="refused", detail="", bytes_sent=0)
+            )
+        else:
+            self.pool.running.append(attempt)
+
+    def _finish(self, value):
+        if not self.pool.running:
+            return
+        attempt = self.pool.running.pop()
+        if value == 0:
+            refused = [(dispatcher.REFUSED_HEADER, dispatcher.REFUSED_VALUE)]
+            self._end(attempt, connection.Answer(status=503, headers=refused, body=b""))
+            return
+        self._runs.append(attempt[1].request_id)
+        self.ran.add(attempt[1].request_id)
+        if value == 1:
+            self._end(
+                attempt, connection.Failed(reason="closed", detail="", bytes_sent=9)
+            )
+        else:
+            body = b"licence %d" % len(self._runs)
+            self._end(attempt, connection.Answer(status=200, headers=[], body=body))
+
+    def _end(self, attempt, result):
+        server, exchange, on_done = attempt
+        exchange.result = result
+        exchange.started = time.monotonic()
+        exchange.connection = self.connection
+        on_done(self.make_attempt(server), exchange)
+
+    connection = type("Connection", (), {"connected_at": 0.0})
+
+    @staticmethod
+    def make_attempt(server):
+        """Return what the pool tells of an attempt."""
+        return type("Attempt", (), {"server": server, "is_new_connection": True})
+
+    def _timers(self, _value):
+        self.timers.run(at_most_s=2.5)
+
+    def _late(self, _value):
+        self.timers.run()
+
+    def _end_session(self, value):
+        if value == 0:
+            self.view.keys.drop_session(self.view.session)
+            self.view.session += "'"
+
+    def _cancel(self, value):
+        if self.requests:
+            request = self.requests[value % len(self.requests)]
+            self.root.fire(requests.cancel(request), "dispatcher")
+
+
+class ClaimsTest(unittest.TestCase):
+    """A request with a key runs at most once, whatever the log does."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.example(BOTH_CLAIM)
+    @hypothesis.example(REPEAT_AFTER_BROKEN_ANSWER)
+    @hypothesis.given(STEPS)
+    def test_work_runs_once_and_outcomes_are_true(self, steps):
+        table, runs = keys.Keys(), []
+        instances = [Instance(name, table, runs) for name in "ab"]
+        for kind, number, value in steps:
+            instances[number].step(kind, value)
+            other = instances[1 - number]
+            other.root.fire(support.Event.create("folded", 0, b"", []), "*")
+            fakes.settle(other.root)
+            self.assertLessEqual(len(runs), 1)
+        bodies = set()
+        for instance in instances:
+            self.assertEqual(instance.failures.errors, [])
+            told = [request for request, _ in instance.outcomes.events]
+            self.assertEqual(len(told), len(set(told)))
+            for request, outcome in instance.outcomes.events:
+                if isinstance(outcome, outcomes.NotRun):
+                    self.assertNotIn(request.id.encode(), instance.ran)
+                elif isinstance(outcome, outcomes.Answered):
+                    bodies.add(outcome.body)
+        self.assertLessEqual(len(bodies), 1)
+
+    def test_digest_separates_service_target_and_body(self):
+        def digest(service, target, body):
+            request = type("Request", (), {"method": "POST", "body": body})
+            request.service, request.target = service, target
+            return claims.digest(request)
+
+        parts = [("a", "/b", b"c"), ("a", "/bc", b""), ("a/b", "", b"c")]
+        self.assertEqual(len({digest(*part) for part in parts}), 3)
