--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -20,7 +20,7 @@
     histograms,
     logs,
     metrics,
-    recorder,
+    request_recorder,
     settings,
     status,
     timers,
@@ -103,7 +103,7 @@
             address=(address.host, address.port) if address else None,
             prefix=address.prefix if address else metrics.PREFIX,
         )
-        recorded = recorder.Recorder(
+        recorded = request_recorder.RequestRecorder(
             histograms=measured, metrics=self._metrics
         ).register(self)
         self._status = status.Status(
--- a/cranberryport/request_recorder.py
+++ b/cranberryport/request_recorder.py
@@ -1,12 +1,15 @@
 """Records how requests ended in the histograms and the metrics."""
 
 import functools
+import logging
 import time
 
 from circuits import BaseComponent, handler
 
 from cranberryport import outcomes
 
+_logger = logging.getLogger(__name__)
+
 
 class RequestRecorder(BaseComponent):
     """Receives ``request_finished`` of the dispatcher.
@@ -25,12 +28,32 @@
         super().__init__()
         self._histograms = histograms
         self._metrics = metrics
+        self._counts = dict.fromkeys(
+            (outcomes.ANSWERED, outcomes.NOT_RUN, outcomes.UNKNOWN), 0
+        )
+        self._attempts = 0
+
+    @property
+    def counts(self):
+        """Finished requests by outcome, and the attempts that they took."""
+        return {**self._counts, "attempts": self._attempts}
 
     @handler("request_finished")
-    def _on_request_finished(self, request, outcome, *_):
+    def _on_request_finished(self, request, outcome, attempts, server):
+        name = name_outcome(outcome)
+        self._counts[name] += 1
+        self._attempts += attempts
+        if name == outcomes.UNKNOWN:
+            _logger.warning(
+                "unknown outcome of a request to %s at %s: %s",
+                request.service,
+                server,
+                outcome.reason,
+                extra={"request": request.id},
+            )
         figures = {
             "request_class": request.request_class,
-            "outcome": name_outcome(outcome),
+            "outcome": name,
             "latency_s": time.monotonic() - request.arrived,
         }
         self._histograms.record(desk=request.desk, **figures)
--- a/cranberryport/status.py
+++ b/cranberryport/status.py
@@ -31,7 +31,7 @@
         Control state and its components.
     dispatcher : cranberryport.dispatcher.Dispatcher
         Requests in progress.
-    recorder : cranberryport.recorder.Recorder
+    recorder : cranberryport.request_recorder.RequestRecorder
         Finished requests.
     histograms : cranberryport.histograms.Histograms
         Latencies.
