--- a/tests/control_stream.py
+++ b/tests/control_stream.py
@@ -51,13 +51,7 @@
 
 
 class Stream:
-    """A log with one reader that folds each append at once.
-
-    Parameters
-    ----------
-    sessions : str
-        One letter for each session to open.
-    """
+    """A log with one reader; it opens a session for each letter given."""
 
     def __init__(self, sessions=""):
         self.bodies = []
--- a/tests/interleavings.py
+++ b/tests/interleavings.py
@@ -108,15 +108,7 @@
 
 
 class Invariants:
-    """Checks the promises after each step.
-
-    Parameters
-    ----------
-    test : unittest.TestCase
-        Reports a broken promise.
-    stream : control_stream.Stream
-        The stream.
-    """
+    """Checks the promises after each step and reports a broken one to the test."""
 
     def __init__(self, test, stream):
         self._test = test
--- a/tests/test_state_sessions.py
+++ b/tests/test_state_sessions.py
@@ -34,6 +34,11 @@
         self.assertIn("ended", self.stream.reject("d", "SessionSuspected", **vote))
         self.assertEqual(self.stream.vote("e", "c"), ["e"])
 
+    def test_votes_of_a_closed_session_do_not_count(self):
+        self.stream.vote("e", "d")
+        self.stream.accept("d", "SessionClosed")
+        self.assertEqual(self.stream.vote("e", "ab"), [])
+
     def test_nobody_votes_for_another_or_against_itself(self):
         vote = {"session": "e", "heartbeat": 4}
         reason = self.stream.reject("a", "SessionSuspected", by="b", **vote)
--- a/tests/test_state_snapshot.py
+++ b/tests/test_state_snapshot.py
@@ -81,7 +81,8 @@
         self.assertIsNone(self.assemble(self.base).newest(earliest=self.base + 1))
 
     def test_chunks_that_do_not_fit_are_passed_over(self):
-        changes = [{"count": 99}, {"index": 99}, {"index": -1}, {"base": 10**6}]
+        changes = [{"count": 99}, {"index": 99}, {"index": -1}, {"base": 1}]
+        changes.append({"snapshot": "future", "base": 10**6, "count": 1})
         wrong = [dataclasses.replace(self.parts[0], **change) for change in changes]
         self.stream.append("a", self.parts[0], *wrong, *self.parts[1:])
         self.assertEqual(self.assemble().newest(), self.parts)
