Run jobs in the daemon and weigh peers' reports of failed servers

Cause: the demo's job step failed, since nothing assembled the job components; reports of peers reached nobody. Change: the daemon registers jobs, their interface and the exchange of reports; headers that all requests share have a module of their own.

--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -17,7 +17,10 @@
     control_plane,
     dispatcher,
     frontend,
+    health_exchange,
     histograms,
+    jobs,
+    jobs_api,
     logs,
     metrics,
     request_recorder,
@@ -61,6 +64,7 @@
             failed_servers=lambda: self._requests.failed_servers(),
         )
         self._make_data_path()
+        self._make_jobs()
         self._make_reports()
         self._server = server.StrictServer(
             timers=self._timers,
@@ -95,6 +99,22 @@
             queue_capacity=self._loaded.limits.queue_length,
         ).register(self)
         frontend.FrontEnd(control=view).register(self)
+        health_exchange.HealthExchange(
+            peers=self._control.peers, dispatcher=self._requests, timers=self._timers
+        ).register(self)
+
+    def _make_jobs(self):
+        control = self._control
+        self._jobs = jobs.Jobs(
+            follower=control.follower,
+            keeper=control.keeper,
+            instances=control.instances,
+            timers=self._timers,
+            client=control.client,
+        ).register(self)
+        jobs_api.JobsApi(
+            follower=control.follower, keeper=control.keeper, jobs=self._jobs
+        ).register(self)
 
     def _make_reports(self):
         measured = histograms.Histograms()
@@ -111,6 +131,7 @@
             control=self._control,
             dispatcher=self._requests,
             recorder=recorded,
+            jobs=self._jobs,
             histograms=measured,
             publishers=settings.publishers(self._loaded),
         )
--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -195,7 +195,7 @@
         return {
             name
             for service in self._services.values()
-            for name in service.health.connect_failures()
+            for name in service.health.connect_failures(time.monotonic())
         }
 
     def record_peer_report(self, server, peer):
--- a/cranberryport/frontend.py
+++ b/cranberryport/frontend.py
@@ -11,7 +11,7 @@
 from circuits import BaseComponent, handler
 from circuits.web import events as web_events
 
-from cranberryport import idempotency, outcomes, requests
+from cranberryport import caller_headers, idempotency, outcomes, requests
 from cranberryport.http import server
 
 DEFAULT_DEADLINE_S = 10.0
@@ -22,8 +22,6 @@
 # Paths of the administration and of jobs.
 _foreign_path = re.compile(r"/(-|jobs)(/|$)")
 
-_desk_pattern = re.compile(r"[A-Za-z0-9._-]{1,64}", re.ASCII)
-
 # RFC 9110 section 7.6.1, and headers that are made anew for each connection.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -46,22 +44,6 @@
 OWN_HEADERS = frozenset({b"request-id", b"request-outcome", b"request-refused"})
 
 
-class _BadRequest(Exception):
-    """A request that is refused.
-
-    Parameters
-    ----------
-    status : int
-        Status code for the caller.
-    reason : str
-        One clear sentence.
-    """
-
-    def __init__(self, *, status, reason):
-        super().__init__(reason)
-        self.outcome = outcomes.NotRun(status=status, reason=reason)
-
-
 class FrontEnd(BaseComponent):
     """Turns HTTP requests into caller requests, and outcomes into responses.
 
@@ -100,7 +82,7 @@
         request_id = secrets.token_hex(server.REQUEST_ID_BYTES)
         try:
             caller_request = self._read(request, request_id)
-        except _BadRequest as error:
+        except caller_headers.BadRequest as error:
             _write(error.outcome, response, request_id)
             return response
         self._responses[caller_request] = response
@@ -130,7 +112,7 @@
         arrived = time.monotonic()
         service, target = _split_target(request.target)
         _check_service(service, configuration.services)
-        desk = _read_desk(request.raw_headers)
+        desk = caller_headers.read_desk(request.raw_headers)
         return requests.CallerRequest(
             id=request_id,
             service=service,
@@ -200,34 +182,24 @@
 def _check_service(service, services):
     if service in services:
         return
-    raise _BadRequest(
+    raise caller_headers.BadRequest(
         status=404,
         reason=f"unknown service {service!r}; allowed: {_list_names(services)}",
     )
 
 
-def _read_desk(headers):
-    desk = _read_single(headers, "Desk")
-    allowed = "allowed: 1 to 64 characters of letters, digits, '-', '_' and '.'"
-    if desk is None:
-        raise _BadRequest(status=422, reason=f"header Desk is missing; {allowed}")
-    if not _desk_pattern.fullmatch(desk):
-        raise _BadRequest(status=422, reason=f"Desk {desk!r}; {allowed}")
-    return desk
-
-
 def _read_class(headers, desk):
-    value = _read_single(headers, "Request-Class")
+    value = caller_headers.read_single(headers, "Request-Class")
     if value is not None and value not in requests.REQUEST_CLASSES:
         allowed = ", ".join(requests.REQUEST_CLASSES)
-        raise _BadRequest(
+        raise caller_headers.BadRequest(
             status=422, reason=f"Request-Class {value!r}; allowed: {allowed}"
         )
     return desk.request_class or value or DEFAULT_CLASS
 
 
 def _read_deadline_delay(headers):
-    value = _read_single(headers, "Request-Deadline")
+    value = caller_headers.read_single(headers, "Request-Deadline")
     if value is None:
         return DEFAULT_DEADLINE_S
     try:
@@ -235,13 +207,13 @@
     except ValueError:
         deadline = math.nan
     if not math.isfinite(deadline):
-        raise _BadRequest(
+        raise caller_headers.BadRequest(
             status=422,
             reason=f"Request-Deadline {value!r}; allowed: Unix seconds, with decimals",
         )
     delay_s = deadline - time.time()
     if delay_s <= 0:
-        raise _BadRequest(
+        raise caller_headers.BadRequest(
             status=422,
             reason=f"Request-Deadline {value!r} is {-delay_s:.3f} s in the past",
         )
@@ -251,10 +223,10 @@
 def _read_key(request, target, service):
     if request.method in requests.SAFE_METHODS:
         return None
-    value = _read_single(request.raw_headers, "Idempotency-Key")
+    value = caller_headers.read_single(request.raw_headers, "Idempotency-Key")
     if value is None:
         if is_at_most_once(target, service.at_most_once):
-            raise _BadRequest(
+            raise caller_headers.BadRequest(
                 status=422,
                 reason=f"{request.method} {request.path!r} must not be repeated and "
                 "needs the header Idempotency-Key; allowed: a UUIDv7",
@@ -262,21 +234,10 @@
         return None
     checked = idempotency.check(value, now=time.time())
     if isinstance(checked, idempotency.InvalidKey):
-        raise _BadRequest(status=422, reason=checked.reason)
+        raise caller_headers.BadRequest(status=422, reason=checked.reason)
     return checked.key
 
 
-def _read_single(headers, name):
-    wanted = name.lower().encode("ascii")
-    values = [value.decode("latin-1") for key, value in headers if key == wanted]
-    if len(values) > 1:
-        shown = ", ".join(map(repr, values[:4]))
-        raise _BadRequest(
-            status=422, reason=f"header {name} is given {len(values)} times: {shown}"
-        )
-    return values[0] if values else None
-
-
 def _list_names(names):
     shown = sorted(names)[:SHOWN_NAMES_LIMIT]
     text = ", ".join(shown) or "none, since no sheet is in force"
--- a/cranberryport/health.py
+++ b/cranberryport/health.py
@@ -6,6 +6,7 @@
 """
 
 EQUAL_AGE_S = 1.0
+CONNECT_FAILURE_LIFETIME_S = 5.0
 REPORT_LIFETIME_S = 10.0
 CONSECUTIVE_FAILURES = 5
 FAILURE_RATE = 0.6
@@ -61,6 +62,11 @@
         self.probes_left = 0
         self.forget_results()
 
+    def has_recent_connect_failure(self, now):
+        """Return whether the last new connection failed lately."""
+        failed_at = self.connect_failed_at
+        return failed_at is not None and now - failed_at < CONNECT_FAILURE_LIFETIME_S
+
     def forget_results(self):
         """Start counting results again."""
         self.consecutive_failures = 0
@@ -93,12 +99,16 @@
         """Note that a new connection failed."""
         self._of(server).connect_failed_at = now
 
-    def connect_failures(self):
-        """Return the names of the servers whose last new connection failed."""
+    def connect_failures(self, now):
+        """Return the names of the servers whose last new connection failed lately.
+
+        Peers take them as a second signal. Without the limit on their age two entry
+        instances that report a server to each other would never try it again.
+        """
         return [
             name
             for name, evidence in self._servers.items()
-            if evidence.connect_failed_at is not None
+            if evidence.has_recent_connect_failure(now)
         ]
 
     def record_list_status(self, server, status):
--- a/cranberryport/jobs_api.py
+++ b/cranberryport/jobs_api.py
@@ -12,8 +12,8 @@
 from circuits.web import events as web_events
 
 from cranberryport import (
+    caller_headers,
     findings,
-    frontend,
     idempotency,
     log_writer_events,
     outcomes,
@@ -86,9 +86,9 @@
             reason = f"unknown service {service!r}; allowed: {allowed}"
             return _refuse(response, 404, reason)
         try:
-            desk = frontend._read_desk(request.raw_headers)
+            desk = caller_headers.read_desk(request.raw_headers)
             key = _read_key(request.raw_headers)
-        except frontend._BadRequest as error:
+        except caller_headers.BadRequest as error:
             return _refuse(response, error.outcome.status, error.outcome.reason)
         fields, found = read_job(request.body.getvalue(), now=time.time())
         if found:
@@ -255,12 +255,12 @@
 
 
 def _read_key(headers):
-    value = frontend._read_single(headers, "Idempotency-Key")
+    value = caller_headers.read_single(headers, "Idempotency-Key")
     if value is None:
         return ""
     checked = idempotency.check(value, now=time.time())
     if isinstance(checked, idempotency.InvalidKey):
-        raise frontend._BadRequest(status=422, reason=checked.reason)
+        raise caller_headers.BadRequest(status=422, reason=checked.reason)
     return checked.key
 
 
--- a/cranberryport/status.py
+++ b/cranberryport/status.py
@@ -33,6 +33,8 @@
         Requests in progress.
     recorder : cranberryport.request_recorder.RequestRecorder
         Finished requests.
+    jobs : cranberryport.jobs.Jobs
+        Placement of jobs.
     histograms : cranberryport.histograms.Histograms
         Latencies.
     publishers : dict
@@ -40,12 +42,13 @@
     """
 
     def __init__(
-        self, *, loaded, control, dispatcher, recorder, histograms, publishers
+        self, *, loaded, control, dispatcher, recorder, jobs, histograms, publishers
     ):
         self._loaded = loaded
         self._control = control
         self._dispatcher = dispatcher
         self._recorder = recorder
+        self._jobs = jobs
         self._histograms = histograms
         self._fingerprint = fingerprint(publishers)
         self._started = time.monotonic()
@@ -89,6 +92,7 @@
             "peers": len(self._control.peers.statuses()),
             "requests_in_progress": self._dispatcher.request_count,
             "requests": self._recorder.counts,
+            "jobs": self._jobs.status(),
             "appends": writer.append_count,
             "records": writer.record_count,
             "relayed": self._control.relay.relayed_count,
--- a/demo/run.py
+++ b/demo/run.py
@@ -184,7 +184,7 @@
         submit = ["--desk", "back-office", "--payload", JOB_PAYLOAD]
         submit += ["--runtime-s", "1", "--class", "interactive"]
         submit += ["--instance", self._fleet.entries[3].address]
-        job = json.loads(self._run_tool("job", "submit", "back-office", *submit))["id"]
+        job = json.loads(self._run_tool("job", "submit", "back-office", *submit))["job"]
         other = self._fleet.entries[6]
         path = f"/jobs/{job}"
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -37,6 +37,16 @@
         evidence.record_connected("a")
         self.assertFalse(evidence.is_down("a", 100.0))
 
+    def test_two_peers_that_report_a_server_try_it_again(self):
+        one, other = health.Health(), health.Health()
+        for evidence in (one, other):
+            evidence.record_connect_failure("a", 0.0)
+        for now in map(float, range(20)):
+            for evidence, peer in ((one, other), (other, one)):
+                for server in peer.connect_failures(now):
+                    evidence.record_peer_report(server, "peer", now)
+        self.assertFalse(one.is_down("a", 20.0))
+
     def test_failing_server_is_ejected_for_a_growing_time_and_probed(self):
         evidence = health.Health()
         eject(evidence, "a")
