--- a/tests/control_stream.py
+++ b/tests/control_stream.py
@@ -42,6 +42,21 @@
     return record
 
 
+def job(name, **changes):
+    """Return a JobAccepted of a small batch job."""
+    values = {
+        "desk": "d",
+        "service": "s",
+        "request_class": "batch",
+        "processors": 1.0,
+        "memory_mb": 1,
+        "runtime_s": 1.0,
+        "payload": "p",
+        "by": "a",
+    }
+    return make("JobAccepted", job=name, **{**values, **changes})
+
+
 def envelope(writer, sequence, *records):
     """Return the body of an append."""
     maps = [codec.to_map(record) for record in records]
--- a/tests/test_jobs_api.py
+++ b/tests/test_jobs_api.py
@@ -35,7 +35,7 @@
     def setUp(self):
         self.log = Log()
         self.log.stream = control_stream.Stream("a")
-        rows = [("service", "s", "connections", "4")]
+        rows = ["service s connections 4"]
         self.log.stream.accept("a", control_stream.sheet("p1", 0, rows))
         self.follower = types.SimpleNamespace(
             state=self.log.stream.state, dispatch_right=True
--- a/tests/test_request_recorder.py
+++ b/tests/test_request_recorder.py
@@ -19,7 +19,11 @@
             histograms=recorded, metrics=metrics.Metrics(address=None)
         ).register(root)
         request = types.SimpleNamespace(
-            desk="sulina", request_class="batch", arrived=time.monotonic()
+            id="r1",
+            service="sulina",
+            desk="sulina",
+            request_class="batch",
+            arrived=time.monotonic(),
         )
         for outcome in (
             outcomes.Answered(status=200, headers=[], body=b""),
