End former sessions of replaced instances and retire forgotten instances

Cause: after all entry instances were replaced at once, 8 of 16 live sessions could not reach the majority of 9, so the former sessions kept their shares for ever; an instance killed and started again had the same effect for its own former session. A pool with more dead instances than its budget could never retire them. Ruled out: counting only sessions with recent heartbeats, since one instance in contact with the log could then end a majority that is cut off and keeps working. Change: half of the live sessions ends a session; more than half must agree on an outage, so both cannot happen. SessionOpened ends the former session of the same instance. An operation on an instance that is down already takes nothing more from the budget, but planned stops alone stay within it. The planner retires instances that neither the list nor a sheet names.

--- a/cranberryport/planner.py
+++ b/cranberryport/planner.py
@@ -8,6 +8,7 @@
 
 REBOOT = "reboot"
 MOVE = "move"
+RETIRE = "retire"
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
@@ -18,12 +19,12 @@
     ----------
     instance : str
         Name of the instance.
-    purpose : {'reboot', 'move'}
+    purpose : {'reboot', 'move', 'retire'}
         What to do.
     target_pool : str
-        Pool to move to; empty for a reboot.
-    authority : {'owner', 'team'}
-        Whose row asks for it.
+        Pool to move to; empty unless the purpose is a move.
+    authority : {'owner', 'team', ''}
+        Whose row asks for it; empty if no row is needed.
     """
 
     instance: str
@@ -49,6 +50,7 @@
     for name, entry in sorted(state.fleet.instances.items()):
         if entry.operation:
             continue
+        found += _retirements(state, name, entry)
         found += _moves(state, name, entry)
         found += _reboots(state, name, entry)
     return found
@@ -66,6 +68,14 @@
     ]
 
 
+def _retirements(state, name, entry):
+    # A name that neither the platform nor a sheet knows any more would otherwise take
+    # from the budget of its former pool for ever.
+    if entry.status != "gone" or name in state.configuration.instance_pools:
+        return []
+    return [Intent(instance=name, purpose=RETIRE, target_pool="", authority="")]
+
+
 def _reboots(state, name, entry):
     if state.configuration.maintenance.get(name) != REBOOT:
         return []
@@ -108,7 +118,7 @@
     allowed = [
         intent
         for intent in intents(state)
-        if intent.authority == "owner" or not is_team_day_over
+        if intent.authority != "team" or not is_team_day_over
     ]
     by_pool = {}
     for intent in allowed:
--- a/cranberryport/state/fleet.py
+++ b/cranberryport/state/fleet.py
@@ -325,7 +325,15 @@
         reason = self._check_target(record, entry, configuration)
         if reason or not entry.pool:
             return reason
-        down = len(self._down(entry.pool) | {entry.instance})
+        if entry.is_down:
+            # It takes nothing more from the budget, and without this a pool with too
+            # many dead instances could never retire them. Planned stops alone stay
+            # within the budget, since a dead instance can come back during its stop.
+            down = (
+                sum(bool(member.operation) for member in self.members(entry.pool)) + 1
+            )
+        else:
+            down = self.down_count(entry.pool) + 1
         budget = configuration.pool(entry.pool).max_unavailable
         if down > budget:
             return f"pool {entry.pool!r} would have {down} of at most {budget} down"
--- a/cranberryport/state/fold.py
+++ b/cranberryport/state/fold.py
@@ -403,6 +403,7 @@
 @fold_record.register
 def _(record: messages.SessionOpened, state, context):
     reason = state.sessions.open(record, context)
+    state._end_sessions(context.ended)
     if not reason:
         state.shares.rebalance(state.sessions.live())
     return reason
--- a/cranberryport/state/sessions.py
+++ b/cranberryport/state/sessions.py
@@ -76,8 +76,13 @@
         return live.index(session) if session in live else None
 
     def majority(self):
-        """Return the number of votes that end a session."""
-        return len(self.live()) // 2 + 1
+        """Return the number of votes that end a session.
+
+        Half of the live sessions is enough: a session keeps its right in an outage of
+        the log only with more than half, itself included, and these do not vote. With
+        one vote more, a fleet replaced at once could never end its former sessions.
+        """
+        return (len(self.live()) + 1) // 2
 
     def check_actor(self, session, writer):
         """Return why a writer may not act for a session; empty if it may."""
@@ -91,7 +96,11 @@
         return ""
 
     def open(self, record, context):
-        """Add a session."""
+        """Add a session; it ends an older live one of the same entry instance.
+
+        Ended sessions are appended to ``context.ended``. They are fenced like others,
+        since their process may be frozen and not gone.
+        """
         if record.session != context.writer:
             return f"session {record.session!r} is not the writer {context.writer!r}"
         if not record.session:
@@ -100,6 +109,7 @@
             return f"session {record.session!r} is already open"
         if record.session in self._past:
             return f"session {record.session!r} was closed or settled"
+        self._end_predecessors(record.instance, context)
         self._entries[record.session] = Session(
             session=record.session,
             instance=record.instance,
@@ -188,11 +198,19 @@
         # An ended or closed session lowers the majority and loses its own votes, so
         # the votes against the others are counted again until nothing changes.
         while suspect := self._first_outvoted():
-            suspect.state = "ended"
-            suspect.ended = context.offset
-            suspect.votes.clear()
-            self._withdraw_votes(suspect.session)
-            context.ended.append(suspect.session)
+            self._end(suspect, context)
+
+    def _end_predecessors(self, instance, context):
+        for entry in self._entries.values():
+            if entry.state == "live" and entry.instance == instance:
+                self._end(entry, context)
+
+    def _end(self, entry, context):
+        entry.state = "ended"
+        entry.ended = context.offset
+        entry.votes.clear()
+        self._withdraw_votes(entry.session)
+        context.ended.append(entry.session)
 
     def _first_outvoted(self):
         majority = self.majority()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -123,3 +123,14 @@
             if intent.purpose == planner.MOVE
         ]
         self.assertEqual(moves, [("s-2", "t")])
+
+    def test_retires_an_instance_that_platform_and_sheet_forgot(self):
+        stream = _stream(ROWS, [*INSTANCES, ("s-9", "east", "r1")])
+        for name in ("s-4", "s-9"):
+            _observe(stream, name, "east", "r1", "gone")
+        retired = [
+            intent.instance
+            for intent in planner.intents(stream.state)
+            if intent.purpose == planner.RETIRE
+        ]
+        self.assertEqual(retired, ["s-9"])
