--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -20,11 +20,16 @@
     "silence",
     "cut",
     "twice",
+    "twice-late",
+    "twice-late-unnamed",
+    "crossed",
     "close",
     "no-length",
 }
 MODES = FAILURES | {"up"}
 CUT_CHECK_INTERVAL_S = 0.05
+# Time from an answer to its repeat: enough for the next request to be on its way.
+LATE_ANSWER_DELAY_S = 0.5
 
 
 class Execution:
@@ -100,6 +105,7 @@
         self._mode = "up"
         self._delay_ms = 0.0
         self._executions = []
+        self._last = None
         self._running = 0
         self._running_max = 0
         self._overruns = 0
@@ -189,7 +195,19 @@
         if execution.is_cut or handler.generation < self.generation:
             handler.drain()
             return
-        _ANSWERS[failure](handler, self._answer_body(handler, body))
+        answer = self._answer_body(handler, body)
+        request_id, last = self._swap_last(execution.request_id, answer)
+        if failure == "crossed":
+            handler.send(200, last, headers=[("Request-Id", request_id)])
+        else:
+            _ANSWERS[failure](handler, answer)
+
+    def _swap_last(self, request_id, answer):
+        """Keep an answer and return the one before; itself if it is the first."""
+        with self._lock:
+            before = self._last or (request_id, answer)
+            self._last = (request_id, answer)
+            return before
 
     def _begin(self, execution):
         with self._lock:
@@ -267,6 +285,18 @@
     _send_answer(handler, body)
 
 
+def _send_twice_late(handler, body):
+    _send_answer(handler, body)
+    time.sleep(LATE_ANSWER_DELAY_S)
+    _send_answer(handler, body)
+
+
+def _send_twice_late_unnamed(handler, body):
+    handler.send(200, body)
+    time.sleep(LATE_ANSWER_DELAY_S)
+    handler.send(200, body)
+
+
 def _send_without_length(handler, body):
     handler.close_connection = True
     handler.send_response(200)
@@ -282,6 +312,8 @@
     "silence": _send_nothing,
     "cut": _send_half,
     "twice": _send_twice,
+    "twice-late": _send_twice_late,
+    "twice-late-unnamed": _send_twice_late_unnamed,
     "no-length": _send_without_length,
 }
 
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -57,7 +57,20 @@
         self.assertIsNone(self.send(Test_Fail="no-length")[0].headers["Content-Length"])
 
     def test_two_answers_to_one_request(self):
-        request = b"GET / HTTP/1.1\r\nHost: a\r\nTest-Fail: twice\r\n\r\n"
+        # The scenarios of crossed answers prove nothing without the second answer.
+        for number, failure in enumerate(("twice", "twice-late", "twice-late-unnamed")):
+            with self.subTest(failure):
+                self.receive_two(failure)
+                self.assertEqual(len(self.server.describe()["executions"]), number + 1)
+
+    def test_crossed_answer_is_that_of_the_request_before(self):
+        _, first = self.send(Request_Id="r1")
+        answer, body = self.send(Request_Id="r2", Test_Fail="crossed")
+        self.assertEqual(answer.headers["Request-Id"], "r1")
+        self.assertEqual(body, first)
+
+    def receive_two(self, failure):
+        request = f"GET / HTTP/1.1\r\nHost: a\r\nTest-Fail: {failure}\r\n\r\n".encode()
         received = b""
         address = ("127.0.0.1", self.server.port)
         with socket.create_connection(address, timeout=10) as connection:
@@ -66,7 +79,6 @@
                 data = connection.recv(65536)
                 self.assertTrue(data, received)
                 received += data
-        self.assertEqual(len(self.server.describe()["executions"]), 1)
 
     def test_forgotten_connection_is_silent_and_new_one_works(self):
         connection = self.connect(timeout_s=0.3)
