Measure one entry instance as a whole; find a service's servers once per state

Cause: a profile of 3,000 GET requests showed view.servers and is_leaving with a seventh of the daemon's processor time: each request filters all instances three times. Ruled out: the HTTP parser (h11 takes a tenth) and the log (no append for a GET).

--- a/cranberryport/control_plane.py
+++ b/cranberryport/control_plane.py
@@ -151,16 +151,11 @@
         }
 
     def _make_status(self):
-        leaving = [
-            name
-            for name in sorted(self.instances.entries)
-            if self.instances.is_leaving(name)
-        ]
         return messages.PeerStatus(
             session=self.keeper.session,
             position=self.follower.state.position,
             contact_age_s=min(self.follower.contact_age_s, UNKNOWN_AGE_S),
             suspected=self.keeper.suspected(),
-            leaving=leaving,
+            leaving=sorted(self.instances.leaving),
             failed=sorted(self._failed_servers()),
         )
--- a/cranberryport/instance_list.py
+++ b/cranberryport/instance_list.py
@@ -15,6 +15,7 @@
 APPEND_DEADLINE_S = 10.0
 RANK_DELAY_S = 1.0
 STATUSES = ("live", "leaving", "failed", "unknown", "gone")
+LIVE_STATUS = "live"
 BACKEND_KIND = "backend_server"
 WORKER_KIND = "worker"
 
@@ -57,6 +58,7 @@
         self._keeper = keeper
         self._connection = None
         self._entries = {}
+        self._leaving = frozenset()
         self._received_at = None
         self._differs_since = {}
         self._proposed = {}
@@ -73,10 +75,14 @@
         """Latest entries by name, as the platform gave them."""
         return self._entries
 
+    @property
+    def leaving(self):
+        """Names that the latest list does not show as live."""
+        return self._leaving
+
     def is_leaving(self, name):
         """Return whether the latest list says that an instance is not live."""
-        entry = self._entries.get(name)
-        return entry is not None and entry.get("status") != "live"
+        return name in self._leaving
 
     def workers(self):
         """Return the entries of the workers in order of their names."""
@@ -114,6 +120,11 @@
         try:
             entries = json.loads(result.body)["instances"]
             self._entries = {entry["name"]: entry for entry in entries}
+            self._leaving = frozenset(
+                name
+                for name, entry in self._entries.items()
+                if entry.get("status") != LIVE_STATUS
+            )
         except (ValueError, KeyError, TypeError) as error:
             _logger.error("the instance list cannot be read: %s", error)
             return
--- a/cranberryport/view.py
+++ b/cranberryport/view.py
@@ -47,7 +47,15 @@
         Takes a resource's name; units of it that this process may use.
     """
 
-    __slots__ = ("_follower", "_instances", "_keeper", "_peers", "_usable_units")
+    __slots__ = (
+        "_follower",
+        "_instances",
+        "_keeper",
+        "_members",
+        "_members_state",
+        "_peers",
+        "_usable_units",
+    )
 
     def __init__(self, *, follower, keeper, instances, peers, usable_units):
         self._follower = follower
@@ -55,6 +63,10 @@
         self._instances = instances
         self._peers = peers
         self._usable_units = usable_units
+        # Members by service as of a state and its position. A request asks three times,
+        # and filtering all instances took a seventh of its processor time.
+        self._members = {}
+        self._members_state = None
 
     @property
     def session(self):
@@ -74,20 +86,18 @@
 
     def servers(self, service):
         """Return the backend servers of a service's pools, ordered by name."""
-        state = self._follower.state
-        pools = self._pools_of(service)
         leaving = self._leaving()
         return [
             BackendServer(
-                name=name,
+                name=entry.instance,
                 host=entry.host,
                 port=entry.port,
                 data_centre=entry.data_centre,
-                slots_share=self._usable_units(shares.slots(name)),
-                is_usable=entry.state == fleet.IN_SERVICE and name not in leaving,
+                slots_share=self._usable_units(shares.slots(entry.instance)),
+                is_usable=entry.state == fleet.IN_SERVICE
+                and entry.instance not in leaving,
             )
-            for name, entry in sorted(state.fleet.instances.items())
-            if entry.pool in pools
+            for entry in self._find_members(service)
         ]
 
     def connections_share(self, service):
@@ -98,14 +108,23 @@
         """Return the entry of an idempotency key, or None."""
         return self._follower.state.keys.get(key)
 
-    def _pools_of(self, service):
-        pools = self.configuration().pools.values()
-        return {pool.name for pool in pools if pool.service == service}
+    def _find_members(self, service):
+        state = self._follower.state
+        if self._members_state != (state, state.position):
+            self._members_state = (state, state.position)
+            self._members = {}
+        if service not in self._members:
+            pools = self.configuration().pools.values()
+            names = {pool.name for pool in pools if pool.service == service}
+            self._members[service] = [
+                entry
+                for _, entry in sorted(state.fleet.instances.items())
+                if entry.pool in names
+            ]
+        return self._members[service]
 
     def _leaving(self):
-        leaving = {
-            name for name in self._instances.entries if self._instances.is_leaving(name)
-        }
+        leaving = set(self._instances.leaving)
         for status in self._peers.statuses().values():
             leaving.update(status.leaving)
         return leaving
