Read the largest record of the log

Cause: the log takes records of 1 MiB, the client refused answers above 1 MiB, and the answer with such a record is a little larger: every instance would have asked for it again for ever. Change: exchanges carry their limit; answers of the log may have 4 MiB.

--- a/cranberryport/http/connection.py
+++ b/cranberryport/http/connection.py
@@ -96,9 +96,12 @@
         returns False the exchange fails as ``refused`` with no byte sent. Connecting
         can take long, or the process can be paused while it connects, so a check
         before :meth:`Connection.send` would not be enough.
+    answer_limit_bytes : int
+        Largest body of an answer; a larger one is a protocol error.
     """
 
     __slots__ = (
+        "answer_limit_bytes",
         "body",
         "connection",
         "context",
@@ -125,6 +128,7 @@
         context=None,
         request_id=None,
         is_allowed=None,
+        answer_limit_bytes=ANSWER_BODY_LIMIT_BYTES,
     ):
         self.method = method
         self.target = target
@@ -135,6 +139,7 @@
         self.context = context
         self.request_id = request_id
         self.is_allowed = is_allowed
+        self.answer_limit_bytes = answer_limit_bytes
         self.result = None
         self.connection = None
         self.started = None
@@ -421,8 +426,8 @@
     def _add_body(self, data):
         self._answer_body.append(data)
         self._answer_size += len(data)
-        if self._answer_size > ANSWER_BODY_LIMIT_BYTES:
-            limit = ANSWER_BODY_LIMIT_BYTES
+        limit = self._exchange.answer_limit_bytes
+        if self._answer_size > limit:
             self._fail("protocol", f"the answer is larger than {limit} bytes")
 
     def _finish_answer(self):
--- a/cranberryport/log_client.py
+++ b/cranberryport/log_client.py
@@ -7,6 +7,9 @@
 from cranberryport.http import connection
 
 CLIENT_NAME_HEADER = b"client-name"
+# A record can have 1 MiB. If its answer were refused for its size, every instance would
+# ask for the same record for ever, and one large record would stop the whole fleet.
+ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -103,6 +106,7 @@
             deadline=deadline,
             reply_channel=reply_channel,
             context=purpose,
+            answer_limit_bytes=ANSWER_LIMIT_BYTES,
         )
         held.send(exchange)
 
