Split the HTTP server by concept

Change: reading, sockets, messages and limits are modules of their own; no behaviour changes, names lose a leading underscore where another module uses them.

--- a/bench/http_server.py
+++ b/bench/http_server.py
@@ -18,7 +18,7 @@
 from circuits.core import pollers
 
 from cranberryport import timers
-from cranberryport.http import server
+from cranberryport.http import limits, server
 
 CONNECTION_COUNTS = (1, 16, 64)
 REQUESTS_PER_RUN = 6000
@@ -87,7 +87,7 @@
     clock = timers.Timers().register(root)
     if kind == "strict":
         http = server.StrictServer(
-            timers=clock, host="127.0.0.1", port=0, limits=server.Limits()
+            timers=clock, host="127.0.0.1", port=0, limits=limits.Limits()
         )
     else:
         http = PlainServer(("127.0.0.1", 0), display_banner=False)
--- a/cranberryport/admin.py
+++ b/cranberryport/admin.py
@@ -6,7 +6,7 @@
 from circuits import BaseComponent, handler
 
 from cranberryport import outcomes
-from cranberryport.http import server
+from cranberryport.http import caller_messages
 
 PREFIX = "/-/"
 METHODS = ("GET", "HEAD")
@@ -49,12 +49,14 @@
         data = self._providers[request.path]()
         response.headers["Content-Type"] = "application/json"
         response.headers["Request-Outcome"] = outcomes.ANSWERED
-        response.headers["Request-Id"] = secrets.token_hex(server.REQUEST_ID_BYTES)
+        response.headers["Request-Id"] = secrets.token_hex(
+            caller_messages.REQUEST_ID_BYTES
+        )
         response.body = json.dumps(data) + "\n"
         return response
 
 
 def _refuse(response, status, reason):
     response.status = status
-    server.fill_error(response, outcome=outcomes.NOT_RUN, reason=reason)
+    caller_messages.fill_error(response, outcome=outcomes.NOT_RUN, reason=reason)
     return response
--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -29,6 +29,7 @@
     timers,
 )
 from cranberryport.http import connection, server
+from cranberryport.http import limits as http_limits
 
 BAD_SETTINGS_EXIT_CODE = 2
 DRAIN_POLL_S = 0.1
@@ -170,7 +171,7 @@
 
 
 def _caller_limits(limits):
-    return server.Limits(
+    return http_limits.Limits(
         header_bytes=limits.header_bytes,
         body_bytes=limits.body_bytes,
         header_timeout_s=limits.header_timeout_s,
--- a/cranberryport/frontend.py
+++ b/cranberryport/frontend.py
@@ -12,7 +12,7 @@
 from circuits.web import events as web_events
 
 from cranberryport import caller_headers, idempotency, outcomes, requests
-from cranberryport.http import server
+from cranberryport.http import caller_messages
 
 DEFAULT_DEADLINE_S = 10.0
 DEADLINE_LIMIT_S = 30.0
@@ -79,7 +79,7 @@
     def _on_request(self, request, response):
         if _foreign_path.match(request.path):
             return None
-        request_id = secrets.token_hex(server.REQUEST_ID_BYTES)
+        request_id = secrets.token_hex(caller_messages.REQUEST_ID_BYTES)
         try:
             caller_request = self._read(request, request_id)
         except caller_headers.BadRequest as error:
@@ -276,7 +276,7 @@
         # Whole seconds (RFC 9110), rounded up so that no repeat comes too early.
         seconds = max(1, math.ceil(outcome.retry_after_s))
         response.headers["Retry-After"] = str(seconds)
-    server.fill_error(
+    caller_messages.fill_error(
         response,
         outcome=outcomes.NOT_RUN,
         reason=outcome.reason,
@@ -287,7 +287,7 @@
 @_write.register
 def _write_unknown(outcome: outcomes.Unknown, response, request_id):
     response.status = outcome.status
-    server.fill_error(
+    caller_messages.fill_error(
         response,
         outcome=outcomes.UNKNOWN,
         reason=outcome.reason,
--- /dev/null
+++ b/cranberryport/http/caller_connection.py
@@ -0,0 +1,344 @@
+"""Reads requests from one caller's connection.
+
+Framing is done by ``h11``; whole requests wait here for their turn.
+"""
+
+import collections
+import re
+import time
+
+import h11
+
+QUOTED_VALUE_LIMIT = 200
+
+_header_patterns = {
+    name: re.compile(rb"(?im)^" + name + rb"[ \t]*:[ \t]*([^\r\n]*?)[ \t]*\r?$")
+    for name in (b"content-length", b"transfer-encoding", b"host")
+}
+
+
+class Refusal:
+    """A request that cannot be read; answered in its turn."""
+
+    __slots__ = ("method", "reason", "status")
+
+    def __init__(self, *, status, reason, method="GET"):
+        self.status = status
+        self.reason = reason
+        self.method = method
+
+
+class WaitingRequest:
+    """A whole request that waits for its turn."""
+
+    __slots__ = ("body", "head")
+
+    def __init__(self, *, head, body):
+        self.head = head
+        self.body = body
+
+
+class CallerConnection:
+    """Reading state of one caller's connection.
+
+    Parameters
+    ----------
+    http : StrictHTTP
+        Owner.
+    sock : socket.socket
+        The caller's socket.
+    """
+
+    __slots__ = (
+        "_body",
+        "_body_size",
+        "_head",
+        "_head_data",
+        "_http",
+        "_is_reading",
+        "_limits",
+        "_protocol",
+        "_timer",
+        "_waiting",
+        "_watched_part",
+        "current",
+        "is_refused",
+        "last_progress",
+        "sock",
+    )
+
+    def __init__(self, *, http, sock):
+        self._http = http
+        self._limits = http.limits
+        self.sock = sock
+        self.current = None
+        self.is_refused = False
+        self.last_progress = time.monotonic()
+        self._is_reading = True
+        self._waiting = collections.deque()
+        self._timer = None
+        self._watched_part = None
+        self._start_request(b"")
+
+    @property
+    def is_idle(self):
+        """Whether no request is in progress in a handler."""
+        return self.current is None or self.current[1].done
+
+    @property
+    def _unfinished_part(self):
+        if self._head is not None:
+            return "body"
+        return "header" if self._head_data else None
+
+    def receive(self, data):
+        """Take bytes from the socket."""
+        if not self._is_reading:
+            return
+        self.last_progress = time.monotonic()
+        self._feed(data)
+        self._advance()
+
+    def refuse(self, status, reason):
+        """Answer with an error after the requests read so far, then close."""
+        method = "GET"
+        if self._head is not None:
+            method = self._head.method.decode("ascii")
+        self._stop_reading()
+        self._waiting.append(Refusal(status=status, reason=reason, method=method))
+
+    def on_written(self):
+        """Go on with the next request after a response has been written."""
+        self.last_progress = time.monotonic()
+        if self.current is None or not self.current[1].done:
+            return
+        if self.current[1].close:
+            self.stop()
+        self.current = None
+        self._advance()
+
+    def stop(self):
+        """Forget everything that was read; the socket is closed."""
+        self._stop_reading()
+        self._waiting.clear()
+
+    def start(self):
+        """Hand over what waits; called after :meth:`refuse` outside reading."""
+        self._advance()
+
+    def _stop_reading(self):
+        self._is_reading = False
+        self._watch(None)
+        self._head_data = b""
+        self._body = []
+
+    def _start_request(self, data):
+        limit = self._limits.header_bytes
+        # One protocol object per request: the response is not written through h11.
+        self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        self._head = None
+        self._head_data = b""
+        self._body = []
+        self._body_size = 0
+        self._watch(None)
+        if data:
+            self._feed(data)
+
+    def _feed(self, data):
+        if self._head is None:
+            self._head_data += data
+        self._protocol.receive_data(data)
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self.refuse(*self._explain(error))
+        if self._is_reading:
+            self._watch(self._unfinished_part)
+
+    def _read_events(self):
+        while self._is_reading:
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                self._take_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish_request()
+                return
+
+    def _take_head(self, head):
+        self._head = head
+        unread = len(self._protocol.trailing_data[0])
+        size = len(self._head_data) - unread
+        problem = self._check_head(head, size)
+        self._head_data = b""
+        if problem is not None:
+            self.refuse(*problem)
+
+    def _check_head(self, head, size):
+        limit = self._limits.header_bytes
+        if size > limit:
+            return 431, f"request line and headers have {size} bytes; allowed: {limit}"
+        headers = dict(head.headers)
+        if head.http_version not in (b"1.0", b"1.1"):
+            version = head.http_version.decode("ascii")
+            return 400, f"HTTP version {version!r}; allowed: '1.0', '1.1'"
+        if not head.target.startswith(b"/"):
+            return 400, f"request target {_quote(head.target)} does not start with '/'"
+        length = headers.get(b"content-length")
+        encoding = headers.get(b"transfer-encoding")
+        if length is not None and encoding is not None:
+            return 400, (
+                f"Content-Length {_quote(length)} together with Transfer-Encoding "
+                f"{_quote(encoding)}; allowed: one of them"
+            )
+        if encoding is not None and head.http_version == b"1.0":
+            return 400, f"Transfer-Encoding {_quote(encoding)} in an HTTP/1.0 request"
+        limit = self._limits.body_bytes
+        if length is not None and int(length) > limit:
+            return 413, f"Content-Length {_quote(length)}; allowed: up to {limit}"
+        return None
+
+    def _take_body(self, data):
+        self._body.append(data)
+        self._body_size += len(data)
+        limit = self._limits.body_bytes
+        if self._body_size > limit:
+            reason = f"the body has more than {limit} bytes; allowed: up to {limit}"
+            self.refuse(413, reason)
+
+    def _finish_request(self):
+        problem = self._check_waiting()
+        if problem is not None:
+            self.refuse(*problem)
+            return
+        body = b"".join(self._body)
+        self._waiting.append(WaitingRequest(head=self._head, body=body))
+        self._advance()
+        unread = self._protocol.trailing_data[0]
+        if asks_to_close(self._head):
+            self._stop_reading()
+        else:
+            self._start_request(unread)
+
+    def _check_waiting(self):
+        if self.current is None:
+            return None
+        limit = self._limits.pipelined_requests
+        if len(self._waiting) >= limit:
+            return 400, f"more than {limit} pipelined requests; allowed: up to {limit}"
+        size = sum(len(waiting.body) for waiting in self._waiting) + self._body_size
+        limit = self._limits.body_bytes
+        if size > limit:
+            return 413, (
+                f"the bodies of the pipelined requests have {size} bytes; "
+                f"allowed: up to {limit} together"
+            )
+        return None
+
+    def _advance(self):
+        if self.current is None and self._waiting:
+            self.current = self._http.hand_over(self.sock, self._waiting.popleft())
+        elif self.current is None:
+            self._allow_body()
+
+    def _allow_body(self):
+        # An interim response is sent only in the request's turn; earlier it would
+        # be taken for a part of the answer to a request before it.
+        if self._protocol.they_are_waiting_for_100_continue and self._is_reading:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self._http.write(self.sock, self._protocol.send(interim))
+            self._watch(None)
+            self._watch("body")
+
+    def _explain(self, error):
+        status = error.error_status_hint
+        text = str(error)
+        data = self._head_data
+        if self._head is not None:
+            return 400, f"the body is malformed: {_shorten(text)}"
+        if status == 431:
+            limit = self._limits.header_bytes
+            return 431, f"request line and headers have more than {limit} bytes"
+        if "Content-Length" in text:
+            values = _find_values(data, b"content-length")
+            return 400, f"Content-Length {values}; allowed: one number without a sign"
+        if status == 501:
+            values = _find_values(data, b"transfer-encoding")
+            return 501, f"Transfer-Encoding {values}; allowed: 'chunked'"
+        if "Host" in text:
+            values = _find_values(data, b"host")
+            return 400, f"Host {values}; allowed: exactly one Host header"
+        line = _quote(data.split(b"\n", 1)[0].rstrip(b"\r"))
+        return 400, f"{_shorten(text)} in the request that starts with {line}"
+
+    def _on_header_timeout(self):
+        limit = self._limits.header_timeout_s
+        self.refuse(408, f"the headers were not complete after {limit:g} s")
+        self._advance()
+
+    def _on_body_timeout(self):
+        self._watch(None)
+        if self._protocol.they_are_waiting_for_100_continue and self.current:
+            # The caller waits for its turn, so the delay is not its own.
+            self._watch("body")
+            return
+        limit = self._limits.body_timeout_s
+        reason = (
+            f"the body was not complete after {limit:g} s; "
+            f"{self._body_size} bytes had arrived"
+        )
+        self.refuse(408, reason)
+        self._advance()
+
+    def _watch(self, part):
+        # A timer is set only for a part that did not arrive at once: a cancelled
+        # timer stays in the heap until it is due.
+        if part == self._watched_part:
+            return
+        self._watched_part = part
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        limits = self._limits
+        if part == "header":
+            self._timer = self._http.timers.after(
+                limits.header_timeout_s, self._on_header_timeout
+            )
+        elif part == "body":
+            self._timer = self._http.timers.after(
+                limits.body_timeout_s, self._on_body_timeout
+            )
+
+
+def asks_to_close(head):
+    """Return whether the connection ends with a request, by its head."""
+    if head.http_version < b"1.1":
+        return True
+    for name, value in head.headers:
+        if name == b"connection" and b"close" in _split_tokens(value):
+            return True
+    return False
+
+
+def _split_tokens(value):
+    return {token.strip().lower() for token in value.split(b",")}
+
+
+def _find_values(data, name):
+    values = _header_patterns[name].findall(data)
+    if not values:
+        return "is missing"
+    return ", ".join(_quote(value) for value in values[:4])
+
+
+def _quote(value):
+    return repr(_shorten(bytes(value).decode("latin-1")))
+
+
+def _shorten(text):
+    if len(text) <= QUOTED_VALUE_LIMIT:
+        return text
+    return text[:QUOTED_VALUE_LIMIT] + "..."
--- a/cranberryport/jobs_api.py
+++ b/cranberryport/jobs_api.py
@@ -20,7 +20,7 @@
     requests,
 )
 from cranberryport.generated import messages
-from cranberryport.http import server
+from cranberryport.http import caller_messages
 from cranberryport.state import jobs as jobs_module
 
 APPEND_DEADLINE_S = 10.0
@@ -296,6 +296,6 @@
     response.status = status
     response.headers["Content-Type"] = "application/json"
     response.headers["Request-Outcome"] = outcome
-    response.headers["Request-Id"] = secrets.token_hex(server.REQUEST_ID_BYTES)
+    response.headers["Request-Id"] = secrets.token_hex(caller_messages.REQUEST_ID_BYTES)
     response.body = json.dumps(body).encode()
     return response
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,6 +6,7 @@
 from circuits.core import pollers
 
 from cranberryport import timers
+from cranberryport.http import limits as http_limits
 from cranberryport.http import server
 
 # Only ends a test that would otherwise hang; no test depends on its length.
@@ -22,7 +23,7 @@
     make_server : callable or None
         Called with the timers; the default makes a StrictServer.
     **limits
-        Parameters of :class:`server.Limits`.
+        Parameters of :class:`limits.Limits`.
     """
 
     def __init__(self, components, *, make_server=None, **limits):
@@ -35,7 +36,7 @@
                 timers=self.timers,
                 host="127.0.0.1",
                 port=0,
-                limits=server.Limits(**limits),
+                limits=http_limits.Limits(**limits),
             )
         else:
             self.server = make_server()
