--- a/cranberryport/log_follower.py
+++ b/cranberryport/log_follower.py
@@ -70,6 +70,8 @@
         self._gap_count = 0
         self._failed_since = None
         self._is_state_lost = False
+        # Collects the snapshots that others write after this process found none.
+        self._late_assembler = None
 
     @property
     def state(self):
@@ -162,6 +164,10 @@
     def _fold(self, batch):
         for offset, body in batch.records:
             self._fold_one(offset, body)
+            if self._late_assembler is not None:
+                self._late_assembler.feed(offset, body)
+        if self._restore_late(batch.first):
+            return
         if self._state.position >= batch.end:
             self._confirmed_at = self._sent_at
             self.fire(contact(), "*")
@@ -192,6 +198,7 @@
             self._search_position = offset + 1
         if self._search_position < batch.end:
             return
+        is_empty = not self._state.position
         restored = self._restore(batch.first)
         self._phase = _Phase.FOLD
         self._assembler = None
@@ -201,8 +208,32 @@
         else:
             self._is_state_lost = True
             self._state.skip_to(batch.first)
+            if is_empty:
+                self._late_assembler = snapshot.Assembler()
             _logger.error("no snapshot covers the expired records; state may be lost")
 
+    def _restore_late(self, earliest):
+        """Replace a state that began without a snapshot by one that others wrote.
+
+        A process that starts after an outage can read the log before the others have
+        written their first snapshot to it. Without this it would keep an empty state
+        beside theirs, and would write it as a snapshot.
+        """
+        if self._late_assembler is None:
+            return False
+        for chunks in self._late_assembler.candidates(earliest=earliest):
+            try:
+                restored = snapshot.restore(chunks, publishers=self._publishers)
+            except snapshot.SnapshotError as error:
+                _logger.error("snapshot %s: %s", chunks[0].snapshot, error)
+                continue
+            self._state = restored
+            self._late_assembler = None
+            self._is_state_lost = False
+            _logger.info("restored a late snapshot at offset %d", restored.position)
+            return True
+        return False
+
     def _restore(self, earliest):
         for chunks in self._assembler.candidates(earliest=earliest):
             if chunks[0].base < self._state.position:
--- a/cranberryport/retention_keeper.py
+++ b/cranberryport/retention_keeper.py
@@ -14,6 +14,8 @@
 APPEND_DEADLINE_S = 30.0
 RANK_DELAY_S = 5.0
 SNAPSHOT_PART_OF_RETENTION = 1 / 3
+# A process whose state began without a snapshot lets those that may have one go first.
+LOST_STATE_INTERVALS = 2
 KEY_EXPIRY_INTERVAL_S = 600.0
 
 _logger = logging.getLogger(__name__)
@@ -65,7 +67,10 @@
         now = time.monotonic()
         delay_s = self._keeper.rank * min(RANK_DELAY_S, self._interval_s / 16)
         has_gap = self._follower.gap_count > self._gap_count
-        if has_gap or now - self._snapshot_at >= self._interval_s + delay_s:
+        interval_s = self._interval_s
+        if self._follower.is_state_lost and not self._follower.gap_count:
+            interval_s *= LOST_STATE_INTERVALS
+        if has_gap or now - self._snapshot_at >= interval_s + delay_s:
             self._gap_count = self._follower.gap_count
             self._snapshot_at = now
             self._write_snapshot()
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -92,6 +92,20 @@
         self._answer(first=2, end=2, stop=0)
         self.assertTrue(self.follower.is_state_lost)
 
+    def test_a_late_snapshot_replaces_a_state_that_began_without_one(self):
+        # Two entry instances would otherwise keep different configurations.
+        self.stream.accept("a", "InstanceObserved", instance="s-1")
+        base = self.stream.state.position
+        self._answer(first=base, start=base)
+        self._answer(first=base, start=base)
+        self.assertNotIn("s-1", self.follower.state.fleet.instances)
+        self._write_snapshot()
+        self.stream.accept("b", messages.SessionHeartbeat(session="b", position=1))
+        self._answer(first=base, start=base)
+        self._answer(first=base, start=base)
+        self.assertEqual(self._plain(), snapshot.encode(self.stream.state))
+        self.assertFalse(self.follower.is_state_lost)
+
     def test_relayed_records_must_join_on(self):
         bodies = self.stream.bodies
         late = messages.RecordsRelayed(position=1, end=2, age_s=0.0, bodies=bodies[1:])
