Hold a stop over the budget, and trust only lists dated after the stop

- The fold checked the budget at the start of an operation only.
An instance that failed during the drain did not hold the reboot: rush-desk-1 was rebooted while rush-desk-2 was down, budget 1.
The fold now checks again at InstanceStopped.
- A reboot counted as over 10 s after the order if the list did not show it by then.
With a list that lags 14 s and a reboot of 16 s two of one allowed instances were down (back-office-1 and back-office-4).
Only lists whose as_of is later than the stop count now.
- A server that disappears from the list while the log is down kept its work, since only the fold noted it as gone: sizing-2 got new requests for 7 s.
Missing in the list now counts as leaving.
- The age of a held drain was counted from the first look at the status.
It is counted from when the instance knows of the operation now, and a drain counts as held after 35 s instead of 60 s: the longest request takes 30 s.

Ruled out: the planner as the place of the check at the stop; two instances can plan from different views, the fold cannot.

The operations page also shows who started an operation.

--- a/cranberryport/instance_list.py
+++ b/cranberryport/instance_list.py
@@ -58,6 +58,7 @@
         self._connection = None
         self._entries = {}
         self._received_at = None
+        self._as_of = float("-inf")
         self._differs_since = {}
         self._proposed = {}
 
@@ -68,15 +69,26 @@
             return float("inf")
         return time.monotonic() - self._received_at
 
+    @property
+    def as_of(self):
+        """Unix time of the platform at which the latest list was true."""
+        return self._as_of
+
     @property
     def entries(self):
         """Latest entries by name, as the platform gave them."""
         return self._entries
 
     def is_leaving(self, name):
-        """Return whether the latest list says that an instance is not live."""
+        """Return whether the latest list does not show an instance as live.
+
+        An instance that is missing there leaves, too, which matters while the log is
+        down and the control state cannot note it as gone.
+        """
+        if self._received_at is None:
+            return False
         entry = self._entries.get(name)
-        return entry is not None and entry.get("status") != "live"
+        return entry is None or entry.get("status") != "live"
 
     def workers(self):
         """Return the entries of the workers in order of their names."""
@@ -112,8 +124,10 @@
         if not isinstance(result, connection.Answer) or result.status != 200:
             return
         try:
-            entries = json.loads(result.body)["instances"]
-            self._entries = {entry["name"]: entry for entry in entries}
+            page = json.loads(result.body)
+            entries = {entry["name"]: entry for entry in page["instances"]}
+            self._as_of = float(page["as_of"])
+            self._entries = entries
         except (ValueError, KeyError, TypeError) as error:
             _logger.error("the instance list cannot be read: %s", error)
             return
--- a/cranberryport/operations.py
+++ b/cranberryport/operations.py
@@ -14,8 +14,10 @@
 APPEND_DEADLINE_S = 10.0
 RANK_DELAY_S = 1.0
 REQUEST_TIMEOUT_S = 5.0
-# The list lags, so a reboot can be over before the list has shown it.
+# A short reboot can be over between two lists that this process has seen.
 UNSEEN_REBOOT_S = 10.0
+# Between the own clock and that of the platform, which dates its lists.
+CLOCK_SKEW_S = 2.0
 REPEAT_REBOOT_S = 15.0
 
 _logger = logging.getLogger(__name__)
@@ -62,6 +64,15 @@
         self._seen_since = {}
         self._told_at = {}
         self._seen_down = set()
+        # Operation to the monotonic time at which this process first saw it.
+        self._known_since = {}
+        # Unix time at which this process first saw an operation as stopped.
+        self._stopped_at = {}
+
+    def age_s(self, operation):
+        """Return for how many seconds this process has known of an open operation."""
+        since = self._known_since.get(operation)
+        return 0.0 if since is None else time.monotonic() - since
 
     @handler("started", channel="*")
     def _on_started(self, *_):
@@ -69,6 +80,7 @@
 
     def _tick(self):
         self._timers.after(TICK_S, self._tick)
+        self._note_open(time.monotonic())
         if not self._keeper.is_open or not self._follower.dispatch_right:
             return
         now = time.monotonic()
@@ -78,24 +90,36 @@
             self._advance(operation, now)
         self._start_next(now)
 
+    def _note_open(self, now):
+        # Without the log, too: a drain that an outage holds is also shown.
+        known = self._known_since
+        operations = self._follower.state.fleet.operations
+        self._known_since = {name: known.get(name, now) for name in operations}
+
     def _forget_finished(self, operations):
         for known in (self._told_at, self._seen_since):
             for key in [key for key in known if key[0] not in operations]:
                 if key[0] != "start":
                     del known[key]
         self._seen_down.intersection_update(operations)
+        for name in [name for name in self._stopped_at if name not in operations]:
+            del self._stopped_at[name]
 
     def _advance(self, operation, now):
         if operation.step == "draining":
             self._report_drain(operation, now)
         elif operation.step == "quiesced" and self._is_turn(operation, now):
-            record_type = messages.InstanceStopped
-            if operation.purpose == planner.MOVE:
-                record_type = messages.MoveCompleted
-            self._propose(record_type, operation, now)
+            self._propose_end_of_drain(operation, now)
         elif operation.step == "stopped":
             self._watch_reboot(operation, now)
 
+    def _propose_end_of_drain(self, operation, now):
+        state = self._follower.state
+        if operation.purpose == planner.MOVE:
+            self._propose(messages.MoveCompleted, operation, now)
+        elif not state.fleet.check_stop(operation, state.configuration):
+            self._propose(messages.InstanceStopped, operation, now)
+
     def _is_turn(self, operation, now):
         since = self._seen_since.setdefault((operation.operation, operation.step), now)
         return now - since >= self._keeper.rank * RANK_DELAY_S
@@ -113,21 +137,25 @@
 
     def _watch_reboot(self, operation, now):
         name = operation.operation
-        key = (name, "told")
+        since = self._seen_since.setdefault((name, "stopped"), now)
+        stopped_at = self._stopped_at.setdefault(name, time.time())
+        # A list of before the stop shows nothing of this reboot, however late it comes.
+        list_age_s = self._instances.as_of - stopped_at
+        if list_age_s < -CLOCK_SKEW_S:
+            return
         if self._instances.is_leaving(operation.instance):
             self._seen_down.add(name)
-        is_live = not self._instances.is_leaving(operation.instance)
-        told_at = self._told_at.get(key)
-        was_unseen = told_at is not None and now - told_at > UNSEEN_REBOOT_S
-        if is_live and (name in self._seen_down or was_unseen):
+            return
+        told_at = self._told_at.get((name, "told"))
+        was_unseen = told_at is not None and list_age_s > UNSEEN_REBOOT_S
+        if name in self._seen_down or was_unseen:
             if self._is_turn(operation, now):
                 self._propose(messages.InstanceReturned, operation, now)
             return
-        since = self._seen_since.setdefault((name, "stopped"), now)
         patience_s = REPEAT_REBOOT_S + self._keeper.rank * RANK_DELAY_S
         # Whoever appended InstanceStopped may have died before telling the platform.
         # A second reboot of a stopped instance harms nobody.
-        if is_live and told_at is None and now - since > patience_s:
+        if told_at is None and now - since > patience_s:
             self._tell_platform(operation, now)
 
     def _tell_platform(self, operation, now):
--- a/cranberryport/state/fleet.py
+++ b/cranberryport/state/fleet.py
@@ -228,13 +228,16 @@
                 operation.waiting.remove(session)
                 self._quiesce_if_done(operation, context)
 
-    def stop(self, record, context):
+    def stop(self, record, configuration, context):
         """Note that the platform was told; a retired instance leaves for good."""
         operation, reason = self._at_step(record.operation, QUIESCED)
         if reason:
             return reason
         if operation.purpose == "move":
             return f"operation {record.operation!r} is a move, not reboot or retire"
+        reason = self.check_stop(operation, configuration)
+        if reason:
+            return reason
         if operation.purpose == "reboot":
             self._set_step(operation, STOPPED, context)
             return ""
@@ -245,6 +248,23 @@
             del self._retired[next(iter(self._retired))]
         return ""
 
+    def check_stop(self, operation, configuration):
+        """Return why a drained instance may not be stopped now; empty if it may.
+
+        Other instances of the pool may have failed during the drain, so the budget is
+        checked again. The instance itself has counted as down since the start. One that
+        is not live takes nothing more from the budget.
+        """
+        entry = self._instances[operation.instance]
+        pool = entry.pool
+        if not pool or entry.status != "live":
+            return ""
+        down = self.down_count(pool)
+        budget = configuration.pool(pool).max_unavailable
+        if down > budget:
+            return f"pool {pool!r} has {down} of at most {budget} down"
+        return ""
+
     def complete_reboot(self, record, configuration, context):
         """End a reboot; the observed status decides from then on."""
         operation, reason = self._at_step(record.operation, STOPPED)
--- a/cranberryport/state/fold.py
+++ b/cranberryport/state/fold.py
@@ -484,7 +484,7 @@
 @fold_record.register
 def _(record: messages.InstanceStopped, state, context):
     operation = state.fleet.operations.get(record.operation)
-    reason = state.fleet.stop(record, context)
+    reason = state.fleet.stop(record, state.configuration, context)
     if not reason:
         state._refresh_slots(operation.instance)
     return reason
--- a/cranberryport/status.py
+++ b/cranberryport/status.py
@@ -8,7 +8,9 @@
 # Contact with the log is renewed about once a second.
 CONTACT_LIMIT_S = 4.0
 LIST_AGE_LIMIT_S = 10.0
-HELD_DRAIN_S = 60.0
+# The longest request, 30 s, and time to report the end of the drain. A drain that takes
+# longer does not wait for a request.
+HELD_DRAIN_S = 35.0
 
 
 def fingerprint(publishers):
@@ -53,7 +55,6 @@
         self._fingerprint = fingerprint(publishers)
         self._started = time.monotonic()
         self._degraded_since = {}
-        self._drains_since = {}
         self.is_stopping = False
 
     def providers(self):
@@ -147,8 +148,7 @@
                 detail = f"{down} instances are down, at most {pool.max_unavailable}"
                 yield f"pool/{name}", detail
         for operation in state.fleet.operations.values():
-            since = self._drains_since.setdefault(operation.operation, time.monotonic())
-            if time.monotonic() - since > HELD_DRAIN_S:
+            if self._control.operations.age_s(operation.operation) > HELD_DRAIN_S:
                 detail = f"{operation.purpose} of {operation.instance} is held at "
                 detail += f"{operation.step}, waits for {len(operation.waiting)}"
                 yield f"operation/{operation.operation}", detail
@@ -196,6 +196,7 @@
                 "step": operation.step,
                 "waiting": operation.waiting,
                 "started": operation.started,
+                "by": operation.by,
             }
             for operation in self._state.fleet.operations.values()
         ]
--- a/cranberryport/view.py
+++ b/cranberryport/view.py
@@ -76,7 +76,8 @@
         """Return the backend servers of a service's pools, ordered by name."""
         state = self._follower.state
         pools = self._pools_of(service)
-        leaving = self._leaving()
+        reported = self._reported_leaving()
+        leaves = self._instances.is_leaving
         return [
             BackendServer(
                 name=name,
@@ -84,7 +85,9 @@
                 port=entry.port,
                 data_centre=entry.data_centre,
                 slots_share=self._usable_units(shares.slots(name)),
-                is_usable=entry.state == fleet.IN_SERVICE and name not in leaving,
+                is_usable=entry.state == fleet.IN_SERVICE
+                and name not in reported
+                and not leaves(name),
             )
             for name, entry in sorted(state.fleet.instances.items())
             if entry.pool in pools
@@ -102,10 +105,8 @@
         pools = self.configuration().pools.values()
         return {pool.name for pool in pools if pool.service == service}
 
-    def _leaving(self):
-        leaving = {
-            name for name in self._instances.entries if self._instances.is_leaving(name)
-        }
+    def _reported_leaving(self):
+        leaving = set()
         for status in self._peers.statuses().values():
             leaving.update(status.leaving)
         return leaving
--- a/tests/test_state_fleet.py
+++ b/tests/test_state_fleet.py
@@ -76,6 +76,13 @@
         # The failed instance itself takes no further instance down.
         self.accept(self.started("o", "j"))
 
+    def test_a_failure_during_the_drain_holds_the_stop(self):
+        self.quiesce("o", "i")
+        self.observe("j", "failed")
+        self.assertIn("2 of at most 1", self.reject("InstanceStopped", operation="o"))
+        self.observe("j", "live")
+        self.accept("InstanceStopped", operation="o")
+
     def test_races_on_one_instance_have_one_winner(self):
         first, second = self.started("o", "i"), self.started("n", "i")
         self.accept(first)
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,71 @@
+"""Tests of :mod:`cranberryport.view`."""
+
+import json
+import types
+import unittest
+from unittest import mock
+
+from circuits import Component
+
+from cranberryport import instance_list, view
+from tests import control_stream, fakes
+
+
+class ViewTest(unittest.TestCase):
+    """A server that leaves must get no new work, whoever knows of it."""
+
+    def setUp(self):
+        self.stream = control_stream.Stream("a")
+        rows = ["pool p service s", "instance i pool p"]
+        self.stream.accept("a", control_stream.sheet("s", 0, rows))
+        self.stream.accept("a", "InstanceObserved", instance="i", status="live")
+        follower = types.SimpleNamespace(state=self.stream.state, dispatch_right=False)
+        keeper = types.SimpleNamespace(session="a", is_open=True, rank=0)
+        self.root = Component()
+        self.list = instance_list.InstanceList(
+            client=mock.Mock(),
+            timers=fakes.FakeTimers(),
+            settings=mock.Mock(),
+            follower=follower,
+            keeper=keeper,
+        ).register(self.root)
+        self.peers = mock.Mock()
+        self.peers.statuses.return_value = {}
+        self.view = view.View(
+            follower=follower,
+            keeper=keeper,
+            instances=self.list,
+            peers=self.peers,
+            usable_units=lambda resource: 8,
+        )
+
+    def _receive(self, **statuses):
+        rows = [{"name": key, "status": value} for key, value in statuses.items()]
+        body = json.dumps({"as_of": 1.0, "instances": rows}).encode()
+        client = fakes.FakeLogClient()
+        client.append(b"", deadline=1.0, reply_channel=self.list.channel)
+        event = fakes.answered(client.appends[0], body)
+        self.root.fire(event, self.list.channel)
+        fakes.settle(self.root)
+
+    @property
+    def is_usable(self):
+        (server,) = self.view.servers("s")
+        return server.is_usable
+
+    def test_the_own_list_counts_without_the_log(self):
+        self.assertTrue(self.is_usable)
+        self._receive(i="live")
+        self.assertTrue(self.is_usable)
+        self._receive(i="leaving")
+        self.assertFalse(self.is_usable)
+
+    def test_a_server_missing_in_the_list_gets_no_work(self):
+        # During an outage of the log the control state cannot note it as gone.
+        self._receive(j="live")
+        self.assertFalse(self.is_usable)
+
+    def test_a_peers_report_counts(self):
+        status = types.SimpleNamespace(leaving=["i"])
+        self.peers.statuses.return_value = {"b": status}
+        self.assertFalse(self.is_usable)
