Scenarios of the promise "configuration"

The step "a fleet of N entry instances for NAME" also matched "NAME with", so options could not be given; the name is one word now.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -5,14 +5,14 @@
 from standins import deployments, fleet
 
 
-@behave.given("a fleet of {count:d} entry instances for {name}")
+@behave.given("a fleet of {count:d} entry instances for {name:w}")
 def use_fleet(context, count, name):
     deployment = deployments.DEPLOYMENTS[name.lower()]
     options = fleet.Options(deployment=deployment, entry_count=count)
     context.world.use_fleet(options)
 
 
-@behave.given("a fleet of {count:d} entry instances for {name} with")
+@behave.given("a fleet of {count:d} entry instances for {name:w} with")
 def use_fleet_with(context, count, name):
     values = {row["option"]: float(row["value"]) for row in context.table}
     deployment = deployments.DEPLOYMENTS[name.lower()]
--- a/features/steps/sheet_steps.py
+++ b/features/steps/sheet_steps.py
@@ -5,14 +5,12 @@
 from standins import calls, fleet, sheets
 
 SERVING_TIMEOUT_S = 60.0
-# Scenarios state their own maintenance.
-PLANNED = (*sheets.TIME_LIMITS, "maintenance")
 
 
 @behave.given("the sheets of the deployment are in force")
 def publish_deployment(context):
     for publisher in sheets.AUTHORITIES:
-        path = _copy_deployment(context, publisher, without=PLANNED)
+        path = context.world.copy_deployment(publisher)
         result = context.world.publish(publisher, path)
         assert result.returncode == 0, _describe(result)
     context.world.wait_in_force()
@@ -39,7 +37,7 @@
 @behave.when("the {publisher} publishes the deployment's sheet with the rows")
 def publish_changed(context, publisher):
     rows = context.text.splitlines()
-    path = _copy_deployment(context, publisher, without=PLANNED, rows=rows)
+    path = context.world.copy_deployment(publisher, rows=rows)
     context.world.publish(publisher, path)
 
 
@@ -100,14 +98,5 @@
     return response.outcome == "answered" and response.status == 200
 
 
-def _copy_deployment(context, publisher, **options):
-    running = context.world.fleet
-    file_name = f"{sheets.AUTHORITIES[publisher]}.csv"
-    source = fleet.ROOT / "deployments" / running.deployment.name / file_name
-    path = running.directory / file_name
-    sheets.copy(source, path, **options)
-    return path
-
-
 def _describe(result):
     return f"exit code {result.returncode}: {result.stdout}{result.stderr}"
--- a/features/world.py
+++ b/features/world.py
@@ -6,13 +6,15 @@
 import shutil
 import time
 
-from standins import calls, fleet
+from standins import calls, fleet, sheets
 
 # Longer than the longest request (30 s), so that every request in flight ends.
 RESPONSE_TIMEOUT_S = 45.0
 IN_FORCE_TIMEOUT_S = 30.0
 CALLERS = 64
 MAXIMUM_ENTRIES = 50
+# Scenarios state their own maintenance.
+PLANNED = (*sheets.TIME_LIMITS, "maintenance")
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -66,6 +68,15 @@
         self.sent = {}
         self.times = {}
         self.tool_result = None
+        self.tool_results = []
+        self.server = ""
+        self.failed = []
+        self.frozen = None
+        self.publishing = None
+        self.absent = []
+        self.watch = None
+        self.traffic = None
+        self._observers = []
 
     @property
     def fleet(self):
@@ -131,6 +142,37 @@
             return f"{time.time() + float(match[1]):.3f}"
         return text
 
+    def start(self, function, *arguments, **options):
+        """Call a function in a thread and return its future."""
+        return self._callers.submit(function, *arguments, **options)
+
+    def observe(self, observer):
+        """Close an observer after the scenario at the latest."""
+        self._observers.append(observer)
+
+    def copy_deployment(self, publisher, *, rows=(), name=""):
+        """Write the deployment's sheet without its maintenance, with further rows.
+
+        Parameters
+        ----------
+        publisher : {'owner', 'planner'}
+            Whose sheet.
+        rows : list of str
+            Lines that are added at the end.
+        name : str, optional
+            Name of the file; publications at the same time need different files.
+        """
+        file_name = f"{sheets.AUTHORITIES[publisher]}.csv"
+        source = fleet.ROOT / "deployments" / self.fleet.deployment.name / file_name
+        path = self.fleet.directory / f"{name}{file_name}"
+        sheets.copy(source, path, without=PLANNED, rows=rows)
+        return path
+
+    def publish_rows(self, publisher, rows, number=1, *, name=""):
+        """Publish the deployment's sheet with further rows; return the result."""
+        path = self.copy_deployment(publisher, rows=rows, name=name)
+        return self.fleet.publish(publisher, path, entry=self.instance(number))
+
     def publish(self, publisher, path, number=1):
         """Publish a sheet with the operator's tool and remember its result."""
         entry = self.instance(number)
@@ -148,6 +190,8 @@
 
     def reset(self):
         """End all faults, restart what is down and forget what callers saw."""
+        for observer in self._observers:
+            observer.close()
         if self._fleet is not None:
             try:
                 self._reset_fleet()
@@ -157,6 +201,15 @@
         self.sent = {}
         self.times = {}
         self.tool_result = None
+        self.tool_results = []
+        self.server = ""
+        self.failed = []
+        self.frozen = None
+        self.publishing = None
+        self.absent = []
+        self.watch = None
+        self.traffic = None
+        self._observers = []
 
     def close_fleet(self):
         """End the fleet."""
@@ -172,7 +225,13 @@
     def _reset_fleet(self):
         running = self._fleet
         running.control_log(mode="up")
-        running.control_list(mode="up", lag_s=self._options.list_lag_s)
+        running.control_list(
+            mode="up",
+            lag_s=self._options.list_lag_s,
+            reboot_s=self._options.reboot_s,
+            add=self.absent,
+            status={row["name"]: "live" for row in running.list_state()["instances"]},
+        )
         running.control_servers(mode="up", delay_ms=0)
         running.control_workers(mode="up")
         for entry in running.entries:
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -138,6 +138,8 @@
             self._mode = order["mode"]
         if "lag_s" in order:
             self._lag_s = float(order["lag_s"])
+        if "reboot_s" in order:
+            self._reboot_s = float(order["reboot_s"])
         with self._lock:
             for name, status in order.get("status", {}).items():
                 serving.check_choice("status", status, STATUSES)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -120,9 +120,13 @@
         """
         if not self.is_running:
             return True
+        self.ask_to_end()
+        return self.wait(timeout_s)
+
+    def ask_to_end(self):
+        """Send SIGTERM and do not wait."""
         self.resume()
         self._process.terminate()
-        return self.wait(timeout_s)
 
     def wait(self, timeout_s):
         """Wait for the end of the process and kill it if the time passes.
