--- a/cranberryport/instance_list.py
+++ b/cranberryport/instance_list.py
@@ -15,6 +15,7 @@
 APPEND_DEADLINE_S = 10.0
 RANK_DELAY_S = 1.0
 STATUSES = ("live", "leaving", "failed", "unknown", "gone")
+LIVE_STATUS = "live"
 BACKEND_KIND = "backend_server"
 WORKER_KIND = "worker"
 
@@ -57,6 +58,7 @@
         self._keeper = keeper
         self._connection = None
         self._entries = {}
+        self._leaving = set()
         self._received_at = None
         self._as_of = float("-inf")
         self._differs_since = {}
@@ -79,16 +81,14 @@
         """Latest entries by name, as the platform gave them."""
         return self._entries
 
-    def is_leaving(self, name):
-        """Return whether the latest list does not show an instance as live.
+    @property
+    def leaving(self):
+        """Set of the names that the latest list does not show as live."""
+        return self._leaving
 
-        An instance that is missing there leaves, too, which matters while the log is
-        down and the control state cannot note it as gone.
-        """
-        if self._received_at is None:
-            return False
-        entry = self._entries.get(name)
-        return entry is None or entry.get("status") != "live"
+    def is_leaving(self, name):
+        """Return whether the latest list says that an instance is not live."""
+        return name in self._leaving
 
     def workers(self):
         """Return the entries of the workers in order of their names."""
@@ -126,14 +126,26 @@
         try:
             page = json.loads(result.body)
             entries = {entry["name"]: entry for entry in page["instances"]}
+            leaving = self._find_leaving(entries)
             self._as_of = float(page["as_of"])
             self._entries = entries
+            self._leaving = leaving
         except (ValueError, KeyError, TypeError) as error:
             _logger.error("the instance list cannot be read: %s", error)
             return
         self._received_at = time.monotonic()
         self._compare()
 
+    def _find_leaving(self, entries):
+        # An instance that is missing leaves, too. While the log is down the control
+        # state cannot note it as gone.
+        missing = self._follower.state.fleet.instances.keys() - entries.keys()
+        return missing.union(
+            name
+            for name, entry in entries.items()
+            if entry.get("status") != LIVE_STATUS
+        )
+
     def _compare(self):
         if not self._keeper.is_open or not self._follower.dispatch_right:
             return
