--- a/cranberryport/instance_list.py
+++ b/cranberryport/instance_list.py
@@ -58,8 +58,9 @@
         self._keeper = keeper
         self._connection = None
         self._entries = {}
-        self._leaving = frozenset()
+        self._leaving = set()
         self._received_at = None
+        self._as_of = float("-inf")
         self._differs_since = {}
         self._proposed = {}
 
@@ -70,6 +71,11 @@
             return float("inf")
         return time.monotonic() - self._received_at
 
+    @property
+    def as_of(self):
+        """Unix time of the platform at which the latest list was true."""
+        return self._as_of
+
     @property
     def entries(self):
         """Latest entries by name, as the platform gave them."""
@@ -77,7 +83,7 @@
 
     @property
     def leaving(self):
-        """Names that the latest list does not show as live."""
+        """Set of the names that the latest list does not show as live."""
         return self._leaving
 
     def is_leaving(self, name):
@@ -118,19 +124,28 @@
         if not isinstance(result, connection.Answer) or result.status != 200:
             return
         try:
-            entries = json.loads(result.body)["instances"]
-            self._entries = {entry["name"]: entry for entry in entries}
-            self._leaving = frozenset(
-                name
-                for name, entry in self._entries.items()
-                if entry.get("status") != LIVE_STATUS
-            )
+            page = json.loads(result.body)
+            entries = {entry["name"]: entry for entry in page["instances"]}
+            leaving = self._find_leaving(entries)
+            self._as_of = float(page["as_of"])
+            self._entries = entries
+            self._leaving = leaving
         except (ValueError, KeyError, TypeError) as error:
             _logger.error("the instance list cannot be read: %s", error)
             return
         self._received_at = time.monotonic()
         self._compare()
 
+    def _find_leaving(self, entries):
+        # An instance that is missing leaves, too. While the log is down the control
+        # state cannot note it as gone.
+        missing = self._follower.state.fleet.instances.keys() - entries.keys()
+        return missing.union(
+            name
+            for name, entry in entries.items()
+            if entry.get("status") != LIVE_STATUS
+        )
+
     def _compare(self):
         if not self._keeper.is_open or not self._follower.dispatch_right:
             return
