Lend slots between entry instances

Cause: lending.py decided about loans, but no message carried them, so a share under a skewed balancer stayed idle while another instance's queue filled.

Each slot is lent with one connection: with 8 instances a share has 6 slots and 8 connections, so only 2 borrowed slots could have been used. The longest loan is 25 s, which with the lender's margin of 6 s is shorter than the 35 s for which a stopping daemon waits; slots_in_use_count counts lent slots, so a session closes after their return.

Ruled out: lending connections apart from slots (a second message and a second expiry for the same need); returning a loan as soon as its queue is empty (three messages for each gap between requests).

--- a/cranberryport/backend_pool.py
+++ b/cranberryport/backend_pool.py
@@ -118,8 +118,13 @@
 
     @property
     def slots_in_use_count(self):
-        """Slots in use at all servers, held slots included."""
-        return self._slots_in_use.total()
+        """Slots in use at all servers, held and lent slots included.
+
+        A session closes only at zero: its shares pass to others at once, while a
+        borrower would still use its slots.
+        """
+        lent = self._lender.lent_total(time.monotonic())
+        return self._slots_in_use.total() + lent
 
     def in_use(self, resource):
         """Return the units of a shared resource that are in use.
@@ -132,7 +137,10 @@
         kind, _, name = resource.partition("/")
         if kind + "/" == shares.SLOTS_PREFIX:
             return self.own_in_use(name) + self._lender.lent(name, time.monotonic())
-        return self._connection_counts[name]
+        # Connections that came with loans count, too: a loan can end before its
+        # connections are closed, and a share that was released has gone to others.
+        lent = self._lender.lent_connections(name, time.monotonic())
+        return self._connection_counts[name] + lent
 
     def connection_count(self, service):
         """Return the open connections of a service."""
@@ -180,7 +188,7 @@
 
     def has_connection(self, service, server):
         """Return whether a connection to a server is idle or can be opened."""
-        share = self._view.connections_share(service)
+        share = self._connection_limit(service)
         if self._connection_counts[service] < share:
             return True
         if self._connection_counts[service] > share:
@@ -238,6 +246,61 @@
         self._borrowed_in_use[name] += 1
         return self._borrower.take(name, deadline, time.monotonic())
 
+    def lend(self, service, units, duration_s, loan):
+        """Lend slots, each with a connection.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        units : int
+            Slots wanted.
+        duration_s : float
+            Time wanted.
+        loan : str
+            Id of the loan.
+
+        Returns
+        -------
+        list of str
+            One server for each slot.
+        """
+        now = time.monotonic()
+        idle = sum(
+            self._places[link][0] == service
+            for links in self._idle.values()
+            for link in links
+        )
+        busy = self._connection_counts[service] - idle
+        # Borrowed connections are not lent on.
+        own = self._view.connections_share(service)
+        spare = own - self._lender.lent_connections(service, now) - busy
+        granted = self._lender.lend(
+            now, service, max(0, min(units, spare)), duration_s, loan=loan
+        )
+        # The borrower may open its connections as soon as it reads the answer.
+        self._trim(service)
+        return granted
+
+    def return_loans(self, kept):
+        """Stop using the idle loans whose connections can be closed.
+
+        Parameters
+        ----------
+        kept : collection of str
+            Loans that stay.
+
+        Returns
+        -------
+        list of (str, str)
+            Lender and loan, for the message that returns them.
+        """
+        returned = self._borrower.return_unused(kept=kept)
+        if returned:
+            for service in list(self._connection_counts):
+                self._trim(service)
+        return returned
+
     def _free_slots(self, service):
         return {
             server.name: max(0, self.slots_total(server) - self.own_in_use(server.name))
@@ -273,8 +336,8 @@
         # Not at each folded record: the platform's list and peers also tell of leaving
         # servers, and hundreds of records a second can be folded.
         self._clock.after(TICK_S, self._tick)
-        self.refresh()
         self._borrower.expire(time.monotonic())
+        self.refresh()
 
     @handler("exchange_done")
     def _on_exchange_done(self, exchange):
@@ -328,7 +391,7 @@
         return None
 
     def _open(self, service, server):
-        if self._connection_counts[service] >= self._view.connections_share(service):
+        if self._connection_counts[service] >= self._connection_limit(service):
             surplus = self._find_oldest_idle(service)
             if surplus is None:
                 return None
@@ -360,8 +423,14 @@
         if name in self._idle and not self._idle[name]:
             del self._idle[name]
 
+    def _connection_limit(self, service):
+        now = time.monotonic()
+        own = self._view.connections_share(service)
+        own -= self._lender.lent_connections(service, now)
+        return own + self._borrower.connections(service, now)
+
     def _trim(self, service):
-        share = self._view.connections_share(service)
+        share = self._connection_limit(service)
         while self._connection_counts[service] > share:
             surplus = self._find_oldest_idle(service)
             if surplus is None:
--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -18,6 +18,7 @@
     dispatcher,
     frontend,
     histograms,
+    loan_exchange,
     logs,
     metrics,
     request_recorder,
@@ -95,6 +96,14 @@
             queue_capacity=self._loaded.limits.queue_length,
         ).register(self)
         frontend.FrontEnd(control=view).register(self)
+        loan_exchange.LoanExchange(
+            peers=self._control.peers,
+            timers=self._timers,
+            pool=self._pool,
+            view=view,
+            queue_length=self._requests.queue_length,
+            random=random.Random(),
+        ).register(self)
 
     def _make_reports(self):
         measured = histograms.Histograms()
--- a/cranberryport/lending.py
+++ b/cranberryport/lending.py
@@ -8,12 +8,16 @@
 If the lender's session ends, its share passes to others when it is fenced. The borrower
 therefore drops its loans when it folds the end: its dispatch right is shorter than the
 time from the end to the fence, so no work starts on a slot that belongs to others.
+
+Each slot is lent with one connection of its service. With 8 entry instances a share has
+6 slots and 8 connections, so the borrower could use only 2 borrowed slots without them.
 """
 
 import collections
 import dataclasses
 
-MAX_LOAN_S = 35.0
+# With the margin it is shorter than the 35 s for which a daemon that stops waits.
+MAX_LOAN_S = 25.0
 LENT_PART = 0.5
 LENDER_MARGIN_S = 6.0
 
@@ -72,7 +76,8 @@
             free[server] -= 1
             granted.append(server)
         if granted:
-            self._loans[loan] = (granted, now + duration_s + self._margin_s)
+            until = now + duration_s + self._margin_s
+            self._loans[loan] = (granted, until, service)
         return list(granted)
 
     def take_back(self, loan):
@@ -84,11 +89,25 @@
         if not self._loans:
             return 0
         self.expire(now)
-        return sum(servers.count(server) for servers, _ in self._loans.values())
+        return sum(servers.count(server) for servers, _, _ in self._loans.values())
+
+    def lent_connections(self, service, now):
+        """Return the connections of a service that count as in use by borrowers."""
+        if not self._loans:
+            return 0
+        self.expire(now)
+        return sum(
+            len(servers) for servers, _, name in self._loans.values() if name == service
+        )
+
+    def lent_total(self, now):
+        """Return the slots of all servers that count as in use by borrowers."""
+        self.expire(now)
+        return sum(len(servers) for servers, _, _ in self._loans.values())
 
     def expire(self, now):
         """End the loans whose time is over."""
-        over = [loan for loan, (_, until) in self._loans.items() if until <= now]
+        over = [loan for loan, (_, until, _) in self._loans.items() if until <= now]
         for loan in over:
             del self._loans[loan]
 
@@ -98,6 +117,7 @@
     """A loan at the borrower."""
 
     lender: str
+    service: str
     until: float
     free: collections.Counter
     in_use: collections.Counter
@@ -115,7 +135,7 @@
     def __len__(self):
         return len(self._loans)
 
-    def ask(self, now, loan, lender, duration_s):
+    def ask(self, now, loan, lender, duration_s, *, service=""):
         """Note that a loan is about to be asked for.
 
         Parameters
@@ -126,9 +146,12 @@
             Id of the loan and session of the lender.
         duration_s : float
             Time asked for.
+        service : str
+            Service of the slots, for :meth:`connections`.
         """
         self._loans[loan] = _Borrowed(
             lender=lender,
+            service=service,
             until=now + duration_s,
             free=collections.Counter(),
             in_use=collections.Counter(),
@@ -141,6 +164,22 @@
             borrowed.is_granted = True
             borrowed.free.update(servers)
 
+    def forget(self, loan):
+        """Stop using a loan; a grant that comes later is ignored."""
+        self._loans.pop(loan, None)
+
+    def has(self, loan):
+        """Return whether a loan was asked for and is not over."""
+        return loan in self._loans
+
+    def connections(self, service, now):
+        """Return the connections of a service that came with the loans."""
+        return sum(
+            borrowed.free.total() + borrowed.in_use.total()
+            for borrowed in self._loans.values()
+            if borrowed.service == service and now < borrowed.until
+        )
+
     def usable(self, server, deadline, now):
         """Return the free slots for a request with a deadline."""
         return sum(
@@ -185,9 +224,14 @@
         """Forget the loans whose time is over."""
         self._drop(lambda borrowed: borrowed.until <= now)
 
-    def return_unused(self):
+    def return_unused(self, *, kept=()):
         """Forget and return the granted loans of which no slot is in use.
 
+        Parameters
+        ----------
+        kept : collection of str
+            Loans that stay.
+
         Returns
         -------
         list of (str, str)
@@ -196,7 +240,7 @@
         unused = [
             (borrowed.lender, loan)
             for loan, borrowed in self._loans.items()
-            if borrowed.is_granted and not borrowed.in_use.total()
+            if borrowed.is_granted and not borrowed.in_use.total() and loan not in kept
         ]
         for _, loan in unused:
             del self._loans[loan]
