Do not start queued requests that cannot end before their deadline

Change: while others wait, an entry does not start with less than 2 mean service times left; it ends as not-run.

--- a/cranberryport/admission.py
+++ b/cranberryport/admission.py
@@ -338,14 +338,19 @@
         heapq.heappush(self._deadlines, (entry.deadline, next(self._order), entry))
         return Queued(displaced=displaced)
 
-    def peek(self):
-        """Return the entry that starts next if every class may start, or None."""
+    def peek(self, now, *, needed_s=0.0):
+        """Return the entry that :meth:`take` would return for every class."""
         for members in self._classes.values():
-            if members:
-                return members.first
+            while members:
+                entry = members.first
+                if self._is_in_time(entry, now, needed_s, len(self) - 1):
+                    return entry
+                members.take()
+                self._forget(entry)
+                self._overdue.append(entry)
         return None
 
-    def take(self, now, *, rush_only=False):
+    def take(self, now, *, rush_only=False, needed_s=0.0):
         """Remove and return the entry that starts next.
 
         Parameters
@@ -354,6 +359,10 @@
             Monotonic seconds; entries past their deadline are left to :meth:`expire`.
         rush_only : bool
             Whether only a rush request may start.
+        needed_s : float
+            Time that a request probably needs. While others wait, an entry with less
+            left does not start: its work would be abandoned at the deadline, and its
+            slot would stay taken for some time after that.
 
         Returns
         -------
@@ -366,7 +375,7 @@
             while members:
                 entry = members.take()
                 self._forget(entry)
-                if entry.deadline > now:
+                if self._is_in_time(entry, now, needed_s, len(self)):
                     return entry
                 self._overdue.append(entry)
         return None
@@ -394,6 +403,9 @@
         self._forget(entry)
         return True
 
+    def _is_in_time(self, entry, now, needed_s, others):
+        return entry.deadline > now + (needed_s if others else 0.0)
+
     def _forget(self, entry):
         self._members.remove(entry)
         if len(self._deadlines) > 2 * len(self._members) + HEAP_SLACK:
--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -22,6 +22,9 @@
 
 TICK_S = 0.25
 QUEUE_CAPACITY = 256
+# Mean service times that a request must have left to start while others wait. Work
+# that is abandoned takes its slot for 5 s more; docs/policy.md has the figures.
+NEEDED_SERVICE_TIMES = 2.0
 NO_RIGHT_RETRY_AFTER_S = 1.0
 REFUSED_HEADER = b"request-refused"
 REFUSED_VALUE = b"before-execution"
@@ -419,7 +422,8 @@
             servers = self._find_servers(service, now, None)
             work = self._take_next(service, servers, now)
             if work is None and self._pool.borrower:
-                servers = self._find_servers(service, now, service.queue.peek())
+                first = service.queue.peek(now, needed_s=_needed_s(service))
+                servers = self._find_servers(service, now, first)
                 work = self._take_for_borrowed(service, servers, now)
             if work is None:
                 break
@@ -436,7 +440,9 @@
         is_open = admission.may_start(
             "interactive", in_use, total, reserved.reserved_rush_percent
         )
-        return service.queue.take(now, rush_only=not is_open)
+        return service.queue.take(
+            now, rush_only=not is_open, needed_s=_needed_s(service)
+        )
 
     def _take_for_borrowed(self, service, servers, now):
         in_use = sum(self._pool.own_in_use(name) for name in servers)
@@ -446,7 +452,7 @@
             return None
         if not any(candidate.has_free_slot for candidate, _ in servers.values()):
             return None
-        return service.queue.take(now)
+        return service.queue.take(now, needed_s=_needed_s(service))
 
     def _find_servers(self, service, now, work):
         """Return candidates and servers by name, for servers that get work.
@@ -694,6 +700,10 @@
             work.timer = None
 
 
+def _needed_s(service):
+    return NEEDED_SERVICE_TIMES * service.service_time.mean_s
+
+
 def _is_refused(answer):
     if answer.status != 503:
         return False
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -144,3 +144,19 @@
         self.assertFalse(admission.may_start("rush", 6, 6, 10))
         # A reserve of the only slot would shut out the other classes for ever.
         self.assertTrue(admission.may_start("batch", 0, 1, 10))
+
+    def test_entry_with_too_little_time_left_does_not_start_before_others(self):
+        queue = make_queue()
+        late, next_one = entry(0, deadline=1.0), entry(1)
+        for one in (late, next_one):
+            queue.offer(one, 0.0, 0.0)
+        self.assertEqual(queue.peek(0.5, needed_s=2.0), next_one)
+        self.assertEqual(queue.take(0.5, needed_s=2.0), next_one)
+        self.assertEqual(queue.expire(0.5), [late])
+
+    def test_only_entry_starts_whatever_time_is_left(self):
+        queue = make_queue()
+        late = entry(0, deadline=1.0)
+        queue.offer(late, 0.0, 0.0)
+        self.assertEqual(queue.peek(0.5, needed_s=2.0), late)
+        self.assertEqual(queue.take(0.5, needed_s=2.0), late)
