Count the reserve for rush requests over own and borrowed slots

Cause: with a reserve of 10 % one of 6 own slots of a service stays free, and a free own slot kept the other classes from borrowing and from using borrowed slots. Loans helped only while rush requests filled the reserve.

Change: the reserve counts over own and borrowed slots together, and an entry instance borrows as soon as only reserved slots are free.

--- /dev/null
+++ b/bench/policy_fleet.py
@@ -0,0 +1,124 @@
+"""Goodput against real processes: 8 entry instances and the stand-ins on loopback."""
+
+import collections
+import concurrent.futures
+import threading
+import time
+
+from standins import calls, deployments, fleet, sheets
+
+SERVICE = "sizing"
+WORK_MS = 400
+CAPACITY = 48
+DEADLINE_S = 3.0
+STEP_S = 6.0
+LOADS = (1, 2, 5)
+LIFE_S = 150.0
+# Blocked callers are threads; this many can wait for answers at 5 times the capacity.
+MAX_CALLERS = 400
+
+
+def _send(entry, request_class, deadline_s):
+    """Return the outcome and the latency in seconds of one request."""
+    began = time.monotonic()
+    headers = {
+        "Desk": "front-desk",
+        "Request-Class": request_class,
+        "Request-Deadline": f"{time.time() + deadline_s:.3f}",
+        "Test-Delay-Ms": str(WORK_MS),
+    }
+    response = entry.send(
+        "GET", f"/{SERVICE}/fit", headers=headers, timeout_s=deadline_s + 5
+    )
+    latency_s = time.monotonic() - began
+    outcome = response.headers.get("request-outcome", "none")
+    if outcome == "answered" and latency_s > deadline_s:
+        outcome = "late"
+    return request_class, outcome, latency_s
+
+
+def _load(running, rates, duration_s, *, only_first=False):
+    """Send at constant rates by class, and return the results."""
+    entries = running.entries[:1] if only_first else running.entries
+    results, lock = [], threading.Lock()
+
+    def note(future):
+        with lock:
+            results.append(future.result())
+
+    with concurrent.futures.ThreadPoolExecutor(MAX_CALLERS) as callers:
+        begin = time.monotonic()
+        sent = collections.Counter()
+        while (passed_s := time.monotonic() - begin) < duration_s:
+            for request_class, (rate, deadline_s) in rates.items():
+                while sent[request_class] < rate * passed_s:
+                    entry = entries[sent.total() % len(entries)]
+                    sent[request_class] += 1
+                    future = callers.submit(_send, entry, request_class, deadline_s)
+                    future.add_done_callback(note)
+            time.sleep(0.005)
+    return results
+
+
+def _summarize(name, results, duration_s):
+    counts = collections.Counter(outcome for _, outcome, _ in results)
+    rush = sorted(
+        latency_s
+        for request_class, outcome, latency_s in results
+        if request_class == "rush" and outcome == "answered"
+    )
+    return {
+        "run": name,
+        "requests": len(results),
+        "goodput": counts["answered"] / duration_s,
+        **{key: counts[key] for key in ("answered", "late", "not-run", "unknown")},
+        "none": counts["none"],
+        "rush p50": rush[len(rush) // 2] if rush else None,
+        "rush p99": rush[int(0.99 * len(rush))] if rush else None,
+    }
+
+
+def _publish(running):
+    for authority, publisher in (("owner", "owner"), ("team", "planner")):
+        path = running.directory / f"{authority}.csv"
+        source = fleet.ROOT / "deployments" / "brazos" / f"{authority}.csv"
+        without = (*sheets.TIME_LIMITS, "maintenance")
+        sheets.copy(source, path, without=without)
+        result = running.publish(publisher, path)
+        if result.returncode:
+            raise RuntimeError(result.stdout + result.stderr)
+
+
+def _wait_serving(running):
+    def is_served(entry):
+        return entry.send("GET", f"/{SERVICE}/fit", headers={"Desk": "sizing"}).status
+
+    for entry in running.entries:
+        calls.wait_until(lambda entry=entry: is_served(entry) == 200, 20, entry.name)
+
+
+def measure():
+    """Return rows of figures, the overruns and the highest concurrency."""
+    options = fleet.Options(
+        deployment=deployments.BRAZOS, log_level="WARNING", max_seconds=LIFE_S
+    )
+    rate = CAPACITY * 1000 / WORK_MS
+    rows = []
+    with fleet.Fleet(options=options) as running:
+        _publish(running)
+        _wait_serving(running)
+        running.control_servers(clear=True)
+        for load in LOADS:
+            rates = {"interactive": (load * rate, DEADLINE_S)}
+            results = _load(running, rates, STEP_S)
+            rows.append(_summarize(f"{load}x", results, STEP_S))
+        rates = {"batch": (3 * rate, 10.0), "rush": (0.1 * rate, DEADLINE_S)}
+        results = _load(running, rates, STEP_S)
+        rows.append(_summarize("rush, batch at 3x", results, STEP_S))
+        rates = {"interactive": (0.5 * rate, DEADLINE_S)}
+        results = _load(running, rates, STEP_S, only_first=True)
+        rows.append(_summarize("0.5x at one entry instance", results, STEP_S))
+        states = running.server_states().values()
+        overruns = sum(state["overruns"] for state in states)
+        highest = max(state["max_concurrency"] for state in states)
+    return rows, overruns, highest
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -505,12 +505,7 @@
         needed_s = self.policy.needed_factor * state.time.mean_s
         candidates = entry.candidates(service, None)
         if any(one.has_free_slot for one in candidates):
-            is_open = self.policy.queue == "fifo" or admission.may_start(
-                "interactive",
-                sum(one.slots_in_use for one in candidates),
-                sum(one.slots_total for one in candidates),
-                RESERVED_RUSH_PERCENT,
-            )
+            is_open = self._is_open(candidates)
             request = state.queue.take(
                 self.now, rush_only=not is_open, needed_s=needed_s
             )
@@ -518,16 +513,24 @@
                 return request, candidates
         if not entry.borrower:
             return None, None
-        in_use = sum(one.slots_in_use for one in candidates)
-        if in_use < sum(one.slots_total for one in candidates):
-            return None, None
         first = state.queue.peek(self.now, needed_s=needed_s)
         if first is None:
             return None, None
         candidates = entry.candidates(service, first)
         if not any(one.has_free_slot for one in candidates):
             return None, None
-        return state.queue.take(self.now, needed_s=needed_s), candidates
+        is_open = self._is_open(candidates)
+        request = state.queue.take(self.now, rush_only=not is_open, needed_s=needed_s)
+        return request, candidates
+
+    def _is_open(self, candidates):
+        """Return whether every class may start, and not only rush requests."""
+        return self.policy.queue == "fifo" or admission.may_start(
+            "interactive",
+            sum(one.slots_in_use for one in candidates),
+            sum(one.slots_total for one in candidates),
+            RESERVED_RUSH_PERCENT,
+        )
 
     def _start(self, entry, request, candidates):
         chosen = routing.choose(
@@ -648,9 +651,9 @@
 
     def _borrow(self, entry, service):
         waiting = len(entry.services[service].queue)
-        if not waiting or any(
-            one.has_free_slot for one in entry.candidates(service, None)
-        ):
+        candidates = entry.candidates(service, None)
+        is_free = any(one.has_free_slot for one in candidates)
+        if not waiting or (is_free and self._is_open(candidates)):
             return
         peers = [
             number
@@ -761,7 +764,7 @@
     def _choose_move(self, pools):
         if self.policy.balance == "hysteresis":
             return self.balancer.move(self.now, MOVE_S)
-        # A move at every peak: from the pool with the least demand of all that may give.
+        # A move at every peak: from the pool with the most room of those that may give.
         for pool in pools:
             if pool.demand <= pool.capacity:
                 continue
--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -424,7 +424,7 @@
             if work is None and self._pool.borrower:
                 first = service.queue.peek(now, needed_s=_needed_s(service))
                 servers = self._find_servers(service, now, first)
-                work = self._take_for_borrowed(service, servers, now)
+                work = self._take_next(service, servers, now)
             if work is None:
                 break
             self._start(service, work, servers)
@@ -434,6 +434,8 @@
         candidates = [candidate for candidate, _ in servers.values()]
         if not any(candidate.has_free_slot for candidate in candidates):
             return None
+        # The reserve for rush requests counts over own and borrowed slots together: a
+        # free reserved slot must not keep the other classes from borrowed ones.
         in_use = sum(candidate.slots_in_use for candidate in candidates)
         total = sum(candidate.slots_total for candidate in candidates)
         reserved = self._view.configuration().service(service.name)
@@ -444,16 +446,6 @@
             now, rush_only=not is_open, needed_s=_needed_s(service)
         )
 
-    def _take_for_borrowed(self, service, servers, now):
-        in_use = sum(self._pool.own_in_use(name) for name in servers)
-        own = sum(self._pool.slots_total(server) for _, server in servers.values())
-        if in_use < own:
-            # Own slots are left to the reserve for rush requests.
-            return None
-        if not any(candidate.has_free_slot for candidate, _ in servers.values()):
-            return None
-        return service.queue.take(now, needed_s=_needed_s(service))
-
     def _find_servers(self, service, now, work):
         """Return candidates and servers by name, for servers that get work.
 
--- a/cranberryport/loan_exchange.py
+++ b/cranberryport/loan_exchange.py
@@ -11,7 +11,7 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import backend_pool
+from cranberryport import admission, backend_pool
 from cranberryport.generated import messages
 
 TICK_S = 0.1
@@ -140,7 +140,7 @@
 
     def _borrow(self, service, now):
         waiting = self._queue_length(service)
-        if not waiting or self._has_free_slot(service):
+        if not waiting or self._may_start_own(service):
             return
         waiting -= sum(
             loan.units
@@ -161,10 +161,16 @@
             waiting -= units
             self._ask(session, service, units)
 
-    def _has_free_slot(self, service):
-        return any(
-            self._pool.can_start(service, server)
-            for server in self._view.servers(service)
+    def _may_start_own(self, service):
+        """Return whether own slots beside the reserve for rush requests are free."""
+        servers = self._view.servers(service)
+        free = [one for one in servers if self._pool.can_start(service, one)]
+        settings = self._view.configuration().service(service)
+        return bool(free) and admission.may_start(
+            "interactive",
+            sum(self._pool.own_in_use(one.name) for one in servers),
+            sum(self._pool.slots_total(one) for one in servers),
+            settings.reserved_rush_percent,
         )
 
     def _has_refused(self, session, service, now):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -220,6 +220,19 @@
         self.assertEqual(self.pool.in_flight("b0"), 1)
         self.assertEqual(self.pool.in_use("slots/b0"), 0)
 
+    def test_reserve_for_rush_counts_over_own_and_borrowed_slots(self):
+        self.start(lambda *_: b"")
+        self.view.reserved_rush_percent = 50
+        self.pool.borrower.ask(time.monotonic(), "loan", "s2", 5.0)
+        self.pool.borrower.grant("loan", ["b0", "b0"])
+        running = [self.submit(wait_s=1.0) for _ in range(3)]
+        self.loop.run_until(lambda: self.pool.in_flight("b0") == 2)
+        rush = [self.submit(request_class="rush", wait_s=1.0) for _ in range(2)]
+        self.loop.run_until(lambda: self.pool.in_flight("b0") == 4)
+        for request in (*running[:2], *rush):
+            self.assertIsInstance(self.result(request), outcomes.Unknown)
+        self.assertIsInstance(self.result(running[2]), outcomes.NotRun)
+
     def test_lent_slot_is_not_used_and_not_released(self):
         self.start(lambda head, _: support.answer(head))
         self.view.all_servers[0].slots_share = 2
--- a/tests/test_loan_exchange.py
+++ b/tests/test_loan_exchange.py
@@ -341,6 +341,15 @@
         for node in self.network.nodes:
             self.assertEqual(node.pool.lender.lent_total(self.network.now), 0)
 
+    def test_free_reserved_slot_does_not_keep_others_from_borrowing(self):
+        node = self.network.nodes[0]
+        node.view.reserved_rush_percent = 10
+        for step in [("start", 0, 4)] * (SHARE - 1):
+            self.network.step(*step)
+        node.waiting = 1
+        self.network.step("tick", 0, 0)
+        self.assertEqual(len(node.pool.borrower), 1)
+
     def test_closing_session_waits_for_lent_slots(self):
         self._borrow()
         lenders = self.network.nodes[1:]
