--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -21,6 +21,7 @@
     histograms,
     jobs,
     jobs_api,
+    loan_exchange,
     logs,
     metrics,
     request_recorder,
@@ -100,6 +101,14 @@
             queue_capacity=self._loaded.limits.queue_length,
         ).register(self)
         frontend.FrontEnd(control=view).register(self)
+        loan_exchange.LoanExchange(
+            peers=self._control.peers,
+            timers=self._timers,
+            pool=self._pool,
+            view=view,
+            queue_length=self._requests.queue_length,
+            random=random.Random(),
+        ).register(self)
         health_exchange.HealthExchange(
             peers=self._control.peers, dispatcher=self._requests, timers=self._timers
         ).register(self)
