Show first what is degraded and since when

Cause: `cranberryport status` printed what is degraded as the last of 24 values, with seconds that counted from the first question. An operator who asked 6 s into a log outage read "0.0". Ruled out: a timer in status.py; it has none, and the daemon's assembly belongs to others. The causes log and instance-list take their time from the age of the last contact. The other causes still count from the first question that met them.

--- a/cranberryport/command_line/main.py
+++ b/cranberryport/command_line/main.py
@@ -84,16 +84,16 @@
         raise typer.Exit(EXIT_FINDINGS)
 
 
-def _show(value, as_json):
-    typer.echo(json.dumps(value, indent=2) if as_json else rendering.text(value))
+def _show(value, as_json, render=rendering.text):
+    typer.echo(json.dumps(value, indent=2) if as_json else render(value))
 
 
-def _show_page(instance, path, as_json):
+def _show_page(instance, path, as_json, render=rendering.text):
     try:
         page = client.get_page(instance, path)
     except client.RequestError as error:
         _stop(str(error))
-    _show(page, as_json)
+    _show(page, as_json, render)
 
 
 @settings_app.command("check")
@@ -187,7 +187,7 @@
 @app.command()
 def status(*, instance: Instance, as_json: Json = False):
     """Show the state of an entry instance and of the deployment."""
-    _show_page(instance, "/-/status", as_json)
+    _show_page(instance, "/-/status", as_json, rendering.status)
 
 
 @app.command()
--- a/cranberryport/command_line/rendering.py
+++ b/cranberryport/command_line/rendering.py
@@ -2,6 +2,15 @@
 
 import json
 
+_HEADLINE_KEYS = {
+    "instance",
+    "data_centre",
+    "uptime_s",
+    "is_ready",
+    "is_stopping",
+    "degraded",
+}
+
 
 def text(value, *, indent=""):
     """Return lines for a JSON value.
@@ -27,6 +36,69 @@
     return f"{indent}{_cell(value)}"
 
 
+def status(page):
+    """Return the status page with what is degraded first.
+
+    Parameters
+    ----------
+    page : object
+        Answer to ``GET /-/status``; any JSON value is shown.
+
+    Returns
+    -------
+    str
+        A line on the instance, one for each degraded part with the time since which it
+        is degraded, and then the other values.
+    """
+    if not isinstance(page, dict) or not isinstance(page.get("degraded"), list):
+        return text(page)
+    lines = [_headline(page), *_degraded(page["degraded"])]
+    rest = {key: value for key, value in page.items() if key not in _HEADLINE_KEYS}
+    return "\n".join([*lines, text(rest)])
+
+
+def _headline(page):
+    state = "not ready"
+    if page.get("is_stopping"):
+        state = "stopping"
+    elif page.get("is_ready"):
+        state = "ready"
+    place = f"{_cell(page.get('instance'))} in {_cell(page.get('data_centre'))}"
+    return f"{place}: {state}, up for {duration(page.get('uptime_s'))}"
+
+
+def _degraded(entries):
+    if not entries:
+        return ["degraded: nothing"]
+    lines = ["degraded:"]
+    # The part that was degraded first is often the cause of the others.
+    for entry in sorted(entries, key=_degraded_seconds, reverse=True):
+        since = duration(entry.get("since_s"))
+        cause, detail = _cell(entry.get("cause")), _cell(entry.get("detail"))
+        lines.append(f"  {cause}: {detail}, for {since}")
+    return lines
+
+
+def _degraded_seconds(entry):
+    seconds = entry.get("since_s")
+    return seconds if isinstance(seconds, int | float) else 0.0
+
+
+def duration(seconds):
+    """Return a time span with its two largest units, such as ``2 h 5 min``."""
+    if isinstance(seconds, bool) or not isinstance(seconds, int | float):
+        return "an unknown time"
+    if not 0 <= seconds < float("inf"):
+        return "an unknown time"
+    rest = round(seconds)
+    parts = []
+    for unit, size in (("d", 86_400), ("h", 3_600), ("min", 60), ("s", 1)):
+        count, rest = divmod(rest, size)
+        if count or parts or unit == "s":
+            parts.append(f"{count} {unit}")
+    return " ".join(parts[:2])
+
+
 def _entry(key, item, indent):
     if isinstance(item, dict | list) and item:
         return f"{indent}{_cell(key)}:\n{text(item, indent=indent + '  ')}"
--- a/cranberryport/status.py
+++ b/cranberryport/status.py
@@ -100,39 +100,52 @@
     def _degraded(self):
         """Return findings with the seconds since which they hold."""
         now = time.monotonic()
-        found = dict(self._find_degraded())
+        found = {cause: rest for cause, *rest in self._find_degraded()}
         for cause in list(self._degraded_since):
             if cause not in found:
                 del self._degraded_since[cause]
-        return [
-            {
-                "cause": cause,
-                "detail": detail,
-                "since_s": round(now - self._degraded_since.setdefault(cause, now), 1),
-            }
-            for cause, detail in sorted(found.items())
-        ]
+        result = []
+        for cause, (detail, age_s) in sorted(found.items()):
+            since = self._degraded_since.setdefault(cause, now)
+            # Without a known age, it counts from the first question that met it.
+            since_s = now - since if age_s is None else age_s
+            result.append(
+                {"cause": cause, "detail": detail, "since_s": round(since_s, 1)}
+            )
+        return result
+
+    def _age_s(self, age_s):
+        """Return an age; of what never happened, it is that of this process."""
+        return min(age_s, time.monotonic() - self._started)
 
     def _find_degraded(self):
         follower = self._control.follower
         state = self._state
         if follower.contact_age_s > CONTACT_LIMIT_S:
-            yield "log", "the log cannot be read"
+            age_s = self._age_s(follower.contact_age_s)
+            yield "log", "the log cannot be read", age_s
         if not self._control.view.dispatch_right:
-            yield "dispatch-right", "no work is sent to backend servers"
+            yield "dispatch-right", "no work is sent to backend servers", None
         if self._control.instances.age_s > LIST_AGE_LIMIT_S:
-            yield "instance-list", "the platform's list cannot be read"
+            age_s = self._age_s(self._control.instances.age_s)
+            yield "instance-list", "the platform's list cannot be read", age_s
         if follower.is_state_lost:
-            yield "state-lost", "records expired with no snapshot; publish the sheets"
+            detail = "records expired with no snapshot; publish the sheets"
+            yield "state-lost", detail, None
         if state.skipped:
-            yield "bad-records", f"{state.skipped} records could not be decoded"
+            detail = f"{state.skipped} records could not be decoded"
+            yield "bad-records", detail, None
         gone = [
             entry.instance
             for entry in state.sessions.entries.values()
             if entry.state != "live"
         ]
         if gone:
-            yield "sessions", f"ended and not yet settled: {', '.join(sorted(gone))}"
+            yield (
+                "sessions",
+                f"ended and not yet settled: {', '.join(sorted(gone))}",
+                None,
+            )
         yield from self._find_pool_trouble()
 
     def _find_pool_trouble(self):
@@ -141,13 +154,13 @@
             down = state.fleet.down_count(name)
             if down > pool.max_unavailable:
                 detail = f"{down} instances are down, at most {pool.max_unavailable}"
-                yield f"pool/{name}", detail
+                yield f"pool/{name}", detail, None
         for operation in state.fleet.operations.values():
             since = self._drains_since.setdefault(operation.operation, time.monotonic())
             if time.monotonic() - since > HELD_DRAIN_S:
                 detail = f"{operation.purpose} of {operation.instance} is held at "
                 detail += f"{operation.step}, waits for {len(operation.waiting)}"
-                yield f"operation/{operation.operation}", detail
+                yield f"operation/{operation.operation}", detail, None
 
     def pools(self):
         """Return the pools with their budgets and instances."""
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -139,6 +139,28 @@
         self.assertEqual(len(output.splitlines()), 1)
         self.assertIn(f"cannot connect to {self.address}", output)
 
+    def test_status_begins_with_what_is_degraded_and_since_when(self):
+        names = {"instance": "entry-1", "data_centre": "north", "is_ready": True}
+        log = {"cause": "log", "detail": "unread", "since_s": 7501.2}
+        list_ = {"cause": "instance-list", "detail": "unread", "since_s": 59.6}
+        page = {**names, "uptime_s": 90_061, "position": 6, "degraded": [list_, log]}
+        self.server.page = page
+        code, output = self.run_tool("status", "--instance", self.address)
+        lines = ["entry-1 in north: ready, up for 1 d 1 h", "degraded:"]
+        lines += [
+            "  log: unread, for 2 h 5 min",
+            "  instance-list: unread, for 1 min 0 s",
+        ]
+        self.assertEqual((code, output.splitlines()), (0, [*lines, "position: 6"]))
+        self.server.page = {**page, "is_ready": False, "degraded": []}
+        output = self.run_tool("status", "--instance", self.address)[1]
+        self.assertIn("not ready", output.splitlines()[0])
+        self.assertEqual(output.splitlines()[1], "degraded: nothing")
+        # Damaged pages must not end the tool with a traceback.
+        for page in ([], {"degraded": 1}, {"degraded": [{}], "uptime_s": float("nan")}):
+            with self.subTest(page=page):
+                self.assertIsInstance(rendering.status(page), str)
+
     def test_addresses_and_text(self):
         self.assertEqual(str(client.parse_address("[::1]:80")), "[::1]:80")
         for text in ("host", "host:", ":80", "::1:80", "host:0", "host:65536"):
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,50 @@
+"""Tests of :mod:`cranberryport.status`."""
+
+import types
+import unittest
+
+from cranberryport import status
+from cranberryport.state import fold
+
+
+class StatusTest(unittest.TestCase):
+    """An operator who asks late must still read since when the log is away."""
+
+    def make(self, *, contact_age_s, list_age_s, uptime_s):
+        follower = types.SimpleNamespace(
+            state=fold.State(), contact_age_s=contact_age_s, is_state_lost=False
+        )
+        control = types.SimpleNamespace(
+            follower=follower,
+            writer=types.SimpleNamespace(append_count=0, record_count=0),
+            keeper=types.SimpleNamespace(is_open=True, session="s", rank=0),
+            instances=types.SimpleNamespace(age_s=list_age_s),
+            peers=types.SimpleNamespace(statuses=dict),
+            view=types.SimpleNamespace(dispatch_right=True),
+            relay=types.SimpleNamespace(relayed_count=0),
+        )
+        page = status.Status(
+            loaded=types.SimpleNamespace(instance="entry-1", data_centre="north"),
+            control=control,
+            dispatcher=types.SimpleNamespace(request_count=0),
+            recorder=types.SimpleNamespace(counts={}),
+            histograms=types.SimpleNamespace(summary=dict),
+            publishers={},
+        )
+        page._started -= uptime_s
+        return page
+
+    def test_first_question_tells_the_age_of_an_outage(self):
+        page = self.make(contact_age_s=75.0, list_age_s=float("inf"), uptime_s=300)
+        since = {e["cause"]: e["since_s"] for e in page.status()["degraded"]}
+        self.assertEqual(since["log"], 75.0)
+        # The list was never read, so the age is that of the process.
+        self.assertAlmostEqual(since["instance-list"], 300, delta=5)
+
+    def test_nothing_is_degraded_within_the_limits(self):
+        page = self.make(contact_age_s=1.0, list_age_s=1.0, uptime_s=300)
+        self.assertEqual(page.status()["degraded"], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
