--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -21,6 +21,7 @@
     histograms,
     jobs,
     jobs_api,
+    loan_exchange,
     logs,
     metrics,
     request_recorder,
@@ -29,6 +30,7 @@
     timers,
 )
 from cranberryport.http import connection, server
+from cranberryport.http import limits as http_limits
 
 BAD_SETTINGS_EXIT_CODE = 2
 DRAIN_POLL_S = 0.1
@@ -99,6 +101,14 @@
             queue_capacity=self._loaded.limits.queue_length,
         ).register(self)
         frontend.FrontEnd(control=view).register(self)
+        loan_exchange.LoanExchange(
+            peers=self._control.peers,
+            timers=self._timers,
+            pool=self._pool,
+            view=view,
+            queue_length=self._requests.queue_length,
+            random=random.Random(),
+        ).register(self)
         health_exchange.HealthExchange(
             peers=self._control.peers, dispatcher=self._requests, timers=self._timers
         ).register(self)
@@ -170,7 +180,7 @@
 
 
 def _caller_limits(limits):
-    return server.Limits(
+    return http_limits.Limits(
         header_bytes=limits.header_bytes,
         body_bytes=limits.body_bytes,
         header_timeout_s=limits.header_timeout_s,
--- a/cranberryport/instance_list.py
+++ b/cranberryport/instance_list.py
@@ -15,6 +15,7 @@
 APPEND_DEADLINE_S = 10.0
 RANK_DELAY_S = 1.0
 STATUSES = ("live", "leaving", "failed", "unknown", "gone")
+LIVE_STATUS = "live"
 BACKEND_KIND = "backend_server"
 WORKER_KIND = "worker"
 
@@ -57,7 +58,9 @@
         self._keeper = keeper
         self._connection = None
         self._entries = {}
+        self._leaving = set()
         self._received_at = None
+        self._as_of = float("-inf")
         self._differs_since = {}
         self._proposed = {}
 
@@ -68,15 +71,24 @@
             return float("inf")
         return time.monotonic() - self._received_at
 
+    @property
+    def as_of(self):
+        """Unix time of the platform at which the latest list was true."""
+        return self._as_of
+
     @property
     def entries(self):
         """Latest entries by name, as the platform gave them."""
         return self._entries
 
+    @property
+    def leaving(self):
+        """Set of the names that the latest list does not show as live."""
+        return self._leaving
+
     def is_leaving(self, name):
         """Return whether the latest list says that an instance is not live."""
-        entry = self._entries.get(name)
-        return entry is not None and entry.get("status") != "live"
+        return name in self._leaving
 
     def workers(self):
         """Return the entries of the workers in order of their names."""
@@ -112,14 +124,28 @@
         if not isinstance(result, connection.Answer) or result.status != 200:
             return
         try:
-            entries = json.loads(result.body)["instances"]
-            self._entries = {entry["name"]: entry for entry in entries}
+            page = json.loads(result.body)
+            entries = {entry["name"]: entry for entry in page["instances"]}
+            leaving = self._find_leaving(entries)
+            self._as_of = float(page["as_of"])
+            self._entries = entries
+            self._leaving = leaving
         except (ValueError, KeyError, TypeError) as error:
             _logger.error("the instance list cannot be read: %s", error)
             return
         self._received_at = time.monotonic()
         self._compare()
 
+    def _find_leaving(self, entries):
+        # An instance that is missing leaves, too. While the log is down the control
+        # state cannot note it as gone.
+        missing = self._follower.state.fleet.instances.keys() - entries.keys()
+        return missing.union(
+            name
+            for name, entry in entries.items()
+            if entry.get("status") != LIVE_STATUS
+        )
+
     def _compare(self):
         if not self._keeper.is_open or not self._follower.dispatch_right:
             return
