--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -20,6 +20,11 @@
     return [name for name in servers if name.rpartition("-")[0] == pool]
 
 
+def _resolve(context, name):
+    """Return a server's name; "it" is the one that an earlier step has found."""
+    return context.world.server if name == "it" else name
+
+
 def _running(context):
     world = context.world
     return [
@@ -79,8 +84,14 @@
     ask_for_reboots(context, context.world.server)
 
 
+@behave.when('"it" is the server that executes "{name}"')
+def find_server(context, name):
+    context.world.server = _server_of(context, name)
+
+
 @behave.when('the planner moves "{name}" to the pool "{pool}"')
 def move(context, name, pool):
+    name = _resolve(context, name)
     _publish_rows(context, [f"team,instance,{name},pool,{pool},"])
 
 
@@ -223,6 +234,7 @@
 
 @behave.then('all running instances show "{name}" in the pool "{pool}" alone')
 def check_pool(context, name, pool):
+    name = _resolve(context, name)
     for entry in _running(context):
         response = entry.send("GET", "/-/pools", timeout_s=2)
         assert response.status == 200, f"{entry.name}: {response.describe()}"
@@ -232,12 +244,14 @@
 
 @behave.then('"{server}" has executed requests of "{service}"')
 def check_serves(context, server, service):
+    server = _resolve(context, server)
     found = context.world.fleet.executions(server=server, desk=service)
     assert found, f"{server} executed nothing for {service}"
 
 
 @behave.then('"{server}" never served "{old}" after it began to serve "{new}"')
 def check_never_both(context, server, old, new):
+    server = _resolve(context, server)
     fleet = context.world.fleet
     first = min(row["start"] for row in fleet.executions(server=server, desk=new))
     old_rows = fleet.executions(server=server, desk=old)
@@ -330,7 +344,8 @@
 @behave.when('the planner moves "{name}" to "{pool}" and reboots "{names}"')
 def move_and_reboot(context, name, pool, names):
     rows = [f"team,instance,{other},maintenance,reboot," for other in names.split()]
-    _publish_rows(context, [f"team,instance,{name},pool,{pool},", *rows])
+    moved = _resolve(context, name)
+    _publish_rows(context, [f"team,instance,{moved},pool,{pool},", *rows])
 
 
 @behave.then("instance {number:d} ends with the code {code:d}")
@@ -369,6 +384,7 @@
 
 @behave.then('all running instances show one same pool of "{name}"')
 def check_same_pool(context, name):
+    name = _resolve(context, name)
     found = set()
     for entry in _running(context):
         response = entry.send("GET", "/-/pools", timeout_s=2)
