--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -22,6 +22,9 @@
 
 TICK_S = 0.25
 QUEUE_CAPACITY = 256
+# Mean service times that a request must have left to start while others wait. Work
+# that is abandoned takes its slot for 5 s more; docs/policy.md has the figures.
+NEEDED_SERVICE_TIMES = 2.0
 NO_RIGHT_RETRY_AFTER_S = 1.0
 REFUSED_HEADER = b"request-refused"
 REFUSED_VALUE = b"before-execution"
@@ -419,8 +422,9 @@
             servers = self._find_servers(service, now, None)
             work = self._take_next(service, servers, now)
             if work is None and self._pool.borrower:
-                servers = self._find_servers(service, now, service.queue.peek())
-                work = self._take_for_borrowed(service, servers, now)
+                first = service.queue.peek(now, needed_s=_needed_s(service))
+                servers = self._find_servers(service, now, first)
+                work = self._take_next(service, servers, now)
             if work is None:
                 break
             self._start(service, work, servers)
@@ -430,23 +434,17 @@
         candidates = [candidate for candidate, _ in servers.values()]
         if not any(candidate.has_free_slot for candidate in candidates):
             return None
+        # The reserve for rush requests counts over own and borrowed slots together: a
+        # free reserved slot must not keep the other classes from borrowed ones.
         in_use = sum(candidate.slots_in_use for candidate in candidates)
         total = sum(candidate.slots_total for candidate in candidates)
         reserved = self._view.configuration().service(service.name)
         is_open = admission.may_start(
             "interactive", in_use, total, reserved.reserved_rush_percent
         )
-        return service.queue.take(now, rush_only=not is_open)
-
-    def _take_for_borrowed(self, service, servers, now):
-        in_use = sum(self._pool.own_in_use(name) for name in servers)
-        own = sum(self._pool.slots_total(server) for _, server in servers.values())
-        if in_use < own:
-            # Own slots are left to the reserve for rush requests.
-            return None
-        if not any(candidate.has_free_slot for candidate, _ in servers.values()):
-            return None
-        return service.queue.take(now)
+        return service.queue.take(
+            now, rush_only=not is_open, needed_s=_needed_s(service)
+        )
 
     def _find_servers(self, service, now, work):
         """Return candidates and servers by name, for servers that get work.
@@ -694,6 +692,10 @@
             work.timer = None
 
 
+def _needed_s(service):
+    return NEEDED_SERVICE_TIMES * service.service_time.mean_s
+
+
 def _is_refused(answer):
     if answer.status != 503:
         return False
