Measure signals and the run against real processes; add make bench

The run against real processes sends at the rate of each load for 6 s with at most 400 callers; requests for which no caller was free are counted as not sent.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 demo: $(STAMP)
 	$(PYTHON) -m demo.run
+
+bench: $(STAMP)
+	$(PYTHON) -m bench.policy
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -203,7 +203,6 @@
     parser.add_argument("--only", choices=PARTS, action="append")
     chosen = parser.parse_args().only or PARTS
     matplotlib.rcParams["svg.hashsalt"] = "policy"
-    text = PAGE.read_text(encoding="utf-8")
     for part in chosen:
         if part == "model":
             found = measure_model()
@@ -218,7 +217,7 @@
         else:
             content = format_fleet(policy_fleet.measure())
         print(content, flush=True)
-        text = _replace(text, part, content)
+        text = _replace(PAGE.read_text(encoding="utf-8"), part, content)
         PAGE.write_text(text, encoding="utf-8")
 
 
--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -18,9 +18,12 @@
 MAX_CALLERS = 400
 
 
-def _send(entry, request_class, deadline_s):
-    """Return the outcome and the latency in seconds of one request."""
+def _send(entry, request_class, deadline_s, send_by):
+    """Return the class, outcome, latency in seconds and end of one request."""
     began = time.monotonic()
+    if began > send_by:
+        # All callers were waiting for answers.
+        return request_class, "not sent", 0.0, began
     headers = {
         "Desk": "front-desk",
         "Request-Class": request_class,
@@ -30,15 +33,16 @@
     response = entry.send(
         "GET", f"/{SERVICE}/fit", headers=headers, timeout_s=deadline_s + 5
     )
-    latency_s = time.monotonic() - began
+    ended = time.monotonic()
+    latency_s = ended - began
     outcome = response.headers.get("request-outcome", "none")
     if outcome == "answered" and latency_s > deadline_s:
         outcome = "late"
-    return request_class, outcome, latency_s
+    return request_class, outcome, latency_s, ended
 
 
 def _load(running, rates, duration_s, *, only_first=False):
-    """Send at constant rates by class, and return the results."""
+    """Send at constant rates by class; return the results and the seconds taken."""
     entries = running.entries[:1] if only_first else running.entries
     results, lock = [], threading.Lock()
 
@@ -54,23 +58,28 @@
                 while sent[request_class] < rate * passed_s:
                     entry = entries[sent.total() % len(entries)]
                     sent[request_class] += 1
-                    future = callers.submit(_send, entry, request_class, deadline_s)
+                    future = callers.submit(
+                        _send, entry, request_class, deadline_s, begin + duration_s
+                    )
                     future.add_done_callback(note)
             time.sleep(0.005)
-    return results
+    return results, max(ended for _, _, _, ended in results) - begin
 
 
-def _summarize(name, results, duration_s):
-    counts = collections.Counter(outcome for _, outcome, _ in results)
+def _summarize(name, measured):
+    results, duration_s = measured
+    counts = collections.Counter(outcome for _, outcome, _, _ in results)
     rush = sorted(
         latency_s
-        for request_class, outcome, latency_s in results
+        for request_class, outcome, latency_s, _ in results
         if request_class == "rush" and outcome == "answered"
     )
     return {
         "run": name,
-        "requests": len(results),
-        "goodput": counts["answered"] / duration_s,
+        "requests": len(results) - counts["not sent"],
+        "not sent": counts["not sent"],
+        "seconds": duration_s,
+        "goodput/s": counts["answered"] / duration_s,
         **{key: counts[key] for key in ("answered", "late", "not-run", "unknown")},
         "none": counts["none"],
         "rush p50": rush[len(rush) // 2] if rush else None,
@@ -110,14 +119,14 @@
         running.control_servers(clear=True)
         for load in LOADS:
             rates = {"interactive": (load * rate, DEADLINE_S)}
-            results = _load(running, rates, STEP_S)
-            rows.append(_summarize(f"{load}x", results, STEP_S))
+            measured = _load(running, rates, STEP_S)
+            rows.append(_summarize(f"{load}x", measured))
         rates = {"batch": (3 * rate, 10.0), "rush": (0.1 * rate, DEADLINE_S)}
-        results = _load(running, rates, STEP_S)
-        rows.append(_summarize("rush, batch at 3x", results, STEP_S))
+        measured = _load(running, rates, STEP_S)
+        rows.append(_summarize("rush, batch at 3x", measured))
         rates = {"interactive": (0.5 * rate, DEADLINE_S)}
-        results = _load(running, rates, STEP_S, only_first=True)
-        rows.append(_summarize("0.5x at one entry instance", results, STEP_S))
+        measured = _load(running, rates, STEP_S, only_first=True)
+        rows.append(_summarize("0.5x at one entry instance", measured))
         states = running.server_states().values()
         overruns = sum(state["overruns"] for state in states)
         highest = max(state["max_concurrency"] for state in states)
