--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: test unit scenarios lint format generate demo bench clean
+.PHONY: test unit scenarios lint format generate demo bench capacity clean
 
 $(STAMP): requirements.lock
 	python3 -m venv $(VENV)
@@ -31,3 +31,6 @@
 
 demo: $(STAMP)
 	$(PYTHON) -m demo.run
+
+capacity: $(STAMP)
+	$(PYTHON) -m bench.capacity
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -28,6 +28,7 @@
             control=control,
             dispatcher=types.SimpleNamespace(request_count=0),
             recorder=types.SimpleNamespace(counts={}),
+            jobs=types.SimpleNamespace(status=dict),
             histograms=types.SimpleNamespace(summary=dict),
             publishers={},
         )
