--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -274,7 +274,9 @@
     columns = 3
     lines = -(-len(figures) // columns)
     # Fixed salt and no date: a run with the same figures writes the same file.
-    matplotlib.rcParams.update({"svg.hashsalt": "capacity", "font.size": 7})
+    matplotlib.rcParams.update(
+        {"svg.hashsalt": "capacity", "svg.fonttype": "none", "font.size": 7}
+    )
     whole, axes = pyplot.subplots(
         lines, columns, figsize=(9, 2.1 * lines), squeeze=False, layout="constrained"
     )
