--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: test unit scenarios lint format generate demo bench clean
+.PHONY: test unit scenarios lint format generate demo bench capacity clean
 
 $(STAMP): requirements.lock
 	python3 -m venv $(VENV)
@@ -34,3 +34,6 @@
 
 bench: $(STAMP)
 	$(PYTHON) -m bench.policy
+
+capacity: $(STAMP)
+	$(PYTHON) -m bench.capacity
