--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: test unit scenarios lint format generate demo bench capacity clean
+.PHONY: test unit scenarios lint format generate demo bench capacity
 
 $(STAMP): requirements.lock
 	python3 -m venv $(VENV)
--- a/cranberryport/instance_list.py
+++ b/cranberryport/instance_list.py
@@ -12,7 +12,7 @@
 from cranberryport.http import connection
 
 REQUEST_TIMEOUT_S = 2.0
-APPEND_DEADLINE_S = 10.0
+APPEND_LIFETIME_S = 10.0
 RANK_DELAY_S = 1.0
 STATUSES = ("live", "leaving", "failed", "unknown", "gone")
 LIVE_STATUS = "live"
@@ -158,7 +158,7 @@
             since = self._differs_since.setdefault(name, now)
             if now - since < self._keeper.rank * RANK_DELAY_S:
                 continue
-            if now - self._proposed.get(name, -APPEND_DEADLINE_S) < RANK_DELAY_S * 2:
+            if now - self._proposed.get(name, -APPEND_LIFETIME_S) < RANK_DELAY_S * 2:
                 continue
             self._proposed[name] = now
             self._append(record)
@@ -191,9 +191,6 @@
         )
 
     def _append(self, record):
-        ticket = log_writer_events.Ticket(
-            reply_channel=self.channel,
-            context=record.instance,
-            deadline=time.monotonic() + APPEND_DEADLINE_S,
+        log_writer_events.propose(
+            self, record, context=record.instance, lifetime_s=APPEND_LIFETIME_S
         )
-        self.fire(log_writer_events.append(record, ticket), "log_writer")
--- a/cranberryport/jobs.py
+++ b/cranberryport/jobs.py
@@ -15,7 +15,7 @@
 # Urgent work starts within 1.5 s; the tick is its largest delay here.
 TICK_S = 0.25
 WATCH_INTERVAL_S = 1.0
-APPEND_DEADLINE_S = 10.0
+APPEND_LIFETIME_S = 10.0
 RANK_DELAY_S = 1.0
 # Long enough for a new session to take over the renewals of an ended one: 6 s of
 # silence, the votes, and two polls.
@@ -636,12 +636,9 @@
         if key in self._proposed:
             return
         self._proposed[key] = record
-        ticket = log_writer_events.Ticket(
-            reply_channel=self.channel,
-            context=key,
-            deadline=time.monotonic() + APPEND_DEADLINE_S,
+        log_writer_events.propose(
+            self, record, context=key, lifetime_s=APPEND_LIFETIME_S
         )
-        self.fire(log_writer_events.append(record, ticket), "log_writer")
 
     @handler("decided")
     def _on_decided(self, ticket, outcome):
--- a/cranberryport/jobs_api.py
+++ b/cranberryport/jobs_api.py
@@ -23,7 +23,7 @@
 from cranberryport.http import caller_messages
 from cranberryport.state import jobs as jobs_module
 
-APPEND_DEADLINE_S = 10.0
+APPEND_LIFETIME_S = 10.0
 RETRY_AFTER_S = 1
 PAYLOAD_LIMIT_BYTES = 16 * 1024
 DEFAULT_CLASS = "batch"
@@ -129,12 +129,9 @@
 
     def _append(self, record, request, response):
         self._responses[request] = response
-        ticket = log_writer_events.Ticket(
-            reply_channel=self.channel,
-            context=request,
-            deadline=time.monotonic() + APPEND_DEADLINE_S,
+        log_writer_events.propose(
+            self, record, context=request, lifetime_s=APPEND_LIFETIME_S
         )
-        self.fire(log_writer_events.append(record, ticket), "log_writer")
         # True tells circuits.web that the response comes later.
         return True
 
--- a/cranberryport/log_writer_events.py
+++ b/cranberryport/log_writer_events.py
@@ -1,6 +1,7 @@
 """Events and types for appending records through the log writer."""
 
 import dataclasses
+import time
 from typing import Any
 
 from circuits import Event
@@ -59,3 +60,25 @@
         As given with the record.
     outcome : Accepted, Rejected or Undecided
     """
+
+
+def propose(component, record, *, context, lifetime_s):
+    """Hand a record to the log writer; the outcome comes to the component's channel.
+
+    Parameters
+    ----------
+    component : circuits.BaseComponent
+        Gets the :class:`decided` event on its channel.
+    record : object
+        Instance of a class in :mod:`cranberryport.generated.messages`.
+    context : object
+        Kept in the ticket.
+    lifetime_s : float
+        Seconds after which the outcome is :class:`Undecided`.
+    """
+    ticket = Ticket(
+        reply_channel=component.channel,
+        context=context,
+        deadline=time.monotonic() + lifetime_s,
+    )
+    component.fire(append(record, ticket), "log_writer")
--- a/cranberryport/operations.py
+++ b/cranberryport/operations.py
@@ -11,7 +11,7 @@
 from cranberryport.http import connection
 
 TICK_S = 0.5
-APPEND_DEADLINE_S = 10.0
+APPEND_LIFETIME_S = 10.0
 RANK_DELAY_S = 1.0
 REQUEST_TIMEOUT_S = 5.0
 # A short reboot can be over between two lists that this process has seen.
@@ -212,12 +212,9 @@
         if key in self._proposed:
             return
         self._proposed[key] = now
-        ticket = log_writer_events.Ticket(
-            reply_channel=self.channel,
-            context=(key, record),
-            deadline=now + APPEND_DEADLINE_S,
+        log_writer_events.propose(
+            self, record, context=(key, record), lifetime_s=APPEND_LIFETIME_S
         )
-        self.fire(log_writer_events.append(record, ticket), "log_writer")
 
     @handler("decided")
     def _on_decided(self, ticket, outcome):
--- a/cranberryport/retention_keeper.py
+++ b/cranberryport/retention_keeper.py
@@ -11,7 +11,7 @@
 from cranberryport.state import snapshot
 
 TICK_S = 1.0
-APPEND_DEADLINE_S = 30.0
+APPEND_LIFETIME_S = 30.0
 RANK_DELAY_S = 5.0
 SNAPSHOT_PART_OF_RETENTION = 1 / 3
 # A process whose state began without a snapshot lets those that may have one go first.
@@ -88,9 +88,6 @@
         _logger.info("snapshot of %d bytes at offset %d", size, state.position)
 
     def _append(self, record):
-        ticket = log_writer_events.Ticket(
-            reply_channel=self.channel,
-            context=None,
-            deadline=time.monotonic() + APPEND_DEADLINE_S,
+        log_writer_events.propose(
+            self, record, context=None, lifetime_s=APPEND_LIFETIME_S
         )
-        self.fire(log_writer_events.append(record, ticket), "log_writer")
--- a/cranberryport/session_keeper.py
+++ b/cranberryport/session_keeper.py
@@ -11,7 +11,7 @@
 
 TICK_S = 0.5
 HEARTBEAT_INTERVAL_S = 2.0
-APPEND_DEADLINE_S = 10.0
+APPEND_LIFETIME_S = 10.0
 SUSPECT_AFTER_S = 6.0
 FENCE_AFTER_S = 5.0
 SETTLE_AFTER_S = 30.0
@@ -130,12 +130,9 @@
             self._open()
 
     def _append(self, record, context):
-        ticket = log_writer_events.Ticket(
-            reply_channel=self.channel,
-            context=context,
-            deadline=time.monotonic() + APPEND_DEADLINE_S,
+        log_writer_events.propose(
+            self, record, context=context, lifetime_s=APPEND_LIFETIME_S
         )
-        self.fire(log_writer_events.append(record, ticket), "log_writer")
 
     def _open(self):
         self._session = uuid.uuid4().hex
--- a/cranberryport/share_keeper.py
+++ b/cranberryport/share_keeper.py
@@ -1,14 +1,12 @@
 """Gives back shares of slots and connections that other sessions are entitled to."""
 
-import time
-
 from circuits import BaseComponent, handler
 
 from cranberryport import log_writer_events
 from cranberryport.generated import messages
 
 TICK_S = 0.25
-APPEND_DEADLINE_S = 5.0
+APPEND_LIFETIME_S = 5.0
 
 
 class ShareKeeper(BaseComponent):
@@ -76,12 +74,9 @@
         )
 
     def _append(self, record):
-        ticket = log_writer_events.Ticket(
-            reply_channel=self.channel,
-            context=record,
-            deadline=time.monotonic() + APPEND_DEADLINE_S,
+        log_writer_events.propose(
+            self, record, context=record, lifetime_s=APPEND_LIFETIME_S
         )
-        self.fire(log_writer_events.append(record, ticket), "log_writer")
 
     @handler("decided")
     def _on_decided(self, ticket, outcome):
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,72 @@
+"""Tests of :mod:`cranberryport.relay`."""
+
+import types
+import unittest
+
+from circuits import Component
+
+from cranberryport import log_follower, peers, relay
+from cranberryport.generated import messages
+from tests import control_stream, fakes
+
+
+class RelayTest(unittest.TestCase):
+    """A relayed view must be whole, or the right to dispatch would be a lie."""
+
+    def setUp(self):
+        self.root = Component()
+        self.sent = []
+        self.statuses = {}
+        self.stream = control_stream.Stream("ab")
+        self.follower = types.SimpleNamespace(
+            state=self.stream.state,
+            contact_age_s=0.5,
+            fold_relayed=lambda message, requested_at: self.relayed.append(message),
+        )
+        self.relayed = []
+        self.relay = relay.Relay(
+            follower=self.follower,
+            peers=types.SimpleNamespace(
+                statuses=lambda: self.statuses,
+                send=lambda session, message: self.sent.append((session, message)),
+            ),
+            timers=fakes.FakeTimers(),
+        ).register(self.root)
+        fakes.settle(self.root)
+
+    def _fold(self, offset):
+        event = log_follower.folded(offset, self.stream.bodies[offset], [])
+        self.root.fire(event, "*")
+        fakes.settle(self.root)
+
+    def _receive(self, message):
+        self.root.fire(peers.peer_message("a", message), "*")
+        fakes.settle(self.root)
+
+    def test_gives_the_records_from_the_position_asked(self):
+        for offset in (0, 1):
+            self._fold(offset)
+        self._receive(messages.RecordsRequested(position=1))
+        ((_, answer),) = self.sent
+        self.assertEqual(answer.bodies, self.stream.bodies[1:])
+        self.assertEqual((answer.position, answer.end, answer.age_s), (1, 2, 0.5))
+
+    def test_gives_nothing_if_a_record_is_missing_between(self):
+        self._fold(1)
+        self._receive(messages.RecordsRequested(position=0))
+        self.assertEqual(self.sent, [])
+
+    def test_asks_the_peer_with_the_freshest_view_only_without_contact(self):
+        for session, age_s in (("a", 2.0), ("b", 0.1), ("c", 9.0)):
+            self.statuses[session] = types.SimpleNamespace(contact_age_s=age_s)
+        self.relay._tick()
+        self.assertEqual(self.sent, [])
+        self.follower.contact_age_s = 3.0
+        self.relay._tick()
+        ((session, request),) = self.sent
+        self.assertEqual((session, request.position), ("b", 2))
+
+    def test_folds_only_what_it_asked_for(self):
+        answer = messages.RecordsRelayed(position=0, end=0, age_s=0.0, bodies=[])
+        self._receive(answer)
+        self.assertEqual(self.relayed, [])
