--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -36,7 +36,7 @@
     And 3 seconds pass
     And the instance list goes down
     And instance 3 is replaced
-    And 7 seconds pass
+    And 5 seconds pass
     And the callers stop
     Then the server "cutting-2" gets no new work after the bound
     And the services "cutting" got new work after the bound
@@ -51,7 +51,7 @@
     And "cutting-2" leaves
     And 8 seconds pass
     And instance 3 is resumed
-    And 3 seconds pass
+    And 2 seconds pass
     And instance 1 is resumed
     And instance 2 is resumed
     And 2 seconds pass
