Start child processes in sessions of their own

Cause: in one background run a frozen entry instance ended without a line in its log when its shell ended; the kernel sends SIGHUP to a newly orphaned process group with a stopped member. Not confirmed by a trace. Ruled out: the daemon's own handlers, which log every signal they act on. Change: start_new_session for children; they still end with their parent.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -77,6 +77,10 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=log,
+                # When the shell of a run ends, the kernel sends SIGHUP to a process
+                # group with a frozen member; a session of its own is never newly
+                # orphaned. A frozen entry instance ended that way in the background.
+                start_new_session=True,
                 preexec_fn=_die_with_parent,
             )
         _children.add(self)
