Leave the session open if slots stay in use at the end of a stop

Cause: after 35 s a stopping daemon closed its session although slots were in use; closing passes the shares on at once, so a backend server could get more than its slots. Ruled out: waiting without limit, since the platform ends the process then anyway. Change: the daemon ends without SessionClosed; the others end the session and fence it.

--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -166,6 +166,11 @@
         if is_busy and not is_over:
             self._timers.after(DRAIN_POLL_S, self._wait_for_requests)
             return
+        if is_busy:
+            # The others end the session and wait before they pass its shares on.
+            _logger.warning("stopping with slots in use; the session stays open")
+            self.stop()
+            return
         self._stop_by = time.monotonic() + CLOSE_LIMIT_S
         self._control.keeper.close()
         self._wait_for_close()
