Refuse keys that may have run before a loss of the log; show short session ids

After records of claims had expired unread, a repeat of an old key could be claimed again, against the promise at_most_once. Whole session ids, with which a peer greets, stood on pages of the callers' port. The planner searched the owner's rows once for each instance. Measured: the new tests of dispatcher and view fail without the change and pass with it.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -60,6 +60,7 @@
 
     session = "bench"
     dispatch_right = True
+    is_key_history_lost = False
 
     def __init__(self, port):
         self.keys = keys.Keys()
--- a/cranberryport/dispatcher.py
+++ b/cranberryport/dispatcher.py
@@ -310,6 +310,9 @@
         if not self._view.dispatch_right:
             self._refuse_without_right(work)
             return
+        if self._view.is_key_history_lost:
+            self._finish_not_run(work, "claims of earlier keys were lost with the log")
+            return
         refused = service.queue.check(
             work,
             time.monotonic(),
--- a/cranberryport/log_follower.py
+++ b/cranberryport/log_follower.py
@@ -69,7 +69,7 @@
         self._confirmed_at = None
         self._gap_count = 0
         self._failed_since = None
-        self._is_state_lost = False
+        self._lost_at = None
         # Collects the snapshots that others write after this process found none.
         self._late_assembler = None
 
@@ -103,7 +103,12 @@
     @property
     def is_state_lost(self):
         """Whether records had expired with no snapshot to restore them from."""
-        return self._is_state_lost
+        return self._lost_at is not None
+
+    @property
+    def lost_at(self):
+        """Unix time at which the loss was found, or None."""
+        return self._lost_at
 
     @handler("started", channel="*")
     def _on_started(self, *_):
@@ -206,7 +211,7 @@
             self._state = restored
             _logger.info("restored a snapshot at offset %d", restored.position)
         else:
-            self._is_state_lost = True
+            self._lost_at = time.time()
             self._state.skip_to(batch.first)
             if is_empty:
                 self._late_assembler = snapshot.Assembler()
@@ -229,7 +234,7 @@
                 continue
             self._state = restored
             self._late_assembler = None
-            self._is_state_lost = False
+            self._lost_at = None
             _logger.info("restored a late snapshot at offset %d", restored.position)
             return True
         return False
--- a/cranberryport/planner.py
+++ b/cranberryport/planner.py
@@ -47,22 +47,29 @@
         Ordered by instance; a move goes before a reboot of the same instance.
     """
     found = []
+    owner_rows = _owner_rows(state)
     for name, entry in sorted(state.fleet.instances.items()):
         if entry.operation:
             continue
         found += _retirements(state, name, entry)
-        found += _moves(state, name, entry)
-        found += _reboots(state, name, entry)
+        found += _moves(state, name, entry, owner_rows)
+        found += _reboots(state, name, entry, owner_rows)
     return found
 
 
-def _moves(state, name, entry):
+def _owner_rows(state):
+    owner = state.sheets.get("owner")
+    rows = owner.rows if owner else []
+    return {(row.name, row.setting) for row in rows if row.subject == "instance"}
+
+
+def _moves(state, name, entry, owner_rows):
     target = state.configuration.instance_pools.get(name, "")
     if not target or not entry.pool or target == entry.pool:
         return []
     if target not in state.configuration.pools:
         return []
-    authority = _authority(state, name, "pool")
+    authority = _authority(owner_rows, name, "pool")
     return [
         Intent(instance=name, purpose=MOVE, target_pool=target, authority=authority)
     ]
@@ -76,24 +83,18 @@
     return [Intent(instance=name, purpose=RETIRE, target_pool="", authority="")]
 
 
-def _reboots(state, name, entry):
+def _reboots(state, name, entry, owner_rows):
     if state.configuration.maintenance.get(name) != REBOOT:
         return []
-    authority = _authority(state, name, "maintenance")
+    authority = _authority(owner_rows, name, "maintenance")
     sheet = state.sheets.get(authority)
     if sheet is None or entry.maintained >= sheet.day:
         return []
     return [Intent(instance=name, purpose=REBOOT, target_pool="", authority=authority)]
 
 
-def _authority(state, name, setting):
-    owner = state.sheets.get("owner")
-    rows = owner.rows if owner else []
-    is_owner = any(
-        (row.subject, row.name, row.setting) == ("instance", name, setting)
-        for row in rows
-    )
-    return "owner" if is_owner else "team"
+def _authority(owner_rows, name, setting):
+    return "owner" if (name, setting) in owner_rows else "team"
 
 
 def next_operations(state, *, now, local_time):
--- a/cranberryport/retention_keeper.py
+++ b/cranberryport/retention_keeper.py
@@ -17,6 +17,7 @@
 # A process whose state began without a snapshot lets those that may have one go first.
 LOST_STATE_INTERVALS = 2
 KEY_EXPIRY_INTERVAL_S = 600.0
+LOST_KEYS_INTERVAL_S = 5.0
 
 _logger = logging.getLogger(__name__)
 
@@ -46,6 +47,7 @@
         self._interval_s = retention_s * SNAPSHOT_PART_OF_RETENTION
         self._snapshot_at = time.monotonic()
         self._expired_at = time.monotonic()
+        self._lost_keys_at = float("-inf")
         self._gap_count = 0
 
     @handler("started", channel="*")
@@ -76,8 +78,20 @@
             self._write_snapshot()
         if now - self._expired_at >= KEY_EXPIRY_INTERVAL_S + delay_s:
             self._expired_at = now
-            issued_before = time.time() - idempotency.KEY_RETENTION_S
-            self._append(messages.KeysExpired(issued_before=issued_before))
+            self._expire_keys(time.time() - idempotency.KEY_RETENTION_S)
+        self._expire_lost_keys(now)
+
+    def _expire_lost_keys(self, now):
+        """Refuse every key that may have run before the control state was lost."""
+        lost_at = self._follower.lost_at
+        if lost_at is None or self._follower.state.keys.expiry >= lost_at:
+            return
+        if now - self._lost_keys_at >= LOST_KEYS_INTERVAL_S:
+            self._lost_keys_at = now
+            self._expire_keys(lost_at + idempotency.KEY_FUTURE_LIMIT_S)
+
+    def _expire_keys(self, issued_before):
+        self._append(messages.KeysExpired(issued_before=issued_before))
 
     def _write_snapshot(self):
         state = self._follower.state
--- a/cranberryport/status.py
+++ b/cranberryport/status.py
@@ -10,6 +10,8 @@
 LIST_AGE_LIMIT_S = 10.0
 # The longest request, 30 s, and time to report the end of the drain. A drain that takes
 # longer does not wait for a request.
+# Peers greet with the whole id, and these pages are on the callers' port.
+SHOWN_SESSION_LENGTH = 8
 HELD_DRAIN_S = 35.0
 
 
@@ -83,7 +85,7 @@
             "uptime_s": round(time.monotonic() - self._started, 1),
             "is_ready": self._control.keeper.is_open and not self.is_stopping,
             "is_stopping": self.is_stopping,
-            "session": self._control.keeper.session,
+            "session": self._control.keeper.session[:SHOWN_SESSION_LENGTH],
             "rank": self._control.keeper.rank,
             "position": state.position,
             "dispatch_right": self._control.view.dispatch_right,
@@ -207,9 +209,9 @@
                 "purpose": operation.purpose,
                 "target_pool": operation.target_pool,
                 "step": operation.step,
-                "waiting": operation.waiting,
+                "waiting": [name[:SHOWN_SESSION_LENGTH] for name in operation.waiting],
                 "started": operation.started,
-                "by": operation.by,
+                "by": operation.by[:SHOWN_SESSION_LENGTH],
             }
             for operation in self._state.fleet.operations.values()
         ]
--- a/cranberryport/view.py
+++ b/cranberryport/view.py
@@ -80,6 +80,16 @@
             return False
         return self._follower.dispatch_right or self._is_outage_for_all()
 
+    @property
+    def is_key_history_lost(self):
+        """Whether claims of keys may be missing and can still be repeated.
+
+        The records of claims may have expired unread. A record that expires all keys
+        issued until then closes the gap on every instance.
+        """
+        lost_at = self._follower.lost_at
+        return lost_at is not None and self._follower.state.keys.expiry < lost_at
+
     def configuration(self):
         """Return the configuration in force."""
         return self._follower.state.configuration
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -190,6 +190,14 @@
         self.assertEqual(self.backends[0].heads, [])
         self.assertEqual(self.log.records, [])
 
+    def test_no_key_is_claimed_while_older_claims_may_be_lost(self):
+        self.start(lambda head, _: support.answer(head))
+        self.view.is_key_history_lost = True
+        end = self.run_one(method="POST", key=KEY)
+        self.assertEqual((type(end), end.status), (outcomes.NotRun, 503))
+        self.assertEqual(self.backends[0].heads, [])
+        self.assertIsInstance(self.run_one(), outcomes.Answered)
+
     def test_leaving_server_gets_nothing_new(self):
         self.start(lambda head, _: support.answer(head))
         self.run_one()
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -19,7 +19,10 @@
         rows = ["pool p service s", "instance i pool p"]
         self.stream.accept("a", control_stream.sheet("s", 0, rows))
         self.stream.accept("a", "InstanceObserved", instance="i", status="live")
-        follower = types.SimpleNamespace(state=self.stream.state, dispatch_right=False)
+        follower = types.SimpleNamespace(
+            state=self.stream.state, dispatch_right=False, lost_at=None
+        )
+        self.follower = follower
         keeper = types.SimpleNamespace(session="a", is_open=True, rank=0)
         self.root = Component()
         self.list = instance_list.InstanceList(
@@ -69,3 +72,13 @@
         status = types.SimpleNamespace(leaving=["i"])
         self.peers.statuses.return_value = {"b": status}
         self.assertFalse(self.is_usable)
+
+    def test_keys_are_safe_again_once_all_older_ones_have_expired(self):
+        # After a loss of the log a key that had run could be claimed again.
+        self.assertFalse(self.view.is_key_history_lost)
+        self.follower.lost_at = 1000.0
+        self.assertTrue(self.view.is_key_history_lost)
+        self.stream.accept("a", "KeysExpired", issued_before=1300.0)
+        self.assertFalse(self.view.is_key_history_lost)
+        claim = {"key": "k", "digest": "d", "issued": 900.0}
+        self.assertIn("expired", self.stream.reject("a", "KeyClaimed", **claim))
