--- a/cranberryport/planner.py
+++ b/cranberryport/planner.py
@@ -125,14 +125,28 @@
     for intent in allowed:
         pool = state.fleet.instances[intent.instance].pool
         by_pool.setdefault(pool, []).append(intent)
+    members = _members(state)
+    busy = {
+        pool
+        for pool, entries in members.items()
+        if any(entry.operation for entry in entries)
+    }
     chosen = []
     for pool in sorted(by_pool):
-        if _may_start_in(state, pool, by_pool, local_time):
-            chosen += _within_budget(state, pool, by_pool[pool])
+        if _may_start_in(state, pool, busy | by_pool.keys(), local_time):
+            chosen += _within_budget(state, pool, members[pool], by_pool[pool])
     return chosen
 
 
-def _may_start_in(state, pool, by_pool, local_time):
+def _members(state):
+    """Return the instances by pool; asking for each pool would read all every time."""
+    members = {}
+    for _, entry in sorted(state.fleet.instances.items()):
+        members.setdefault(entry.pool, []).append(entry)
+    return members
+
+
+def _may_start_in(state, pool, unfinished, local_time):
     """Return whether the waves that name a pool let it begin."""
     for wave in state.configuration.waves.values():
         if pool not in wave.order:
@@ -140,21 +154,16 @@
         if not wave.not_before <= local_time <= wave.not_after:
             return False
         earlier = wave.order[: wave.order.index(pool)]
-        if any(other in by_pool or _is_busy(state, other) for other in earlier):
+        if any(other in unfinished for other in earlier):
             return False
     return True
 
 
-def _is_busy(state, pool):
-    return any(entry.operation for entry in state.fleet.members(pool))
-
-
-def _within_budget(state, pool, pool_intents):
+def _within_budget(state, pool, members, pool_intents):
     if not pool:
         return pool_intents
     budget = state.configuration.pool(pool).max_unavailable
-    room = budget - state.fleet.down_count(pool)
-    members = state.fleet.members(pool)
+    room = budget - sum(entry.is_down for entry in members)
     domains = {_domain(entry) for entry in members if entry.operation}
     chosen = []
     for intent in sorted(pool_intents, key=lambda item: _order(state, item)):
