Tell an operator that a publication was accepted although a later one replaced it

Ruled out: a wrong fold; the first publication had been in force before the second. Change: the control state keeps the version of recent accepted publications, the sheet page shows them, and the tool reads them back. Measured: the new test fails without the tool's change and passes with it.

--- a/cranberryport/command_line/publishing.py
+++ b/cranberryport/command_line/publishing.py
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Accepted:
-    """The publication is in force."""
+    """The publication came into force; a later one may have replaced it since."""
 
     version: int
 
@@ -160,6 +160,10 @@
     present = page[publication.authority]
     if present["publication"] == publication.publication:
         return Accepted(version=present["version"])
+    for entry in page.get("accepted", []):
+        # A later publication can be in force already.
+        if entry["publication"] == publication.publication:
+            return Accepted(version=entry["version"])
     for entry in page.get("rejected", []):
         if entry["publication"] == publication.publication:
             return Rejected(reason=entry["reason"])
--- a/cranberryport/state/sheets.py
+++ b/cranberryport/state/sheets.py
@@ -34,6 +34,23 @@
     rows: list[messages.SheetRow]
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class AcceptedPublication:
+    """A publication that was in force, whether or not it still is.
+
+    Attributes
+    ----------
+    publication, signature : str
+        As in ``SheetPublished``.
+    version : int
+        The version that it became.
+    """
+
+    publication: str
+    signature: str
+    version: int
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RejectedPublication:
     """A publication that changed nothing.
@@ -64,7 +81,7 @@
     def __init__(self, *, publishers):
         self._publishers = publishers
         self._sheets = {}
-        # Publication id to signature.
+        # Publication id to AcceptedPublication.
         self._accepted = {}
         self._rejected = []
         self._merge()
@@ -88,6 +105,11 @@
         sheet = self._sheets.get(authority)
         return sheet.version if sheet else 0
 
+    @property
+    def accepted(self):
+        """The last accepted publications, oldest first."""
+        return list(self._accepted.values())
+
     def is_accepted(self, publication):
         """Return whether a recent publication was accepted, by its id."""
         return publication in self._accepted
@@ -110,7 +132,11 @@
             until=record.until,
             rows=list(record.rows),
         )
-        self._accepted[record.publication] = record.signature
+        self._accepted[record.publication] = AcceptedPublication(
+            publication=record.publication,
+            signature=record.signature,
+            version=context.offset + 1,
+        )
         if len(self._accepted) > ACCEPTED_KEPT:
             del self._accepted[next(iter(self._accepted))]
         self._merge()
@@ -120,7 +146,7 @@
         """Return plain values that :meth:`from_plain` takes."""
         return {
             "sheets": plain.to_plain(self._sheets),
-            "accepted": [[key, value] for key, value in self._accepted.items()],
+            "accepted": plain.to_plain(self.accepted),
             "rejected": plain.to_plain(self._rejected),
         }
 
@@ -129,8 +155,8 @@
         """Return the sheets for plain values."""
         sheets = cls(publishers=publishers)
         sheets._sheets = plain.from_plain(value["sheets"], dict[str, Sheet])
-        accepted = plain.from_plain(value["accepted"], list[tuple[str, str]])
-        sheets._accepted = dict(accepted)
+        for entry in plain.from_plain(value["accepted"], list[AcceptedPublication]):
+            sheets._accepted[entry.publication] = entry
         rejected = value["rejected"]
         sheets._rejected = plain.from_plain(rejected, list[RejectedPublication])
         sheets._merge()
@@ -140,9 +166,9 @@
         reason = signing.verify(record, self._publishers)
         if reason:
             return reason
-        signature = self._accepted.get(record.publication)
-        if signature is not None:
-            if signature == record.signature:
+        accepted = self._accepted.get(record.publication)
+        if accepted is not None:
+            if accepted.signature == record.signature:
                 return ""
             return f"publication id {record.publication!r} has another content already"
         version = self.version(record.authority)
--- a/cranberryport/status.py
+++ b/cranberryport/status.py
@@ -224,7 +224,11 @@
             {"publication": entry.publication, "reason": entry.reason}
             for entry in state.sheets.rejected
         ]
-        return {**shown, "rejected": rejected, "findings": []}
+        accepted = [
+            {"publication": entry.publication, "version": entry.version}
+            for entry in state.sheets.accepted
+        ]
+        return {**shown, "accepted": accepted, "rejected": rejected, "findings": []}
 
 
 def _show_sheet(state, authority):
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -36,6 +36,10 @@
         if self.server.rejects:
             entry = {"publication": record["publication"], "reason": "stale"}
             self.server.page["rejected"] = [entry]
+        elif self.server.is_overtaken:
+            entry = {"publication": record["publication"], "version": 8}
+            self.server.page["accepted"] = [entry]
+            self.server.page["team"] = {"version": 9, "publication": "later"}
         else:
             present = {"version": 8, "publication": record["publication"]}
             self.server.page["team"] = present
@@ -57,6 +61,7 @@
 
     def setUp(self):
         self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.is_overtaken = False
         none = {"version": 7, "publication": ""}
         self.server.page = {"owner": none, "team": none}
         self.server.bodies, self.server.loses, self.server.rejects = [], 0, False
@@ -93,6 +98,13 @@
         self.assertEqual(signing.verify(publication, {"planner": publisher}), "")
         self.assertEqual((publication.expected_version, envelope.sequence), (7, 1))
 
+    def test_a_publication_that_was_replaced_at_once_was_accepted(self):
+        # Of two that race the first was reported as not known.
+        self.server.is_overtaken = True
+        code, output = self.publish()
+        self.assertEqual(code, 0)
+        self.assertIn("version 8", output)
+
     def test_rejected_and_undecided_are_not_reported_as_accepted(self):
         self.server.rejects = True
         code, output = self.publish()
