--- a/cranberryport/log_writer.py
+++ b/cranberryport/log_writer.py
@@ -166,8 +166,8 @@
         self._send_next()
 
     def _group_sent(self):
-        # The outcome is known only after read-back; the group leaves the writer's
-        # hands, and the next may be sent.
+        # The append is confirmed, but the outcomes are known only after read-back. The
+        # next group may be sent meanwhile.
         self._confirmed[self._body] = self._group
         self._group = []
         self._body = None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -25,7 +25,7 @@
 
 
 class PeersTest(unittest.TestCase):
-    """A stranger must not pass as a peer, and a pair needs one connection."""
+    """An unknown session must not pass as a peer; a pair needs one connection."""
 
     def setUp(self):
         self.loop = support.Loop()
@@ -76,14 +76,14 @@
         self.assertEqual(self.receiver.received, [("b", request)])
 
     def test_a_session_that_the_control_state_does_not_know_is_refused(self):
-        stranger = self._add("a")
+        unknown = self._add("a")
         del self.addresses["a"]
         self._add("b")
         with self.assertLogs("cranberryport.peers", "WARNING") as logged:
             self.loop.run_until(lambda: logged.records)
         self.assertIn("unknown session a", logged.output[0])
         self.assertEqual(self.meshes["b"].statuses(), {})
-        self.loop.run_until(lambda: stranger._peers == {})
+        self.loop.run_until(lambda: unknown._peers == {})
 
     def test_a_peer_that_is_gone_is_silent(self):
         one, _ = self._add("a"), self._add("b")
--- a/tests/test_state_sessions.py
+++ b/tests/test_state_sessions.py
@@ -51,7 +51,7 @@
         self.assertEqual([outcome.ended for outcome in closed], [(), (), ("e",)])
 
     def test_the_successor_of_an_instance_ends_its_old_session(self):
-        # An instance that was killed and started again left a ghost that nobody ended.
+        # An instance that was killed and started again kept its old session live.
         opened = self.stream.accept("f", "SessionOpened", instance="e")
         self.assertEqual(opened.ended, ("e",))
         self.assertEqual(self.sessions.get("e").state, "ended")
@@ -76,7 +76,7 @@
         self.assertIn("expected: fenced", reason)
         self.stream.accept("a", "SessionFenced", session="e")
         self.stream.accept("b", "SessionSettled", session="e")
-        # A late repeat of the opening must not bring a ghost into the majority.
+        # A late repeat of the opening must not add a dead session to the electorate.
         self.assertIn("closed or settled", self.stream.reject("e", "SessionOpened"))
 
     def test_rank_follows_the_opening_of_live_sessions(self):
