Install the two programs with the virtual environment

Cause: the programs cranberryportd and cranberryport existed only as modules after make. Change: make installs the package in editable mode, without its dependencies, which come from the lock file. Measured: both print their help; make lint passes with the new stamp.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 
 .PHONY: test unit scenarios lint format generate demo bench capacity
 
-$(STAMP): requirements.lock
+$(STAMP): requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet -r requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --editable .
 	touch $(STAMP)
 
 test: $(STAMP)
