Report each missing setting once

Cause: a file without four keys gave sixteen findings: jsonschema yields an error for each missing key, and each was turned into findings for all missing keys. Change: equal findings are dropped. Measured: the new test fails without the change and passes with it.

--- a/cranberryport/settings.py
+++ b/cranberryport/settings.py
@@ -71,7 +71,10 @@
     for error in validator_type(schema).iter_errors(data):
         result.extend(_schema_findings(error, path, text))
     result.extend(_content_findings(data, path, text))
-    return sorted(result, key=lambda finding: _line_number(finding.place))
+    # jsonschema gives one error for each missing key and none says which, so each of
+    # them yields all missing keys.
+    unique = dict.fromkeys(result)
+    return sorted(unique, key=lambda finding: _line_number(finding.place))
 
 
 def load(path):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,6 +89,14 @@
                     settings.load(self.path)
                 self.assertEqual([str(f) for f in caught.exception.findings], lines)
 
+    def test_each_missing_key_is_reported_once(self):
+        # Four missing keys gave sixteen lines.
+        self.path.write_text('instance = "entry-1"\n')
+        lines = [str(finding) for finding in settings.check(self.path)]
+        missing = [line for line in lines if "is missing" in line]
+        self.assertEqual(len(missing), 5)
+        self.assertEqual(len(set(missing)), 5)
+
     def test_all_faults_are_reported_together(self):
         text = (
             GOOD.replace("8080", "70000").replace("north", "").replace("[limits]", "")
