Name the votes that end a session for what they are

Change: votes_needed, and the names and words that went with it; no behaviour changes and no check is loosened.

--- a/cranberryport/state/sessions.py
+++ b/cranberryport/state/sessions.py
@@ -75,7 +75,7 @@
         live = self.live()
         return live.index(session) if session in live else None
 
-    def majority(self):
+    def votes_needed(self):
         """Return the number of votes that end a session.
 
         Half of the live sessions is enough: a session keeps its right in an outage of
@@ -195,7 +195,7 @@
         return sessions
 
     def _end_suspects(self, context):
-        # An ended or closed session lowers the majority and loses its own votes, so
+        # An ended or closed session lowers the votes needed and loses its own, so
         # the votes against the others are counted again until nothing changes.
         while suspect := self._first_outvoted():
             self._end(suspect, context)
@@ -213,9 +213,9 @@
         context.ended.append(entry.session)
 
     def _first_outvoted(self):
-        majority = self.majority()
+        needed = self.votes_needed()
         for entry in self._entries.values():
-            if entry.state == "live" and len(entry.votes) >= majority:
+            if entry.state == "live" and len(entry.votes) >= needed:
                 return entry
         return None
 
--- a/tests/test_state_sessions.py
+++ b/tests/test_state_sessions.py
@@ -6,13 +6,13 @@
 
 
 class SessionsTest(unittest.TestCase):
-    """A live session must not be ended without a majority that saw it silent."""
+    """A live session must not be ended unless half of all saw it silent."""
 
     def setUp(self):
         self.stream = control_stream.Stream("abcde")
         self.sessions = self.stream.state.sessions
 
-    def test_majority_counts_the_suspect(self):
+    def test_the_votes_needed_count_the_suspect(self):
         self.assertEqual(self.stream.vote("e", "aaab"), [])
         self.assertEqual(self.stream.vote("e", "c"), ["e"])
         self.assertIn("has ended", self.stream.reject("e", "SessionHeartbeat"))
@@ -45,7 +45,7 @@
         self.assertIn("not the writer", reason)
         self.assertIn("itself", self.stream.reject("e", "SessionSuspected", **vote))
 
-    def test_a_close_that_lowers_the_majority_completes_it(self):
+    def test_a_close_that_lowers_the_votes_needed_completes_them(self):
         self.stream.vote("e", "a")
         closed = [self.stream.accept(name, "SessionClosed") for name in "dcb"]
         self.assertEqual([outcome.ended for outcome in closed], [(), (), ("e",)])
@@ -60,7 +60,7 @@
         for name in "fghij":
             self.stream.accept(name, "SessionOpened", instance=name)
         for former in "abcde":
-            self.stream.vote(former, "fghij"[: self.sessions.majority()])
+            self.stream.vote(former, "fghij"[: self.sessions.votes_needed()])
         self.assertEqual(self.sessions.live(), list("fghij"))
 
     def test_two_sessions_are_enough_to_end_one(self):
