--- /dev/null
+++ b/cranberryport/control/controller.py
@@ -0,0 +1,397 @@
+"""The controller: decides for all pools while it holds the control partition."""
+
+import logging
+import time
+
+from cranberryport import codec
+from cranberryport.control import executor_link, progress_writer, topic_reader
+from cranberryport.generated import messages
+from cranberryport.platform import executors, store
+from cranberryport.scheduling import records, scheduler
+
+# Decisions of this time share an append; an append takes 4 ms and is priced.
+STEP_GAP_S = 0.01
+TICK_S = 0.05
+JOBS_WAIT_S = 1.0
+JOBS_GAP_S = 0.02
+EXECUTORS_WAIT_S = 1.0
+EXECUTORS_GAP_S = 0.3
+READ_TIMEOUT_S = 2.0
+READ_RETRY_S = 0.1
+# An answer that a job is not known needs knowledge at most this old.
+KNOWLEDGE_LIMIT_S = 2.0
+JOB_PREFIX = "j/"
+CANCEL_PREFIX = "c/"
+FORGET_INTERVAL_S = 10.0
+
+_logger = logging.getLogger(__name__)
+
+
+class Controller:
+    """Owns the state of all jobs for one epoch.
+
+    Parameters
+    ----------
+    store_client : store.Store
+        The store.
+    timers : cranberryport.timers.Timers
+        Timers of the process.
+    executor_client : executors.ExecutorClient
+        Sends orders.
+    epoch : int
+        Epoch of this controller.
+    loaded : cranberryport.generated.node_settings.NodeSettings
+        Settings.
+    queues : dict of str to ordering.QueueRules
+        Rules in force.
+    on_superseded : callable
+        Called without arguments if there is a later controller.
+    """
+
+    __slots__ = (
+        "_cancelled",
+        "_epoch",
+        "_executor_client",
+        "_executors_reader",
+        "_is_ready",
+        "_is_stopped",
+        "_jobs_reader",
+        "_lease_s",
+        "_links",
+        "_loaded",
+        "_next_step",
+        "_on_superseded",
+        "_progress",
+        "_scheduler",
+        "_started_at",
+        "_store",
+        "_timers",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        *,
+        store_client,
+        timers,
+        executor_client,
+        epoch,
+        loaded,
+        queues,
+        on_superseded,
+    ):
+        self._store = store_client
+        self._timers = timers
+        self._executor_client = executor_client
+        self._epoch = epoch
+        self._loaded = loaded
+        self._on_superseded = on_superseded
+        self._lease_s = min(executor_link.LEASE_S, loaded.lease_most_ms / 1000)
+        self._started_at = time.monotonic()
+        # The previous controller may have renewed leases until now.
+        lapses_in_s = self._lease_s * 1.02 + 0.5
+        self._scheduler = scheduler.Scheduler(
+            takeover_lapses_at=self._started_at + lapses_in_s
+        )
+        self._scheduler.set_queues(queues)
+        self._links = {}
+        self._progress = {}
+        self._cancelled = set()
+        self._is_ready = False
+        self._is_stopped = False
+        self._next_step = None
+        self._writer = progress_writer.ProgressWriter(
+            store_client=store_client,
+            timers=timers,
+            epoch=epoch,
+            on_fenced=on_superseded,
+        )
+        self._jobs_reader = topic_reader.TopicReader(
+            store_client=store_client,
+            timers=timers,
+            topic=store.JOB_TOPIC,
+            on_snapshot=self._on_jobs_snapshot,
+            on_records=self._on_jobs,
+            wait_s=JOBS_WAIT_S,
+            gap_s=JOBS_GAP_S,
+        )
+        self._executors_reader = topic_reader.TopicReader(
+            store_client=store_client,
+            timers=timers,
+            topic=store.EXECUTOR_TOPIC,
+            on_snapshot=self._on_executors_snapshot,
+            on_records=self._on_executors,
+            wait_s=EXECUTORS_WAIT_S,
+            gap_s=EXECUTORS_GAP_S,
+        )
+
+    @property
+    def is_ready(self):
+        """Whether the state of the previous controller is known."""
+        return self._is_ready
+
+    @property
+    def scheduler(self):
+        """State of all jobs."""
+        return self._scheduler
+
+    @property
+    def epoch(self):
+        """Epoch of this controller."""
+        return self._epoch
+
+    @property
+    def links(self):
+        """Links to the executors by id."""
+        return self._links
+
+    def start(self):
+        """Take over: fence the previous controller, read the state, then decide."""
+        self._writer.fence(self._read_progress)
+
+    def stop(self):
+        """Decide nothing more."""
+        self._is_stopped = True
+        self._writer.stop()
+        self._jobs_reader.stop()
+        self._executors_reader.stop()
+        for link in self._links.values():
+            link.close()
+
+    def set_queues(self, queues):
+        """Take the rules of a new configuration."""
+        self._scheduler.set_queues(queues)
+
+    def answer(self, question):
+        """Answer a question of an entry instance.
+
+        Parameters
+        ----------
+        question : JobQuestion, QueueQuestion or AdmissionQuestion
+            The question.
+
+        Returns
+        -------
+        messages.ControllerReply
+            Not leading while the state is not known yet.
+        """
+        reply = messages.ControllerReply(number=question.number, is_leading=False)
+        if not self._is_ready or self._is_stopped:
+            return reply
+        if isinstance(question, messages.QueueQuestion):
+            reply.is_leading = self._is_current()
+            reply.waiting = self._scheduler.waiting_count(question.queue)
+            return reply
+        state = self._scheduler.state_of(question.job)
+        reply.is_leading = state is not None or self._is_current()
+        reply.state = state or ""
+        return reply
+
+    def _is_current(self):
+        confirmed_at = self._jobs_reader.confirmed_at
+        if confirmed_at is None:
+            return False
+        return time.monotonic() - confirmed_at < KNOWLEDGE_LIMIT_S
+
+    # Taking over
+
+    def _read_progress(self):
+        if self._is_stopped:
+            return
+        self._store.newest(
+            store.PROGRESS_TOPIC,
+            callback=self._on_progress,
+            timeout_s=READ_TIMEOUT_S,
+        )
+
+    def _on_progress(self, result):
+        if self._is_stopped:
+            return
+        if not isinstance(result, store.Newest):
+            is_new = isinstance(result, store.Refused) and result.status == 404
+            if not is_new:
+                _logger.warning("cannot read", extra={"reason": str(result)})
+                self._timers.after(READ_RETRY_S, self._read_progress)
+                return
+            result = store.Newest(records=[], end=0)
+        for key, value in result.records:
+            record = _decode(key, value, messages.ProgressStored)
+            if record is not None:
+                self._progress[key] = record
+        self._jobs_reader.start()
+
+    def _on_jobs_snapshot(self, found):
+        self._on_jobs(found)
+        if self._is_ready:
+            return
+        self._is_ready = True
+        self._progress = {}
+        taken_s = time.monotonic() - self._started_at
+        _logger.info(
+            "controller ready",
+            extra={
+                "epoch": self._epoch,
+                "jobs": len(self._scheduler.jobs),
+                "open": len(self._scheduler.open_jobs),
+                "taken_s": round(taken_s, 3),
+            },
+        )
+        self._executors_reader.start()
+        self._tick()
+
+    def _on_jobs(self, found):
+        wall = time.time()
+        for key, value in found:
+            if not value:
+                continue
+            if key.startswith(JOB_PREFIX):
+                record = _decode(key, value, messages.JobStored)
+                if record is not None:
+                    self._add_job(record, wall)
+            elif key.startswith(CANCEL_PREFIX):
+                self._cancel(key.removeprefix(CANCEL_PREFIX), wall)
+        self.wake()
+
+    def _add_job(self, record, wall):
+        if record.job in self._scheduler.jobs:
+            return
+        job = records.load_job(record)
+        progress = self._progress.get(record.job)
+        if progress is not None:
+            self._scheduler.restore_job(job, progress, wall)
+        else:
+            self._scheduler.add_job(job, wall)
+            _logger.info(
+                "job known",
+                extra={
+                    "request": job.id,
+                    "pool": job.service,
+                    "queue": job.queue,
+                    "age_s": round(wall - job.accepted_at, 3),
+                    "chain_s": round(job.chain_s, 3),
+                },
+            )
+        if record.job in self._cancelled:
+            self._scheduler.cancel_job(record.job, wall)
+
+    def _cancel(self, job_id, wall):
+        # The record of a cancel can be read before that of its job.
+        self._cancelled.add(job_id)
+        self._scheduler.cancel_job(job_id, wall)
+
+    # Executors
+
+    def _on_executors_snapshot(self, found):
+        listed = {key for key, value in found if value}
+        now = time.monotonic()
+        for executor_id in list(self._scheduler.executors):
+            if executor_id not in listed:
+                self._scheduler.unlist_executor(executor_id, now)
+        self._on_executors(found)
+
+    def _on_executors(self, found):
+        now = time.monotonic()
+        for key, value in dict(found).items():
+            executor, born = executors.read_entry(key, value, now)
+            if executor is None:
+                if value:
+                    _logger.warning("unusable entry", extra={"executor": key})
+                self._scheduler.unlist_executor(key, now)
+                continue
+            known = self._scheduler.executors.get(key)
+            kept = self._scheduler.see_executor(executor, now)
+            if born is not None and kept.born not in (None, born):
+                self._scheduler.restarted(kept, born)
+            if born is not None:
+                kept.born = born
+            if kept is not known:
+                self._open_link(kept)
+        self.wake()
+
+    def _open_link(self, executor):
+        previous = self._links.pop(executor.id, None)
+        if previous is not None:
+            previous.close()
+        link = executor_link.ExecutorLink(
+            executor=executor,
+            scheduler_=self._scheduler,
+            client=self._executor_client,
+            timers=self._timers,
+            fence=self._epoch,
+            lease_s=self._lease_s,
+            on_news=self.wake,
+            on_superseded=self._on_superseded,
+        )
+        self._links[executor.id] = link
+        link.open()
+
+    # Deciding
+
+    def wake(self):
+        """Decide soon."""
+        if self._next_step is None and not self._is_stopped:
+            self._next_step = self._timers.after(STEP_GAP_S, self._step)
+
+    def _tick(self):
+        if not self._is_stopped:
+            self._timers.after(TICK_S, self._tick)
+            self.wake()
+
+    def _step(self):
+        self._next_step = None
+        if self._is_stopped or not self._is_ready:
+            return
+        now, wall = time.monotonic(), time.time()
+        self._scheduler.expire(now, wall)
+        for executor_id in list(self._links):
+            if executor_id not in self._scheduler.executors:
+                self._links.pop(executor_id).close()
+        if not self._writer.is_busy:
+            self._scheduler.plan(now, wall)
+            self._store_batch()
+        for run in self._scheduler.take_stops():
+            link = self._links.get(run.executor)
+            if link is not None:
+                link.stop(run)
+
+    def _store_batch(self):
+        batch = self._scheduler.take_batch()
+        if batch.is_empty:
+            return
+        if batch.stored:
+            self._writer.write(batch.stored, lambda: self._on_stored(batch))
+        else:
+            self._on_stored(batch)
+
+    def _on_stored(self, batch):
+        now = time.monotonic()
+        for run in self._scheduler.commit(batch, now):
+            link = self._links.get(run.executor)
+            if link is None:
+                continue
+            _logger.info(
+                "run start",
+                extra={
+                    "request": run.task.job.id,
+                    "task": run.task.name,
+                    "run": run.number,
+                    "executor": run.executor,
+                    "pool": run.task.job.service,
+                },
+            )
+            link.start(run)
+        self.wake()
+
+
+def _decode(key, value, expected):
+    if not value:
+        return None
+    try:
+        record = codec.decode(value)
+    except codec.DecodeError as error:
+        _logger.error("unreadable record", extra={"key": key, "reason": str(error)})
+        return None
+    if not isinstance(record, expected):
+        _logger.error("unexpected record", extra={"key": key})
+        return None
+    return record
--- /dev/null
+++ b/cranberryport/control/executor_link.py
@@ -0,0 +1,277 @@
+"""Orders to one executor, and the loop that renews its lease and lists its runs."""
+
+import logging
+import time
+
+from cranberryport.platform import executors
+from cranberryport.scheduling import model
+
+# Long enough that a successor finds all runs alive after the loss of a controller.
+LEASE_S = 4.0
+ORDER_TIMEOUT_S = 0.7
+LIST_TIMEOUT_S = 0.8
+BUSY_WAIT_S = 1.0
+IDLE_WAIT_S = 2.0
+# Ends that come within this time share one list; each list has a price.
+LIST_GAP_S = 0.06
+# Ends are listed again until they are acknowledged, so a list waits for their storing.
+ACKNOWLEDGE_WAIT_S = 0.3
+SILENT_RETRY_S = 0.25
+
+_logger = logging.getLogger(__name__)
+
+
+class ExecutorLink:
+    """Talks with one executor.
+
+    Parameters
+    ----------
+    executor : cranberryport.scheduling.executors.Executor
+        The executor.
+    scheduler_ : scheduler.Scheduler
+        State of all jobs.
+    client : executors.ExecutorClient
+        Sends the orders.
+    timers : cranberryport.timers.Timers
+        Timers of the process.
+    fence : int
+        Epoch of the controller.
+    lease_s : float
+        Length of the lease.
+    on_news : callable
+        Called after each answer that changes what is known.
+    on_superseded : callable
+        Called if the executor obeys a later controller.
+    """
+
+    __slots__ = (
+        "_asked_at",
+        "_client",
+        "_executor",
+        "_fence",
+        "_is_asking",
+        "_is_silent",
+        "_is_stopped",
+        "_lease_s",
+        "_on_news",
+        "_on_superseded",
+        "_scheduler",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        *,
+        executor,
+        scheduler_,
+        client,
+        timers,
+        fence,
+        lease_s,
+        on_news,
+        on_superseded,
+    ):
+        self._executor = executor
+        self._scheduler = scheduler_
+        self._client = client
+        self._timers = timers
+        self._fence = fence
+        self._lease_s = lease_s
+        self._on_news = on_news
+        self._on_superseded = on_superseded
+        self._is_stopped = False
+        self._is_silent = False
+        self._is_asking = False
+        self._asked_at = 0.0
+
+    @property
+    def executor(self):
+        """The executor."""
+        return self._executor
+
+    def open(self):
+        """Begin to list its runs."""
+        self._ask()
+
+    def close(self):
+        """Send nothing more; answers that still come are dropped."""
+        self._is_stopped = True
+
+    def start(self, run):
+        """Send the start of a stored run."""
+        now = time.monotonic()
+        validity_s = run.start_expires - now
+        if self._is_stopped or run.state != model.ORDERED or validity_s <= 0:
+            return
+        if run.deadline_ms is None:
+            run.deadline_ms = self._executor.deadline_for(now, validity_s)
+        self._client.start(
+            self._executor,
+            run,
+            deadline_ms=run.deadline_ms,
+            fence=self._fence,
+            callback=lambda answer: self._on_start(run, answer),
+            timeout_s=min(ORDER_TIMEOUT_S, validity_s),
+        )
+
+    def stop(self, run):
+        """Send the stop of a run."""
+        if self._is_stopped:
+            return
+        run.stop_sent_at = time.monotonic()
+        self._client.stop(
+            self._executor,
+            run.task.name,
+            run.number,
+            fence=self._fence,
+            callback=lambda answer: self._on_stop(run, answer),
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+
+    def pace(self, run, percent):
+        """Send the pace of a run."""
+        if self._is_stopped:
+            return
+        self._client.pace(
+            self._executor,
+            run,
+            percent,
+            fence=self._fence,
+            callback=lambda answer: self._on_pace(run, percent, answer),
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+
+    def _on_start(self, run, answer):
+        if self._is_stopped:
+            return
+        now = time.monotonic()
+        if isinstance(answer, executors.NoAnswer):
+            self._timers.after(0.05, lambda: self.start(run))
+            return
+        if self._is_other_life(answer):
+            return
+        if answer.is_accepted:
+            self._scheduler.on_started(run, now)
+        else:
+            _logger.info(
+                "start refused",
+                extra={
+                    "request": run.task.job.id,
+                    "task": run.task.name,
+                    "run": run.number,
+                    "executor": self._executor.id,
+                    "reason": answer.refusal,
+                },
+            )
+            self._scheduler.on_start_refused(run, answer.refusal, now)
+        self._on_news()
+
+    def _on_stop(self, run, answer):
+        if self._is_stopped or isinstance(answer, executors.NoAnswer):
+            return
+        if self._is_other_life(answer):
+            return
+        if answer.is_accepted:
+            self._scheduler.on_stopped(run, time.monotonic())
+
+    def _on_pace(self, run, percent, answer):
+        if self._is_stopped or isinstance(answer, executors.NoAnswer):
+            return
+        if not self._is_other_life(answer) and answer.is_accepted:
+            run.pace = percent
+
+    def _is_other_life(self, answer):
+        """Handle answers of another life of the executor, or for another controller."""
+        executor = self._executor
+        if answer.refusal == "fenced":
+            self._on_superseded()
+            return True
+        if answer.refusal == "other_instance":
+            # The address serves another executor now; the entry in the list tells
+            # which, and the lease decides about the runs.
+            executor.refused_until = time.monotonic() + SILENT_RETRY_S
+            return True
+        if answer.born is not None and executor.born != answer.born:
+            if executor.born is not None:
+                self._scheduler.restarted(executor, answer.born)
+            executor.born = answer.born
+        return False
+
+    def _ask(self):
+        if self._is_stopped or self._is_asking:
+            return
+        executor = self._executor
+        now = self._asked_at = time.monotonic()
+        deadline_ms = None
+        if executor.clock_ms is not None and not self._is_silent:
+            deadline_ms = executor.deadline_for(now, self._lease_s)
+        wait_s = BUSY_WAIT_S if executor.runs else IDLE_WAIT_S
+        if executor.clock_ms is None or self._is_silent:
+            wait_s = 0.0
+        self._is_asking = True
+        self._client.list_runs(
+            executor,
+            deadline_ms=deadline_ms,
+            fence=self._fence,
+            wait_s=wait_s,
+            callback=self._on_list,
+            timeout_s=LIST_TIMEOUT_S,
+        )
+
+    def _on_list(self, answer):
+        self._is_asking = False
+        if self._is_stopped:
+            return
+        now = time.monotonic()
+        executor = self._executor
+        if isinstance(answer, executors.NoAnswer):
+            self._note_silence(answer.reason)
+            return
+        if self._is_other_life(answer) or not answer.is_accepted:
+            self._timers.after(SILENT_RETRY_S, self._ask)
+            return
+        if self._is_silent:
+            self._is_silent = False
+            _logger.info("executor regained", extra={"executor": executor.id})
+        is_first = executor.clock_ms is None
+        if answer.clock_ms is not None:
+            executor.read_clock(answer.clock_ms, now)
+        executor.is_fenced = True
+        unknown = self._scheduler.on_list(
+            executor, answer, asked_at=self._asked_at, now=now, wall=time.time()
+        )
+        for task, run in unknown:
+            _logger.info(
+                "stopping unknown run",
+                extra={"task": task, "run": run, "executor": executor.id},
+            )
+            self._client.stop(
+                executor,
+                task,
+                run,
+                fence=self._fence,
+                callback=lambda _: None,
+                timeout_s=ORDER_TIMEOUT_S,
+            )
+        self._on_news()
+        if is_first:
+            self._ask()
+        else:
+            self._timers.after(LIST_GAP_S, self._ask_when_stored)
+
+    def _ask_when_stored(self):
+        executor = self._executor
+        waited_s = time.monotonic() - executor.last_answer
+        if executor.acked < executor.stored_end and waited_s < ACKNOWLEDGE_WAIT_S:
+            self._timers.after(0.01, self._ask_when_stored)
+        else:
+            self._ask()
+
+    def _note_silence(self, reason):
+        if not self._is_silent:
+            self._is_silent = True
+            _logger.warning(
+                "executor lost",
+                extra={"executor": self._executor.id, "reason": reason},
+            )
+        self._timers.after(SILENT_RETRY_S, self._ask)
--- /dev/null
+++ b/cranberryport/control/membership.py
@@ -0,0 +1,176 @@
+"""Membership of the group whose member for the control partition is the controller."""
+
+import logging
+import time
+
+from cranberryport.platform import store
+
+GROUP = "controllers"
+# Takeover after a loss takes this long and a join; joins may fail four times in between.
+TTL_S = 2.0
+JOIN_INTERVAL_S = 0.4
+JOIN_TIMEOUT_S = 1.5
+OWNERS_TIMEOUT_S = 1.0
+OWNERS_INTERVAL_S = 0.3
+CONTROL_PARTITION = 0
+
+_logger = logging.getLogger(__name__)
+
+
+class Membership:
+    """Keeps this process in the group and knows who the controller is.
+
+    Parameters
+    ----------
+    store_client : store.Store
+        The store.
+    timers : cranberryport.timers.Timers
+        Timers of the process.
+    member : str
+        Address of this process for the others, as ``host:port``.
+    ttl_s : float
+        Seconds without a join after which the store gives the partition to another.
+    on_gained : callable
+        Called with the epoch when this process becomes the controller.
+    on_lost : callable
+        Called without arguments when it is not the controller any more.
+    """
+
+    __slots__ = (
+        "_asked_at",
+        "_controller",
+        "_epoch",
+        "_generation",
+        "_is_stopped",
+        "_joined_at",
+        "_member",
+        "_newest_join",
+        "_on_gained",
+        "_on_lost",
+        "_pending",
+        "_store",
+        "_timers",
+        "_ttl_s",
+    )
+
+    def __init__(
+        self, *, store_client, timers, member, on_gained, on_lost, ttl_s=TTL_S
+    ):
+        self._store = store_client
+        self._timers = timers
+        self._member = member
+        self._ttl_s = ttl_s
+        self._on_gained = on_gained
+        self._on_lost = on_lost
+        self._generation = 0
+        self._epoch = None
+        self._controller = None
+        self._asked_at = 0.0
+        self._joined_at = None
+        self._newest_join = 0.0
+        self._pending = 0
+        self._is_stopped = False
+
+    @property
+    def epoch(self):
+        """Epoch of this process as controller, None if it is not the controller."""
+        return self._epoch
+
+    @property
+    def joined_at(self):
+        """Monotonic time at which the last successful join was sent, or None."""
+        return self._joined_at
+
+    @property
+    def controller(self):
+        """Address of the controller as far as known, as ``host:port``, or None."""
+        return self._member if self._epoch is not None else self._controller
+
+    @property
+    def is_certain(self):
+        """Whether no other process can own the partition by now."""
+        if self._epoch is None or self._joined_at is None:
+            return False
+        return time.monotonic() - self._joined_at < self._ttl_s
+
+    def start(self):
+        """Join the group."""
+        self._tick()
+
+    def stop(self, callback):
+        """Leave the group; the callback is called when the store has answered."""
+        self._is_stopped = True
+        self._lose()
+        self._store.leave(
+            GROUP,
+            self._member,
+            callback=lambda _: callback(),
+            timeout_s=JOIN_TIMEOUT_S,
+        )
+
+    def step_down(self):
+        """Stop being the controller until the store says so again."""
+        self._lose()
+
+    def find_controller(self):
+        """Ask the store who the controller is, unless that was just asked."""
+        now = time.monotonic()
+        if self._is_stopped or now - self._asked_at < OWNERS_INTERVAL_S:
+            return
+        self._asked_at = now
+        self._store.owners(GROUP, callback=self._on_owners, timeout_s=OWNERS_TIMEOUT_S)
+
+    def _tick(self):
+        if self._is_stopped:
+            return
+        self._timers.after(JOIN_INTERVAL_S, self._tick)
+        if self._controller is None and self._epoch is None and self._generation:
+            self.find_controller()
+        if self._pending > 2:
+            return
+        self._pending += 1
+        sent_at = time.monotonic()
+        self._store.join(
+            GROUP,
+            self._member,
+            store.CONTROL_TOPIC,
+            ttl_s=self._ttl_s,
+            generation=self._generation,
+            callback=lambda result: self._on_joined(result, sent_at),
+            timeout_s=JOIN_TIMEOUT_S,
+        )
+
+    def _on_joined(self, result, sent_at):
+        self._pending -= 1
+        if self._is_stopped or not isinstance(result, store.Membership):
+            return
+        if sent_at < self._newest_join or result.generation < self._generation:
+            # A slow answer to an earlier join says nothing about the present.
+            return
+        self._newest_join = sent_at
+        self._joined_at = sent_at
+        if result.generation != self._generation:
+            self._generation = result.generation
+            self._controller = None
+        is_owner = CONTROL_PARTITION in result.partitions
+        if is_owner and self._epoch is None:
+            self._epoch = result.generation
+            _logger.info("controller role gained", extra={"epoch": self._epoch})
+            self._on_gained(self._epoch)
+        elif not is_owner:
+            self._lose()
+
+    def _lose(self):
+        if self._epoch is not None:
+            _logger.info("controller role lost", extra={"epoch": self._epoch})
+            self._epoch = None
+            self._on_lost()
+
+    def _on_owners(self, result):
+        if isinstance(result, store.Owners):
+            found = result.members.get(CONTROL_PARTITION) or None
+            if found == self._member and self._epoch is None:
+                found = None
+            if found != self._controller:
+                _logger.info("controller found", extra={"controller": found})
+            self._controller = found
--- /dev/null
+++ b/cranberryport/control/topic_reader.py
@@ -0,0 +1,129 @@
+"""Follows a keyed topic: the newest record of each key, then every change."""
+
+import logging
+import time
+
+from cranberryport.platform import store
+
+SNAPSHOT_TIMEOUT_S = 2.0
+RETRY_DELAY_S = 0.15
+
+_logger = logging.getLogger(__name__)
+
+
+class TopicReader:
+    """Reads one topic for one owner.
+
+    Parameters
+    ----------
+    store_client : store.Store
+        The store.
+    timers : cranberryport.timers.Timers
+        Timers of the process.
+    topic : str
+        Name of the topic.
+    on_snapshot : callable
+        Called with the newest records whenever the reader starts anew.
+    on_records : callable
+        Called with the records that follow, in order.
+    wait_s : float
+        Longest time that the store holds a read back.
+    gap_s : float
+        Shortest time between two reads, which bounds the calls while many records come.
+    """
+
+    __slots__ = (
+        "_confirmed_at",
+        "_gap_s",
+        "_is_lost",
+        "_is_stopped",
+        "_on_records",
+        "_on_snapshot",
+        "_position",
+        "_sent_at",
+        "_store",
+        "_timers",
+        "_topic",
+        "_wait_s",
+    )
+
+    def __init__(
+        self, *, store_client, timers, topic, on_snapshot, on_records, wait_s, gap_s
+    ):
+        self._store = store_client
+        self._timers = timers
+        self._topic = topic
+        self._on_snapshot = on_snapshot
+        self._on_records = on_records
+        self._wait_s = wait_s
+        self._gap_s = gap_s
+        self._position = None
+        self._confirmed_at = None
+        self._sent_at = 0.0
+        self._is_stopped = False
+        self._is_lost = False
+
+    @property
+    def confirmed_at(self):
+        """Monotonic time up to which everything is known; None before the snapshot."""
+        return self._confirmed_at
+
+    def start(self):
+        """Begin to read."""
+        self._ask()
+
+    def stop(self):
+        """Read no more; answers that still come are dropped."""
+        self._is_stopped = True
+
+    def _ask(self):
+        if self._is_stopped:
+            return
+        self._sent_at = time.monotonic()
+        if self._position is None:
+            self._store.newest(
+                self._topic, callback=self._finish, timeout_s=SNAPSHOT_TIMEOUT_S
+            )
+        else:
+            self._store.read(
+                self._topic,
+                self._position,
+                callback=self._finish,
+                wait_s=self._wait_s,
+            )
+
+    def _finish(self, result):
+        if self._is_stopped:
+            return
+        if isinstance(result, store.Newest):
+            self._note_success()
+            self._position = result.end
+            self._on_snapshot(result.records)
+            self._ask()
+        elif isinstance(result, store.Records):
+            self._note_success()
+            self._position = result.next
+            if result.records:
+                self._on_records(result.records)
+            spent_s = time.monotonic() - self._sent_at
+            self._timers.after(self._gap_s - spent_s, self._ask)
+        elif isinstance(result, store.Expired):
+            _logger.info("history expired", extra={"topic": self._topic})
+            self._position = None
+            self._ask()
+        else:
+            self._note_failure(result)
+            self._timers.after(RETRY_DELAY_S, self._ask)
+
+    def _note_success(self):
+        self._confirmed_at = self._sent_at
+        if self._is_lost:
+            self._is_lost = False
+            _logger.info("store regained", extra={"topic": self._topic})
+
+    def _note_failure(self, result):
+        if not self._is_lost:
+            self._is_lost = True
+            _logger.warning(
+                "store lost", extra={"topic": self._topic, "reason": str(result)}
+            )
--- /dev/null
+++ b/cranberryport/http/connection_pool.py
@@ -0,0 +1,106 @@
+"""Requests with callbacks over kept connections."""
+
+import collections
+import itertools
+import time
+
+from circuits import BaseComponent, handler
+
+from cranberryport.http import connection
+
+# More idle connections than this to one address are closed.
+IDLE_LIMIT = 8
+
+
+class ConnectionPool(BaseComponent):
+    """Sends requests over kept connections, one request in flight on each.
+
+    Parameters
+    ----------
+    client : cranberryport.http.connection.Client
+        Owner of the sockets.
+    name : str
+        Distinguishes the pools of a process.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, *, client, name):
+        super().__init__(channel=f"pool-{name}-{next(self._numbers)}")
+        self._client = client
+        self._idle = collections.defaultdict(list)
+        self._connects = 0
+
+    @property
+    def connect_count(self):
+        """Connections made so far."""
+        return self._connects
+
+    def send(
+        self,
+        address,
+        method,
+        target,
+        *,
+        callback,
+        timeout_s,
+        body=b"",
+        headers=(),
+        limit_bytes=connection.ANSWER_BODY_LIMIT_BYTES,
+    ):
+        """Send a request.
+
+        Parameters
+        ----------
+        address : tuple of (str, int)
+            IP address and port.
+        method, target : str
+            Request line.
+        callback : callable
+            Called once with an ``Answer`` or a ``Failed``.
+        timeout_s : float
+            Seconds for everything, connecting included.
+        body : bytes
+            The whole body.
+        headers : list of (bytes, bytes)
+            Further headers.
+        limit_bytes : int
+            Largest body of an answer.
+        """
+        exchange = connection.Exchange(
+            method=method,
+            target=target,
+            headers=headers,
+            body=body,
+            deadline=time.monotonic() + timeout_s,
+            reply_channel=self.channel,
+            context=callback,
+            answer_limit_bytes=limit_bytes,
+        )
+        self._send(address, exchange)
+
+    def close_idle(self, address):
+        """Close the idle connections to an address that is not used any more."""
+        for held in self._idle.pop(address, []):
+            held.close()
+
+    def _send(self, address, exchange):
+        idle = self._idle[address]
+        while idle:
+            held = idle.pop()
+            if held.is_idle and not held.close_if_stale():
+                held.send(exchange)
+                return
+        self._connects += 1
+        self._client.connect(host=address[0], port=address[1]).send(exchange)
+
+    @handler("exchange_done")
+    def _on_exchange_done(self, exchange):
+        ended = exchange.connection
+        if ended.is_idle:
+            idle = self._idle[ended.address]
+            if len(idle) < IDLE_LIMIT:
+                idle.append(ended)
+            else:
+                ended.close()
+        exchange.context(exchange.result)
--- /dev/null
+++ b/cranberryport/node.py
@@ -0,0 +1,250 @@
+"""An entry instance on the users' platform: front, controller and their state."""
+
+import argparse
+import logging
+import pathlib
+import signal
+import sys
+import time
+
+from circuits import BaseComponent, handler
+from circuits.core import pollers
+
+from cranberryport import node_logs, node_metrics, node_settings, timers
+from cranberryport.control import controller, membership, questions, topic_reader
+from cranberryport.http import connection, connection_pool, limits, server
+from cranberryport.platform import configuration, executors, front, store
+
+BAD_SETTINGS_EXIT_CODE = 2
+CONFIGURATION_WAIT_S = 1.0
+CONFIGURATION_GAP_S = 0.05
+# Callers are sent to other instances if the store was not reached for this time.
+STORE_SILENCE_S = 2.5
+DRAIN_POLL_S = 0.05
+# Time that is left of the grace period when the process ends by itself.
+GRACE_MARGIN_S = 1.0
+# The balancer needs two failed checks, one a second, before it sends nobody any more.
+LEAVE_ROTATION_S = 2.2
+
+_logger = logging.getLogger(__name__)
+
+
+class ReadinessServer(server.StrictServer):
+    """Server for the balancer's checks."""
+
+    channel = "readiness"
+
+
+class MetricsServer(server.StrictServer):
+    """Server for metrics."""
+
+    channel = "metrics"
+
+
+class Node(BaseComponent):
+    """Puts the components of an entry instance together.
+
+    Parameters
+    ----------
+    loaded : cranberryport.generated.node_settings.NodeSettings
+        Checked settings.
+    """
+
+    channel = "node"
+
+    def __init__(self, *, loaded):
+        super().__init__()
+        self._loaded = loaded
+        self._configuration = None
+        self._controller = None
+        self._stop_at = None
+        pollers.EPoll().register(self)
+        self._timers = timers.Timers().register(self)
+        self._sockets = connection.Client(timers=self._timers).register(self)
+        self._metrics = node_metrics.NodeMetrics()
+        self._store = store.Store(
+            pool=self._make_pool("store"),
+            address=node_settings.parse_address(loaded.store, "store"),
+        )
+        self._executor_client = executors.ExecutorClient(
+            pool=self._make_pool("executors")
+        )
+        self._membership = membership.Membership(
+            store_client=self._store,
+            timers=self._timers,
+            member=f"{loaded.peer_host}:{loaded.peer_port}",
+            ttl_s=max(membership.TTL_S, loaded.membership_ttl_least_ms / 1000),
+            on_gained=self._on_gained,
+            on_lost=self._on_lost,
+        )
+        self._questions = questions.Questions(
+            watcher=self._sockets,
+            timers=self._timers,
+            host=loaded.peer_host,
+            port=loaded.peer_port,
+            membership=self._membership,
+            local=lambda: self._controller,
+        )
+        self._configuration_reader = topic_reader.TopicReader(
+            store_client=self._store,
+            timers=self._timers,
+            topic=store.OPERATOR_TOPIC,
+            on_snapshot=self._on_operator_records,
+            on_records=self._on_operator_records,
+            wait_s=CONFIGURATION_WAIT_S,
+            gap_s=CONFIGURATION_GAP_S,
+        )
+        self._make_servers(loaded)
+
+    def _make_pool(self, name):
+        pool = connection_pool.ConnectionPool(client=self._sockets, name=name)
+        return pool.register(self)
+
+    def _make_servers(self, loaded):
+        self._front = front.Front(
+            configuration=lambda: self._configuration,
+            store_client=self._store,
+            questions=self._questions,
+            timers=self._timers,
+            metrics=self._metrics,
+        ).register(self)
+        bounds = limits.Limits(connections=loaded.connections)
+        few = limits.Limits(connections=32)
+        host, port = node_settings.parse_address(loaded.front, "front")
+        self._server = server.StrictServer(
+            timers=self._timers, host=host, port=port, limits=bounds
+        ).register(self)
+        host, port = node_settings.parse_address(loaded.readiness, "readiness")
+        ReadinessServer(timers=self._timers, host=host, port=port, limits=few).register(
+            self
+        )
+        MetricsServer(
+            timers=self._timers,
+            host=loaded.peer_host,
+            port=loaded.metrics_port,
+            limits=few,
+        ).register(self)
+
+    @property
+    def is_ready(self):
+        """Whether callers should be sent here."""
+        if self._configuration is None or self._stop_at is not None:
+            return False
+        confirmed_at = self._configuration_reader.confirmed_at
+        return time.monotonic() - confirmed_at < STORE_SILENCE_S
+
+    @handler("started", channel="*")
+    def _on_started(self, *_):
+        self._questions.start()
+        self._configuration_reader.start()
+        self._membership.start()
+
+    def _on_operator_records(self, found):
+        for key, value in found:
+            if key == configuration.CONFIGURATION_KEY:
+                self._take_configuration(value)
+
+    def _take_configuration(self, value):
+        found = configuration.read(value)
+        if found is None:
+            _logger.error("unreadable configuration")
+            return
+        if self._configuration and found.version <= self._configuration.version:
+            return
+        self._configuration = found
+        _logger.info("configuration in force", extra={"version": found.version})
+        if self._controller is not None:
+            self._controller.set_queues(found.queues)
+
+    def _on_gained(self, epoch):
+        queues = self._configuration.queues if self._configuration else {}
+        self._controller = controller.Controller(
+            store_client=self._store,
+            timers=self._timers,
+            executor_client=self._executor_client,
+            epoch=epoch,
+            loaded=self._loaded,
+            queues=queues,
+            on_superseded=self._membership.step_down,
+        )
+        self._controller.start()
+
+    def _on_lost(self):
+        if self._controller is not None:
+            self._controller.stop()
+            self._controller = None
+
+    @handler("request", channel="readiness")
+    def _on_readiness(self, request, response):
+        response.status = 200 if self.is_ready else 503
+        response.body = "ready\n" if self.is_ready else "not ready\n"
+        return response
+
+    @handler("request", channel="metrics")
+    def _on_metrics(self, request, response):
+        self._metrics.gauge("store.calls", self._store.call_count)
+        self._metrics.gauge("front.in_progress", self._front.in_progress_count)
+        self._metrics.gauge("controller.is_leading", int(self._controller is not None))
+        response.headers["Content-Type"] = "text/plain"
+        response.body = self._metrics.render()
+        return response
+
+    @handler("signal", channel="*", priority=10)
+    def _on_signal(self, event, number, stack):
+        event.stop()
+        if number == signal.SIGHUP:
+            # Nothing of the settings can change while the process runs; the platform
+            # starts it anew for another address.
+            _logger.info("reload")
+            return
+        if number not in (signal.SIGTERM, signal.SIGINT) or self._stop_at is not None:
+            return
+        now = time.monotonic()
+        self._stop_at = now + self._loaded.grace_s - GRACE_MARGIN_S
+        _logger.info("stopping", extra={"signal": number})
+        self._membership.stop(lambda: None)
+        self._timers.after(LEAVE_ROTATION_S, self._stop_taking)
+
+    def _stop_taking(self):
+        self._server.stop_accepting()
+        self._wait_for_requests()
+
+    def _wait_for_requests(self):
+        is_over = time.monotonic() > self._stop_at
+        if self._front.in_progress_count and not is_over:
+            self._timers.after(DRAIN_POLL_S, self._wait_for_requests)
+            return
+        _logger.info("stopped", extra={"open": self._front.in_progress_count})
+        self.stop()
+
+
+def main(arguments=None):
+    """Run an entry instance until it is told to stop.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Command-line arguments; None for those of the process.
+
+    Returns
+    -------
+    int
+        Exit code; 2 for settings with an error, which is printed.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--settings", required=True, type=pathlib.Path)
+    options = parser.parse_args(arguments)
+    try:
+        loaded = node_settings.load(options.settings)
+    except node_settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        return BAD_SETTINGS_EXIT_CODE
+    node_logs.configure(instance=loaded.instance, level=loaded.log_level)
+    node = Node(loaded=loaded)
+    _logger.info("started", extra={"data_centre": loaded.data_centre})
+    node.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cranberryport/node_metrics.py
@@ -0,0 +1,43 @@
+"""Counters and latency histograms as text."""
+
+import bisect
+import collections
+
+# Upper bounds of the histograms' buckets in seconds; the last one has no bound.
+BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class NodeMetrics:
+    """Counters and histograms of one process."""
+
+    __slots__ = ("_counters", "_gauges", "_histograms")
+
+    def __init__(self):
+        self._counters = collections.Counter()
+        self._gauges = {}
+        self._histograms = {}
+
+    def count(self, name, number=1):
+        """Add to a counter."""
+        self._counters[name] += number
+
+    def gauge(self, name, value):
+        """Set a gauge."""
+        self._gauges[name] = value
+
+    def observe(self, name, seconds):
+        """Add a duration to a histogram."""
+        buckets = self._histograms.setdefault(name, [0] * (len(BUCKETS_S) + 1))
+        buckets[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+
+    def render(self):
+        """Return everything as lines of name and value."""
+        lines = [f"{name} {value}" for name, value in sorted(self._counters.items())]
+        lines += [f"{name} {value}" for name, value in sorted(self._gauges.items())]
+        for name, buckets in sorted(self._histograms.items()):
+            bounds = [*map(str, BUCKETS_S), "inf"]
+            lines += [
+                f"{name}.le.{bound} {sum(buckets[: i + 1])}"
+                for i, bound in enumerate(bounds)
+            ]
+        return "\n".join(lines) + "\n"
--- a/cranberryport/peer_link.py
+++ b/cranberryport/peer_link.py
@@ -15,6 +15,7 @@
 MESSAGE_LIMIT_BYTES = 2 * 1024 * 1024
 READ_SIZE_BYTES = 64 * 1024
 OUTGOING_LIMIT_BYTES = 8 * 1024 * 1024
+BACKLOG = 64
 PATH = "/peer"
 
 
@@ -221,3 +222,44 @@
             self._watcher.start_writing(self._sock)
         else:
             self._watcher.stop_writing(self._sock)
+
+
+class Listener:
+    """Accepts peers' connections."""
+
+    __slots__ = ("_on_accepted", "_sock", "_watcher")
+
+    def __init__(self, *, watcher, host, port, on_accepted):
+        self._watcher = watcher
+        self._on_accepted = on_accepted
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind((host, port))
+        self._sock.listen(BACKLOG)
+        self._sock.setblocking(False)
+
+    @property
+    def port(self):
+        """TCP port."""
+        return self._sock.getsockname()[1]
+
+    def start(self):
+        """Begin to accept."""
+        self._watcher.adopt(self._sock, self)
+        self._watcher.stop_writing(self._sock)
+
+    def on_readable(self):
+        """Accept one connection."""
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            return
+        self._on_accepted(sock)
+
+    def on_writable(self):
+        """Do nothing; a listening socket is never written to."""
+
+    def on_disconnected(self):
+        """Do nothing; the socket is closed with the process."""
+
+    close = on_disconnected
--- a/cranberryport/peers.py
+++ b/cranberryport/peers.py
@@ -1,7 +1,6 @@
 """Full mesh of connections between the entry instances."""
 
 import logging
-import socket
 import time
 
 from circuits import BaseComponent, Event, handler
@@ -28,47 +27,6 @@
     """
 
 
-class _Listener:
-    """Accepts peers' connections."""
-
-    __slots__ = ("_on_accepted", "_sock", "_watcher")
-
-    def __init__(self, *, watcher, host, port, on_accepted):
-        self._watcher = watcher
-        self._on_accepted = on_accepted
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind((host, port))
-        self._sock.listen(BACKLOG)
-        self._sock.setblocking(False)
-
-    @property
-    def port(self):
-        """TCP port."""
-        return self._sock.getsockname()[1]
-
-    def start(self):
-        """Begin to accept."""
-        self._watcher.adopt(self._sock, self)
-        self._watcher.stop_writing(self._sock)
-
-    def on_readable(self):
-        """Accept one connection."""
-        try:
-            sock, _ = self._sock.accept()
-        except OSError:
-            return
-        self._on_accepted(sock)
-
-    def on_writable(self):
-        """Do nothing; a listening socket is never written to."""
-
-    def on_disconnected(self):
-        """Do nothing; the socket is closed with the process."""
-
-    close = on_disconnected
-
-
 class _Peer:
     """What is known of a peer from its own messages."""
 
@@ -106,7 +64,7 @@
         self._watcher = watcher
         self._timers = timers
         self._instance = instance
-        self._listener = _Listener(
+        self._listener = peer_link.Listener(
             watcher=watcher, host=host, port=port, on_accepted=self._on_accepted
         )
         self._peers = {}
--- /dev/null
+++ b/cranberryport/platform/bodies.py
@@ -0,0 +1,53 @@
+"""Bodies of the platform's calls."""
+
+import msgspec
+
+from cranberryport.http import connection
+
+JSON_HEADERS = ((b"content-type", b"application/json"),)
+
+
+def encode(fields):
+    """Return a body."""
+    return msgspec.json.encode(fields)
+
+
+def decode(data):
+    """Return the map of a body, None if it is no map."""
+    try:
+        fields = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return fields if isinstance(fields, dict) else None
+
+
+def read_answer(result):
+    """Return status and fields of a finished exchange.
+
+    Parameters
+    ----------
+    result : Answer or Failed
+        Result of the exchange.
+
+    Returns
+    -------
+    tuple of (int, dict)
+        Status 0 if no whole answer came; no fields if the body is no map.
+    """
+    if not isinstance(result, connection.Answer):
+        return 0, {}
+    return result.status, decode(result.body) or {}
+
+
+def integer(fields, name, default=0):
+    """Return a whole number of a map, a default if it is none."""
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return default
+    return int(value)
+
+
+def text(fields, name, default=""):
+    """Return a text of a map, a default if it is none."""
+    value = fields.get(name, default)
+    return value if isinstance(value, str) else default
--- /dev/null
+++ b/cranberryport/platform/submissions.py
@@ -0,0 +1,113 @@
+"""Jobs as callers hand them in."""
+
+import re
+
+from cranberryport.platform import bodies
+from cranberryport.scheduling import model
+
+ID_PATTERN = re.compile(r"[0-9a-f]{16}\Z")
+SPEC_LIMIT_BYTES = 4000
+STEPS_LIMIT = 100
+TASKS_LIMIT = 10_000
+
+
+class InvalidJob(ValueError):
+    """A job that cannot be read; the text names the field."""
+
+
+def read(job_id, body, *, queue, service, wall):
+    """Return the job of a request.
+
+    Parameters
+    ----------
+    job_id : str
+        Id in the path.
+    body : bytes
+        Body of the request.
+    queue, service : str
+        Queue of the request and its service.
+    wall : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    model.Job
+        The job.
+
+    Raises
+    ------
+    InvalidJob
+        If a field is missing or has another type.
+    """
+    fields = bodies.decode(body)
+    if fields is None:
+        raise InvalidJob("the body is no JSON object")
+    spec = fields.get("Spec", "")
+    if not isinstance(spec, str) or len(spec.encode()) > SPEC_LIMIT_BYTES:
+        raise InvalidJob(f"Spec; allowed: a text of up to {SPEC_LIMIT_BYTES} bytes")
+    rows = fields.get("Steps")
+    if not isinstance(rows, list) or not 0 < len(rows) <= STEPS_LIMIT:
+        raise InvalidJob(f"Steps; allowed: a list of 1 to {STEPS_LIMIT} steps")
+    steps = [_read_step(number, row) for number, row in enumerate(rows)]
+    if sum(step.count for step in steps) > TASKS_LIMIT:
+        raise InvalidJob(f"more than {TASKS_LIMIT} tasks")
+    return model.Job(
+        id=job_id,
+        queue=queue,
+        service=service,
+        spec=spec,
+        steps=steps,
+        accepted_at=wall,
+        first_due=_number(fields, "StartAtMs", "the job") / 1000,
+        interval_s=_number(fields, "IntervalMs", "the job") / 1000,
+        repeats=int(_number(fields, "RepeatCount", "the job")),
+    )
+
+
+def _read_step(number, row):
+    place = f"step {number}"
+    if not isinstance(row, dict):
+        raise InvalidJob(f"{place} is {row!r}; allowed: an object")
+    count = row.get("Count")
+    if isinstance(count, bool) or not isinstance(count, int) or count < 1:
+        raise InvalidJob(f"Count of {place} is {count!r}; allowed: 1 or more")
+    after = row.get("DependsOn") or []
+    if not isinstance(after, list) or any(
+        not isinstance(d, int) or not 0 <= d < number for d in after
+    ):
+        raise InvalidJob(f"DependsOn of {place} is {after!r}; allowed: earlier steps")
+    bound = row.get("MaxUnavailable")
+    return model.Step(
+        count=count,
+        processors=int(_number(row, "Cpu", place)),
+        memory=int(_number(row, "MemMb", place)),
+        accelerators=int(_number(row, "Gpu", place)),
+        estimate_s=_number(row, "EstimateMs", place) / 1000,
+        depends_on=tuple(after),
+        saves_checkpoints=row.get("Checkpointing") is True,
+        is_gang=row.get("Gang") is True,
+        is_coupled=row.get("TightlyCoupled") is True,
+        may_copy=row.get("Speculative") is True,
+        is_lasting=row.get("LongRunning") is True,
+        is_filling=row.get("Utilization") is True,
+        label=_label(row, place),
+        rack=bodies.text(row, "DataLocality"),
+        spread=int(_number(row, "AntiAffinity", place)),
+        image=bodies.text(row, "Image"),
+        tail_target_ms=_number(row, "TargetMs", place),
+        max_unavailable=int(bound) if isinstance(bound, int | float) else None,
+    )
+
+
+def _label(row, place):
+    value = row.get("Requirements") or ""
+    if not isinstance(value, str):
+        raise InvalidJob(f"Requirements of {place} is {value!r}; allowed: a label")
+    return value
+
+
+def _number(row, name, place):
+    value = row.get(name) or 0
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise InvalidJob(f"{name} of {place} is {value!r}; allowed: 0 or more")
+    return value
--- /dev/null
+++ b/cranberryport/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about jobs, tasks and instances, without input or output."""
--- /dev/null
+++ b/cranberryport/scheduling/packing.py
@@ -0,0 +1,91 @@
+"""Choice of the executor for a task.
+
+Load pattern: tasks of uneven size on few executors; tasks that serve stay for long and
+should not fill the executors that wide jobs need.
+"""
+
+
+def fits(step, executor, free):
+    """Return whether a task fits into what is free.
+
+    Parameters
+    ----------
+    step : model.Step
+        Needs of the task.
+    executor : executors.Executor
+        Candidate.
+    free : list of int
+        Free processors, memory and accelerators.
+    """
+    if step.label and step.label not in executor.labels:
+        return False
+    processors = 0 if step.is_filling else step.processors
+    return (
+        processors <= free[0]
+        and step.memory <= free[1]
+        and step.accelerators <= free[2]
+    )
+
+
+def take(step, free):
+    """Subtract a task from what is free."""
+    if not step.is_filling:
+        free[0] -= step.processors
+    free[1] -= step.memory
+    free[2] -= step.accelerators
+
+
+def could_ever_fit(step, executor):
+    """Return whether an empty executor could run a task."""
+    whole = [executor.processors, executor.memory, executor.accelerators]
+    return fits(step, executor, whole)
+
+
+def choose(step, candidates, *, used_on, racks, avoid, serving_on):
+    """Choose an executor for one task.
+
+    Parameters
+    ----------
+    step : model.Step
+        Needs of the task.
+    candidates : list of (executors.Executor, list of int)
+        Executors with what is free on each.
+    used_on : dict of str to int
+        Tasks of the same step and occurrence on each executor.
+    racks : set of str
+        Racks on which tasks of a tightly coupled step run already.
+    avoid : collection of str
+        Executors on which the task has failed.
+    serving_on : dict of str to int
+        Serving tasks on each executor, which tasks that fill would disturb.
+
+    Returns
+    -------
+    executors.Executor or None
+        None if the task fits nowhere now.
+    """
+    best, best_key = None, None
+    for executor, free in candidates:
+        if step.spread and used_on.get(executor.id, 0) >= step.spread:
+            continue
+        if not fits(step, executor, free):
+            continue
+        share = (free[0] - step.processors) / max(1, executor.processors)
+        is_remote = bool(step.rack) and executor.rack != step.rack
+        splits = step.is_coupled and bool(racks) and executor.rack not in racks
+        spread = used_on.get(executor.id, 0) if step.is_lasting else 0
+        disturbs = serving_on.get(executor.id, 0) if step.is_filling else 0
+        # Lasting tasks spread out; others take the fullest executor that has room, so
+        # that wide tasks still find a whole one.
+        tightness = -share if step.is_lasting else share
+        key = (
+            executor.id in avoid,
+            is_remote or splits,
+            disturbs,
+            spread,
+            tightness,
+            executor.id,
+        )
+        if best_key is None or key < best_key:
+            best, best_key = executor, key
+    return best
--- /dev/null
+++ b/cranberryport/scheduling/records.py
@@ -0,0 +1,163 @@
+"""Jobs and their progress as stored records."""
+
+from cranberryport.generated import messages
+from cranberryport.scheduling import model
+
+_SAME_FIELDS = (
+    "count",
+    "processors",
+    "memory",
+    "accelerators",
+    "estimate_s",
+    "saves_checkpoints",
+    "is_gang",
+    "is_coupled",
+    "may_copy",
+    "is_lasting",
+    "is_filling",
+    "label",
+    "rack",
+    "spread",
+    "image",
+    "tail_target_ms",
+)
+
+
+def store_job(job):
+    """Return the record of an accepted job.
+
+    Parameters
+    ----------
+    job : model.Job
+        The job.
+
+    Returns
+    -------
+    messages.JobStored
+        Its record.
+    """
+    return messages.JobStored(
+        job=job.id,
+        queue=job.queue,
+        service=job.service,
+        spec=job.spec,
+        steps=[_store_step(step) for step in job.steps],
+        accepted_at=job.accepted_at,
+        first_due=job.first_due,
+        interval_s=job.interval_s,
+        repeats=job.repeats,
+    )
+
+
+def load_job(record):
+    """Return the job of a record made by :func:`store_job`."""
+    return model.Job(
+        id=record.job,
+        queue=record.queue,
+        service=record.service,
+        spec=record.spec,
+        steps=[_load_step(step) for step in record.steps],
+        accepted_at=record.accepted_at,
+        first_due=record.first_due,
+        interval_s=record.interval_s,
+        repeats=record.repeats,
+    )
+
+
+def store_progress(job):
+    """Return the record of what has become of a job so far.
+
+    Parameters
+    ----------
+    job : model.Job
+        The job.
+
+    Returns
+    -------
+    messages.ProgressStored
+        Its record; planned runs count as started, as they are sent once it is stored.
+    """
+    tasks = (
+        [] if job.has_ended else [_store_task(t) for t in job.tasks() if _differs(t)]
+    )
+    return messages.ProgressStored(
+        job=job.id,
+        state=job.state,
+        done=sorted(job.done_occurrences),
+        tasks=tasks,
+        has_started=job.has_started,
+        ended_at=job.ended_at or 0.0,
+    )
+
+
+def load_progress(job, record):
+    """Restore the progress of a job.
+
+    Parameters
+    ----------
+    job : model.Job
+        Job without progress.
+    record : messages.ProgressStored
+        Record made by :func:`store_progress`.
+    """
+    job.state = record.state
+    job.done_occurrences = set(record.done)
+    job.has_started = record.has_started
+    job.ended_at = record.ended_at or None
+    for row in record.tasks:
+        _load_task(job, row)
+    for occurrence in job.occurrences.values():
+        occurrence.count_remaining()
+
+
+def _store_step(step):
+    values = {name: getattr(step, name) for name in _SAME_FIELDS}
+    bound = -1 if step.max_unavailable is None else step.max_unavailable
+    return messages.StepStored(
+        **values, depends_on=list(step.depends_on), max_unavailable=bound
+    )
+
+
+def _load_step(record):
+    values = {name: getattr(record, name) for name in _SAME_FIELDS}
+    bound = record.max_unavailable
+    return model.Step(
+        **values,
+        depends_on=record.depends_on,
+        max_unavailable=None if bound < 0 else bound,
+    )
+
+
+def _differs(task):
+    return task.next_run > 1 or task.is_done
+
+
+def _store_task(task):
+    return [
+        task.occurrence.number,
+        task.step_number,
+        task.index,
+        task.next_run,
+        task.failures,
+        task.is_done,
+        task.saved,
+        [[run.number, run.executor] for run in task.runs],
+    ]
+
+
+def _load_task(job, row):
+    number, step, index, next_run, failures, is_done, saved, runs = row
+    occurrence = job.occurrences.get(number)
+    if occurrence is None:
+        due = job.due_of(number)
+        occurrence = model.Occurrence(job=job, number=number, due=due)
+        job.occurrences[number] = occurrence
+    task = occurrence.tasks[step][index]
+    task.next_run = next_run
+    task.failures = failures
+    task.is_done = is_done
+    task.saved = saved
+    task.runs = [
+        model.Run(task=task, number=n, executor=executor, state=model.ORDERED)
+        for n, executor in runs
+    ]
--- /dev/null
+++ b/cranberryport/scheduling/scheduler.py
@@ -0,0 +1,715 @@
+"""State of all jobs and executors, and the decisions about what runs where.
+
+The class has no input or output. Its owner hands in what it learns, stores the batches
+that :meth:`Scheduler.take_batch` returns, and only then sends the orders that come out
+of :meth:`Scheduler.commit`. So no start is sent that a successor would not know of.
+"""
+
+import collections
+import logging
+
+from cranberryport.scheduling import model, ordering, packing, records, suspicion
+
+# A start without an answer may be carried out until its own deadline.
+START_VALIDITY_S = 2.0
+# A task that could not be started is tried again after this time.
+RETRY_DELAY_S = 0.2
+# An executor that refused for want of room is tried again after this time; its next
+# list of runs corrects the account before.
+REFUSED_DELAY_S = 0.3
+UNHEALTHY_DELAY_S = 1.0
+# A stop is repeated until the end of the run is listed.
+STOP_REPEAT_S = 0.6
+# Before that much work is left undone, a draining executor is emptied by stops.
+LEAVE_MARGIN_S = 0.5
+
+_logger = logging.getLogger(__name__)
+
+
+class Batch:
+    """Records to store in one append, and what follows once they are stored.
+
+    Parameters
+    ----------
+    stored : list of messages.ProgressStored
+        Records.
+    planned : list of model.Run
+        Runs that may be sent to their executors.
+    ends : list of (executors.Executor, int, int or None)
+        Executor, number of its last end that the records include, and its birth.
+    """
+
+    __slots__ = ("ends", "planned", "stored")
+
+    def __init__(self, *, stored, planned, ends):
+        self.stored = stored
+        self.planned = planned
+        self.ends = ends
+
+    @property
+    def is_empty(self):
+        """Whether there is nothing to store or to confirm."""
+        return not (self.stored or self.planned or self.ends)
+
+
+class Scheduler:
+    """Knows all jobs and executors of the pools that this process decides for.
+
+    Parameters
+    ----------
+    takeover_lapses_at : float
+        Monotonic time by which a lease of the previous controller has lapsed on any
+        executor.
+    """
+
+    def __init__(self, *, takeover_lapses_at):
+        self._takeover_lapses_at = takeover_lapses_at
+        self._jobs = {}
+        self._open_jobs = {}
+        self._executors = {}
+        self._queues = {}
+        self._dirty = {}
+        self._planned = []
+        self._ends = {}
+        self._stops = collections.deque()
+        self._waiting_runs = {}
+        self._timed = {}
+
+    @property
+    def jobs(self):
+        """Jobs by id."""
+        return self._jobs
+
+    @property
+    def open_jobs(self):
+        """Jobs that have not ended, by id."""
+        return self._open_jobs
+
+    @property
+    def executors(self):
+        """Executors by id."""
+        return self._executors
+
+    @property
+    def queues(self):
+        """Rules of the queues by name."""
+        return self._queues
+
+    def set_queues(self, queues):
+        """Take the rules of a configuration; queues that it drops keep theirs."""
+        self._queues.update(queues)
+
+    def rules(self, job):
+        """Return the rules of a job's queue."""
+        rules = self._queues.get(job.queue)
+        if rules is None:
+            rules = ordering.QueueRules(name=job.queue, service=job.service)
+        return rules
+
+    # Jobs
+
+    def add_job(self, job, wall):
+        """Take an accepted job; one that is known already changes nothing.
+
+        Parameters
+        ----------
+        job : model.Job
+            The job.
+        wall : float
+            Unix time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it is new.
+        """
+        if job.id in self._jobs:
+            return False
+        self._jobs[job.id] = job
+        self._open_jobs[job.id] = job
+        if not job.steps or not any(step.count for step in job.steps):
+            self._end_job(job, model.COMPLETED, wall)
+            return True
+        self._activate_due(job, wall)
+        return True
+
+    def restore_job(self, job, progress, wall):
+        """Take a job with the progress that the previous controller stored."""
+        records.load_progress(job, progress)
+        self._jobs[job.id] = job
+        if not job.has_ended:
+            self._open_jobs[job.id] = job
+            for task in job.tasks():
+                for run in task.runs:
+                    key = (task.name, run.number)
+                    self._waiting_runs.setdefault(run.executor, {})[key] = run
+            for occurrence in job.occurrences.values():
+                self._open_ready_steps(occurrence)
+            self._activate_due(job, wall)
+
+    def cancel_job(self, job_id, wall):
+        """Cancel a job and stop what runs of it.
+
+        Returns
+        -------
+        bool
+            False if the job is not known.
+        """
+        job = self._jobs.get(job_id)
+        if job is None:
+            return False
+        if not job.has_ended:
+            job.is_cancelled = True
+            self._end_job(job, model.CANCELLED, wall)
+        return True
+
+    def forget_job(self, job_id):
+        """Drop an ended job after the time for which its state is owed."""
+        self._jobs.pop(job_id, None)
+
+    def _activate_due(self, job, wall):
+        for number in range(job.occurrence_count):
+            if number in job.occurrences or number in job.done_occurrences:
+                continue
+            due = job.due_of(number)
+            if due > wall:
+                self._timed[job.id] = job
+                return
+            occurrence = model.Occurrence(job=job, number=number, due=due)
+            job.occurrences[number] = occurrence
+            self._open_ready_steps(occurrence)
+        self._timed.pop(job.id, None)
+
+    def _open_ready_steps(self, occurrence):
+        for number in range(len(occurrence.tasks)):
+            if occurrence.remaining[number] and occurrence.is_step_ready(number):
+                occurrence.open_steps.add(number)
+            else:
+                occurrence.open_steps.discard(number)
+
+    def _mark(self, job):
+        self._dirty[job.id] = job
+
+    def _end_job(self, job, state, wall):
+        job.state = state
+        job.ended_at = wall
+        self._open_jobs.pop(job.id, None)
+        self._timed.pop(job.id, None)
+        self._mark(job)
+        for task in job.tasks():
+            for run in list(task.runs):
+                self._abandon(run)
+        _logger.info(
+            "job ended", extra={"request": job.id, "state": state, "pool": job.service}
+        )
+
+    # Executors
+
+    def see_executor(self, executor, now):
+        """Take an entry of the list of executors.
+
+        Parameters
+        ----------
+        executor : executors.Executor
+            As just read.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        executors.Executor
+            The one that is kept.
+        """
+        known = self._executors.get(executor.id)
+        if known is not None and known.address == executor.address:
+            changed = known.state != executor.state or not known.is_listed
+            known.state = executor.state
+            known.service = executor.service
+            known.labels = executor.labels
+            known.processors = executor.processors
+            known.memory = executor.memory
+            known.accelerators = executor.accelerators
+            known.leaves_at = executor.leaves_at
+            known.is_listed = True
+            known.unlisted_at = None
+            if changed:
+                _logger.info(
+                    "executor changed",
+                    extra={"executor": known.id, "state": known.state},
+                )
+            return known
+        if known is not None:
+            self._lose_runs(known, "restarted")
+        executor.first_seen = now
+        self._executors[executor.id] = executor
+        executor.lapses_at = self._takeover_lapses_at
+        for run in self._waiting_runs.pop(executor.id, {}).values():
+            executor.runs[(run.task.name, run.number)] = run
+        _logger.info(
+            "executor found",
+            extra={
+                "executor": executor.id,
+                "pool": executor.service,
+                "state": executor.state,
+            },
+        )
+        return executor
+
+    def unlist_executor(self, executor_id, now):
+        """Note that an entry is gone; the runs wait for the lease to lapse."""
+        executor = self._executors.get(executor_id)
+        if executor is not None and executor.is_listed:
+            executor.is_listed = False
+            executor.unlisted_at = now
+            _logger.info("executor left the list", extra={"executor": executor_id})
+
+    def restarted(self, executor, born):
+        """Note that an executor lives again under its id: nothing runs there now."""
+        self._lose_runs(executor, "restarted")
+        executor.born = born
+        executor.acked = 0
+        executor.stored_end = 0
+        executor.clock_ms = None
+        executor.lapses_at = None
+        executor.is_fenced = False
+        executor.tickets = {}
+        self._ends.pop(executor.id, None)
+
+    def remove_executor(self, executor, reason):
+        """Drop an executor that provably runs nothing any more."""
+        self._lose_runs(executor, reason)
+        self._executors.pop(executor.id, None)
+        self._ends.pop(executor.id, None)
+        _logger.info(
+            "executor removed", extra={"executor": executor.id, "reason": reason}
+        )
+
+    def _lose_runs(self, executor, reason):
+        for run in list(executor.runs.values()):
+            _logger.info(
+                "run lost",
+                extra={
+                    "request": run.task.job.id,
+                    "task": run.task.name,
+                    "run": run.number,
+                    "executor": executor.id,
+                    "reason": reason,
+                },
+            )
+            self._drop(run)
+
+    def expire(self, now, wall):
+        """Act on what has passed with time.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        wall : float
+            Unix time in seconds.
+        """
+        for executor in list(self._executors.values()):
+            if executor.runs and executor.is_lapsed(now):
+                self._lose_runs(executor, "lease lapsed")
+                executor.is_fenced = False
+            if not executor.is_listed and not executor.runs:
+                self.remove_executor(executor, "not listed")
+        if self._waiting_runs and now >= self._takeover_lapses_at:
+            for runs in self._waiting_runs.values():
+                for run in list(runs.values()):
+                    self._drop(run)
+            self._waiting_runs = {}
+        for job in list(self._timed.values()):
+            self._activate_due(job, wall)
+        self._repeat_stops(now)
+
+    def _repeat_stops(self, now):
+        for executor in self._executors.values():
+            for run in executor.runs.values():
+                is_due = run.stop_sent_at is None
+                is_due = is_due or now - run.stop_sent_at > STOP_REPEAT_S
+                if run.state == model.STOPPING and is_due:
+                    run.stop_sent_at = now
+                    self._stops.append(run)
+
+    # Runs
+
+    def _abandon(self, run):
+        """Stop a run that is not wanted any more."""
+        if run.state == model.PLANNED:
+            self._drop(run)
+            return
+        if run.state != model.STOPPING:
+            run.state = model.STOPPING
+            run.stop_sent_at = None
+            self._stops.append(run)
+
+    def stop_run(self, run):
+        """Stop a run so that its task goes on elsewhere."""
+        self._abandon(run)
+
+    def _drop(self, run):
+        """Forget a run that is known not to be there; its task can start anew."""
+        task = run.task
+        if run in task.runs:
+            task.runs.remove(run)
+        executor = self._executors.get(run.executor)
+        if executor is not None:
+            executor.runs.pop((task.name, run.number), None)
+        waiting = self._waiting_runs.get(run.executor)
+        if waiting is not None:
+            waiting.pop((task.name, run.number), None)
+        if run.saved > task.saved:
+            task.saved = run.saved
+        if not task.is_done and not task.job.has_ended:
+            self._mark(task.job)
+
+    def take_stops(self):
+        """Return the runs whose stop is to be sent now."""
+        result = list(self._stops)
+        self._stops.clear()
+        return result
+
+    def on_started(self, run, now):
+        """Note that the executor has confirmed a start."""
+        if run.state == model.ORDERED:
+            run.state = model.RUNNING
+            run.percent_at = now
+        if run.confirmed_at is None:
+            run.confirmed_at = now
+
+    def on_start_refused(self, run, reason, now):
+        """Note that a start was refused and did nothing.
+
+        Parameters
+        ----------
+        run : model.Run
+            The run.
+        reason : {'room', 'late', 'ticket', 'unhealthy', 'invalid', 'old'}
+            Why. After ``old`` the next list of runs tells whether it ran.
+        now : float
+            Monotonic time in seconds.
+        """
+        executor = self._executors.get(run.executor)
+        if reason == "old":
+            self.on_started(run, now)
+            return
+        if executor is not None and reason == "room":
+            executor.refused_until = now + REFUSED_DELAY_S
+        if executor is not None and reason == "unhealthy":
+            executor.refused_until = now + UNHEALTHY_DELAY_S
+        if executor is not None and reason == "ticket":
+            executor.tickets = {}
+        delay = UNHEALTHY_DELAY_S if reason == "invalid" else 0.0
+        run.task.retry_at = now + delay
+        self._drop(run)
+
+    def on_stopped(self, run, now):
+        """Note that the executor has confirmed a stop; its end is listed later."""
+        run.confirmed_at = now
+
+    def on_list(self, executor, report, *, asked_at, now, wall):
+        """Take the lists of what runs and what has ended on an executor.
+
+        Parameters
+        ----------
+        executor : executors.Executor
+            Executor that answered.
+        report : object
+            With ``running`` and ``finished`` (see the platform's adapter).
+        asked_at : float
+            Monotonic time at which the question was sent.
+        now : float
+            Monotonic time in seconds.
+        wall : float
+            Unix time in seconds.
+
+        Returns
+        -------
+        list of (str, int)
+            Runs that this process does not know and that must be stopped.
+        """
+        executor.last_answer = now
+        for end in report.finished:
+            if end.number <= executor.stored_end:
+                continue
+            executor.stored_end = end.number
+            self._ends[executor.id] = executor
+            run = executor.runs.get((end.task, end.run))
+            if run is not None:
+                self._end_run(run, end, executor, now, wall)
+        unknown = []
+        listed = set()
+        for entry in report.running:
+            key = (entry.task, entry.run)
+            listed.add(key)
+            run = executor.runs.get(key)
+            if run is None:
+                unknown.append(key)
+                continue
+            self._update_run(run, entry, now)
+        for key, run in list(executor.runs.items()):
+            if key in listed or run.state == model.PLANNED:
+                continue
+            is_known = run.confirmed_at is not None and run.confirmed_at < asked_at
+            is_expired = run.start_expires is None or asked_at > run.start_expires
+            if is_known or (run.state != model.STOPPING and is_expired):
+                self._drop(run)
+        return unknown
+
+    def _update_run(self, run, entry, now):
+        self.on_started(run, now)
+        if run.percent != entry.percent or run.percent_at is None:
+            run.percent = entry.percent
+            run.percent_at = now
+        run.saved = entry.saved
+        run.tail_or_processors = entry.load
+
+    def _end_run(self, run, end, executor, now, wall):
+        task, job = run.task, run.task.job
+        _logger.info(
+            "run ended",
+            extra={
+                "request": job.id,
+                "task": task.name,
+                "run": run.number,
+                "executor": executor.id,
+                "how": end.how,
+            },
+        )
+        run.saved = max(run.saved, end.saved)
+        was_stopping = run.state == model.STOPPING
+        self._drop(run)
+        if job.has_ended or task.is_done:
+            return
+        suspicion.note_end(executor, job.id, end.how, now)
+        if end.how == "done":
+            self._finish_task(task, wall)
+        elif end.how == "failed":
+            self._fail_task(task, run, executor, wall)
+        elif was_stopping:
+            task.avoid = (executor.id,)
+
+    def _fail_task(self, task, run, executor, wall):
+        job = task.job
+        task.failures += 1
+        task.avoid = (*task.avoid, executor.id)[-2:]
+        if task.step.is_gang:
+            for member in task.occurrence.tasks[task.step_number]:
+                member.failures = max(member.failures, task.failures)
+        self._mark(job)
+        if task.step.is_lasting or task.failures < self.rules(job).attempts:
+            return
+        if not task.runs:
+            self._end_job(job, model.FAILED, wall)
+
+    def _finish_task(self, task, wall):
+        occurrence, job = task.occurrence, task.job
+        members = [task]
+        if task.step.is_gang:
+            members = occurrence.tasks[task.step_number]
+        for member in members:
+            if not member.is_done:
+                member.is_done = True
+                occurrence.remaining[task.step_number] -= 1
+            for run in list(member.runs):
+                self._abandon(run)
+        self._mark(job)
+        if occurrence.remaining[task.step_number] == 0:
+            self._open_ready_steps(occurrence)
+        if occurrence.is_done:
+            job.done_occurrences.add(occurrence.number)
+            del job.occurrences[occurrence.number]
+            if len(job.done_occurrences) == job.occurrence_count:
+                self._end_job(job, model.COMPLETED, wall)
+
+    # Planning
+
+    def plan(self, now, wall):
+        """Choose executors for the tasks whose turn has come.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        wall : float
+            Unix time in seconds.
+        """
+        waiting = {}
+        for job in self._open_jobs.values():
+            for occurrence in job.occurrences.values():
+                if occurrence.open_steps:
+                    waiting.setdefault(job.service, []).append(occurrence)
+        if not waiting:
+            return
+        pools = {}
+        for executor in self._executors.values():
+            if executor.service in waiting and executor.can_take(now):
+                used = executor.used()
+                whole = (executor.processors, executor.memory, executor.accelerators)
+                free = [a - b for a, b in zip(whole, used, strict=True)]
+                pools.setdefault(executor.service, []).append((executor, free))
+        for service, occurrences in waiting.items():
+            candidates = pools.get(service)
+            if candidates:
+                self._plan_pool(occurrences, candidates, now, wall)
+
+    def _plan_pool(self, occurrences, candidates, now, wall):
+        occurrences.sort(key=lambda o: ordering.order_key(o, self.rules(o.job), wall))
+        trusted = suspicion.trusted(candidates, now)
+        serving = {}
+        for executor, _ in candidates:
+            serving[executor.id] = sum(
+                run.task.step.tail_target_ms > 0 for run in executor.runs.values()
+            )
+        for occurrence in occurrences:
+            for number in sorted(occurrence.open_steps):
+                self._plan_step(occurrence, number, trusted, serving, now)
+
+    def _plan_step(self, occurrence, number, candidates, serving, now):
+        tasks = occurrence.tasks[number]
+        step = occurrence.job.steps[number]
+        attempts = self.rules(occurrence.job).attempts
+        waiting = [
+            task
+            for task in tasks
+            if not task.is_done
+            and not task.runs
+            and task.retry_at <= now
+            and (step.is_lasting or task.failures < attempts)
+        ]
+        if not waiting:
+            return
+        used_on, racks = self._placed(tasks)
+        if step.is_gang:
+            self._plan_gang(tasks, waiting, candidates, used_on, racks, now)
+            return
+        for task in waiting:
+            executor = packing.choose(
+                step,
+                candidates,
+                used_on=used_on,
+                racks=racks,
+                avoid=task.avoid,
+                serving_on=serving,
+            )
+            if executor is None:
+                return
+            self._plan_run(task, executor, task.next_run, candidates, used_on, racks)
+
+    def _placed(self, tasks):
+        used_on = collections.Counter()
+        racks = set()
+        for task in tasks:
+            for run in task.runs:
+                used_on[run.executor] += 1
+                executor = self._executors.get(run.executor)
+                if executor is not None:
+                    racks.add(executor.rack)
+        return used_on, racks
+
+    def _plan_gang(self, tasks, waiting, candidates, used_on, racks, now):
+        if len(waiting) != sum(not task.is_done for task in tasks):
+            return
+        step = tasks[0].step
+        trial = [(executor, list(free)) for executor, free in candidates]
+        choices = []
+        for task in waiting:
+            executor = packing.choose(
+                step,
+                trial,
+                used_on=used_on,
+                racks=racks,
+                avoid=task.avoid,
+                serving_on={},
+            )
+            if executor is None:
+                return
+            for candidate, free in trial:
+                if candidate is executor:
+                    packing.take(step, free)
+            used_on[executor.id] += 1
+            racks.add(executor.rack)
+            choices.append((task, executor))
+        number = max(task.next_run for task in tasks)
+        saved = max(task.saved for task in tasks)
+        for task, executor in choices:
+            task.saved = saved
+            self._plan_run(
+                task, executor, number, candidates, collections.Counter(), set()
+            )
+
+    def _plan_run(self, task, executor, number, candidates, used_on, racks):
+        run = model.Run(task=task, number=number, executor=executor.id)
+        run.saved = task.saved
+        task.next_run = number + 1
+        task.runs.append(run)
+        executor.runs[(task.name, number)] = run
+        for candidate, free in candidates:
+            if candidate is executor:
+                packing.take(task.step, free)
+        used_on[executor.id] += 1
+        racks.add(executor.rack)
+        job = task.job
+        job.has_started = True
+        if job.state == model.ACCEPTED:
+            job.state = model.ACTIVE
+        self._planned.append(run)
+        self._mark(job)
+
+    # Storing
+
+    def take_batch(self):
+        """Return what has changed since the last batch.
+
+        Returns
+        -------
+        Batch
+            Empty if nothing has changed.
+        """
+        stored = [records.store_progress(job) for job in self._dirty.values()]
+        ends = [(e, e.stored_end, e.born) for e in self._ends.values()]
+        batch = Batch(stored=stored, planned=self._planned, ends=ends)
+        self._dirty = {}
+        self._planned = []
+        self._ends = {}
+        return batch
+
+    def commit(self, batch, now):
+        """Note that a batch is stored.
+
+        Returns
+        -------
+        list of model.Run
+            Runs whose start is to be sent now.
+        """
+        for executor, number, born in batch.ends:
+            if executor.born == born:
+                executor.acked = max(executor.acked, number)
+        starts = []
+        for run in batch.planned:
+            if run.state != model.PLANNED or run not in run.task.runs:
+                continue
+            executor = self._executors.get(run.executor)
+            if executor is None or not executor.can_take(now):
+                self._drop(run)
+                continue
+            run.state = model.ORDERED
+            run.ordered_at = now
+            run.start_expires = now + START_VALIDITY_S
+            starts.append(run)
+        return starts
+
+    # Reports
+
+    def state_of(self, job_id):
+        """Return the state of a job, None if it is not known."""
+        job = self._jobs.get(job_id)
+        return None if job is None else job.state
+
+    def waiting_count(self, queue):
+        """Return the number of jobs of a queue of which nothing has started."""
+        return sum(
+            job.queue == queue and not job.has_started
+            for job in self._open_jobs.values()
+        )
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -6,7 +6,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-NAMES = ("messages", "settings")
+NAMES = ("messages", "node_settings", "settings")
 GENERATED = ROOT / "cranberryport" / "generated"
 
 
