--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -4,7 +4,7 @@
 import time
 
 from cranberryport import codec
-from cranberryport.control import executor_link, progress_writer, topic_reader
+from cranberryport.control import executor_link, fleet, progress_writer, topic_reader
 from cranberryport.generated import messages
 from cranberryport.platform import executors, store
 from cranberryport.scheduling import records, scheduler
@@ -22,6 +22,7 @@
 KNOWLEDGE_LIMIT_S = 2.0
 JOB_PREFIX = "j/"
 CANCEL_PREFIX = "c/"
+WAVE_PREFIX = "wave/"
 FORGET_INTERVAL_S = 10.0
 
 _logger = logging.getLogger(__name__)
@@ -42,8 +43,10 @@
         Epoch of this controller.
     loaded : cranberryport.generated.node_settings.NodeSettings
         Settings.
-    queues : dict of str to ordering.QueueRules
-        Rules in force.
+    instance_client : cranberryport.platform.machines.InstanceClient or None
+        Lists and orders instances; None where the platform has no interface for them.
+    is_certain : callable
+        Returns whether no other process can be the controller.
     on_superseded : callable
         Called without arguments if there is a later controller.
     """
@@ -53,6 +56,7 @@
         "_epoch",
         "_executor_client",
         "_executors_reader",
+        "_fleet",
         "_is_ready",
         "_is_stopped",
         "_jobs_reader",
@@ -66,6 +70,9 @@
         "_started_at",
         "_store",
         "_timers",
+        "_unsaved_waves",
+        "_waves",
+        "_waves_done",
         "_writer",
     )
 
@@ -77,7 +84,8 @@
         executor_client,
         epoch,
         loaded,
-        queues,
+        instance_client,
+        is_certain,
         on_superseded,
     ):
         self._store = store_client
@@ -93,8 +101,24 @@
         self._scheduler = scheduler.Scheduler(
             takeover_lapses_at=self._started_at + lapses_in_s
         )
-        self._scheduler.set_queues(queues)
         self._links = {}
+        self._waves = []
+        self._waves_done = {}
+        self._unsaved_waves = {}
+        self._fleet = None
+        if instance_client is not None:
+            self._fleet = fleet.Fleet(
+                scheduler_=self._scheduler,
+                client=instance_client,
+                store_client=store_client,
+                timers=timers,
+                epoch=epoch,
+                loaded=loaded,
+                is_certain=is_certain,
+                on_superseded=on_superseded,
+                on_stops=self.wake,
+                save_wave=self._save_wave,
+            )
         self._progress = {}
         self._cancelled = set()
         self._is_ready = False
@@ -155,12 +179,38 @@
         self._writer.stop()
         self._jobs_reader.stop()
         self._executors_reader.stop()
+        if self._fleet is not None:
+            self._fleet.stop()
         for link in self._links.values():
             link.close()
 
-    def set_queues(self, queues):
-        """Take the rules of a new configuration."""
-        self._scheduler.set_queues(queues)
+    def set_configuration(self, found):
+        """Take a configuration.
+
+        Parameters
+        ----------
+        found : cranberryport.platform.configuration.Configuration
+            The newest version.
+        """
+        self._scheduler.set_queues(found.queues)
+        if self._fleet is not None:
+            self._fleet.set_services(found.services)
+
+    def add_wave(self, wave):
+        """Take a maintenance wave of the operator."""
+        if self._fleet is None:
+            return
+        if not self._is_ready:
+            self._waves.append(wave)
+            return
+        self._fleet.add_wave(wave, self._waves_done.get(wave.number, ()))
+
+    def _save_wave(self, wave):
+        self._waves_done[wave.number] = set(wave.done)
+        self._unsaved_waves[wave.number] = messages.WaveStored(
+            job=f"{WAVE_PREFIX}{wave.number}", done=sorted(wave.done)
+        )
+        self.wake()
 
     def answer(self, question):
         """Answer a question of an entry instance.
@@ -215,6 +265,12 @@
                 return
             result = store.Newest(records=[], end=0)
         for key, value in result.records:
+            if key.startswith(WAVE_PREFIX):
+                record = _decode(key, value, messages.WaveStored)
+                if record is not None:
+                    number = int(key.removeprefix(WAVE_PREFIX))
+                    self._waves_done[number] = set(record.done)
+                continue
             record = _decode(key, value, messages.ProgressStored)
             if record is not None:
                 self._progress[key] = record
@@ -237,6 +293,11 @@
             },
         )
         self._executors_reader.start()
+        waiting, self._waves = self._waves, []
+        for wave in waiting:
+            self.add_wave(wave)
+        if self._fleet is not None:
+            self._fleet.start()
         self._tick()
 
     def _on_jobs(self, found):
@@ -356,10 +417,12 @@
 
     def _store_batch(self):
         batch = self._scheduler.take_batch()
-        if batch.is_empty:
+        waves, self._unsaved_waves = list(self._unsaved_waves.values()), {}
+        if batch.is_empty and not waves:
             return
-        if batch.stored:
-            self._writer.write(batch.stored, lambda: self._on_stored(batch))
+        if batch.stored or waves:
+            found = [*batch.stored, *waves]
+            self._writer.write(found, lambda: self._on_stored(batch))
         else:
             self._on_stored(batch)
 
--- /dev/null
+++ b/cranberryport/control/fleet.py
@@ -0,0 +1,521 @@
+"""Upkeep and moves of instances while this process is the controller."""
+
+import logging
+import time
+
+from cranberryport.platform import machines, store
+from cranberryport.scheduling import instances, lending, model, packing, upkeep
+
+STEP_S = 0.15
+LIST_BUSY_S = 0.4
+LIST_IDLE_S = 2.0
+STATUS_TIMEOUT_S = 1.5
+STATUS_RETRY_S = 0.3
+# An order without an answer may be carried out this much later (platform's protocol:
+# up to 12 s), so the instance gets no other order before.
+LATE_ORDER_S = 13.0
+ORDER_RETRY_S = 0.4
+
+_logger = logging.getLogger(__name__)
+
+
+class _Order:
+    """An order that was sent for an instance."""
+
+    __slots__ = ("is_answered", "previous", "sent_at", "target", "wave")
+
+    def __init__(self, *, target, wave, previous, sent_at):
+        self.target = target
+        self.wave = wave
+        self.previous = previous
+        self.sent_at = sent_at
+        self.is_answered = False
+
+
+class Fleet:
+    """Decides about instances for one controller.
+
+    Parameters
+    ----------
+    scheduler_ : cranberryport.scheduling.scheduler.Scheduler
+        State of all jobs and executors.
+    client : machines.InstanceClient
+        Sends the orders.
+    store_client : store.Store
+        For the state of waves.
+    timers : cranberryport.timers.Timers
+        Timers of the process.
+    epoch : int
+        Epoch of the controller.
+    loaded : cranberryport.generated.node_settings.NodeSettings
+        Settings.
+    is_certain : callable
+        Returns whether this process is certain to be the controller.
+    on_superseded : callable
+        Called if a later controller has given orders.
+    on_stops : callable
+        Called after runs were stopped, so that the stops are sent.
+    save_wave : callable
+        Called with a wave whose progress is to be stored.
+    """
+
+    __slots__ = (
+        "_begins_at",
+        "_client",
+        "_epoch",
+        "_forbidden",
+        "_is_certain",
+        "_is_listing",
+        "_is_stopped",
+        "_lending",
+        "_listed",
+        "_listed_at",
+        "_loaded",
+        "_on_stops",
+        "_on_superseded",
+        "_orders",
+        "_save_wave",
+        "_scheduler",
+        "_services",
+        "_statuses",
+        "_store",
+        "_timers",
+        "_waves",
+    )
+
+    def __init__(
+        self,
+        *,
+        scheduler_,
+        client,
+        store_client,
+        timers,
+        epoch,
+        loaded,
+        is_certain,
+        on_superseded,
+        on_stops,
+        save_wave,
+    ):
+        self._scheduler = scheduler_
+        self._client = client
+        self._store = store_client
+        self._timers = timers
+        self._epoch = epoch
+        self._loaded = loaded
+        self._is_certain = is_certain
+        self._on_superseded = on_superseded
+        self._on_stops = on_stops
+        self._save_wave = save_wave
+        # Two controllers must not take turns within this time.
+        self._begins_at = time.monotonic() + loaded.duty_turn_ms / 1000 + 0.5
+        self._lending = lending.Lending()
+        self._listed = {}
+        self._listed_at = None
+        self._is_listing = False
+        self._orders = {}
+        self._forbidden = set()
+        self._services = {}
+        self._waves = {}
+        self._statuses = {}
+        self._is_stopped = False
+
+    @property
+    def waves(self):
+        """Waves by number."""
+        return self._waves
+
+    def start(self):
+        """Begin to decide."""
+        self._step()
+
+    def stop(self):
+        """Give no more orders."""
+        self._is_stopped = True
+
+    def set_services(self, services):
+        """Take the pools of a configuration."""
+        self._services = services
+
+    def add_wave(self, wave, done):
+        """Take a wave; one that is known already changes nothing.
+
+        Parameters
+        ----------
+        wave : instances.Wave
+            The wave.
+        done : collection of str
+            Instances whose upkeep a previous controller has ordered.
+        """
+        if wave.number in self._waves:
+            return
+        wave.done = set(done)
+        self._waves[wave.number] = wave
+        _logger.info(
+            "wave known",
+            extra={
+                "wave": wave.number,
+                "instances": len(wave.instances),
+                "maximum": wave.maximum,
+                "done": len(wave.done),
+            },
+        )
+
+    def _step(self):
+        if self._is_stopped:
+            return
+        self._timers.after(STEP_S, self._step)
+        now = time.monotonic()
+        is_busy = bool(self._orders) or any(
+            not self._is_complete(wave) for wave in self._waves.values()
+        )
+        pause_s = LIST_BUSY_S if is_busy else LIST_IDLE_S
+        is_due = self._listed_at is None or now - self._listed_at >= pause_s
+        if is_due and not self._is_listing:
+            self._is_listing = True
+            asked_at = now
+            self._client.list_all(lambda found: self._on_listed(found, asked_at))
+        self._decide(now)
+
+    def _on_listed(self, found, asked_at):
+        self._is_listing = False
+        if self._is_stopped:
+            return
+        if found is None:
+            if self._listed_at is not None:
+                _logger.warning("list of instances failed")
+            return
+        self._listed = found
+        self._listed_at = asked_at
+        self._settle_orders(asked_at)
+        self._drop_replaced_executors()
+
+    def _drop_replaced_executors(self):
+        """Drop executors whose instance lives again under another id."""
+        present = {i.executor for i in self._listed.values() if i.executor}
+        for executor in list(self._scheduler.executors.values()):
+            if not executor.is_listed and executor.id not in present and executor.runs:
+                self._scheduler.remove_executor(executor, "instance lives again")
+
+    def _settle_orders(self, asked_at):
+        now = time.monotonic()
+        for instance_id, order in list(self._orders.items()):
+            instance = self._listed.get(instance_id)
+            if instance is None:
+                del self._orders[instance_id]
+                continue
+            if order.sent_at >= asked_at or not order.is_answered:
+                if now - order.sent_at > LATE_ORDER_S:
+                    del self._orders[instance_id]
+                continue
+            is_back = instance.state == instances.UP
+            if is_back and order.wave is None:
+                is_back = instance.pool == order.target
+            if is_back and order.wave is not None:
+                is_back = instance.executor != order.previous or not order.previous
+            if is_back or now - order.sent_at > LATE_ORDER_S:
+                del self._orders[instance_id]
+
+    def _decide(self, now):
+        if self._listed_at is None or now < self._begins_at or not self._is_certain():
+            return
+        reserved = set()
+        load = self._pool_load()
+        for number in sorted(self._waves):
+            wave = self._waves[number]
+            reserved |= self._decide_wave(wave, load, now)
+        self._decide_moves(reserved, now)
+        for executor in self._scheduler.executors.values():
+            executor.is_reserved = executor.id in reserved
+        self._leave_draining(now)
+        self._on_stops()
+
+    # Upkeep
+
+    def _is_complete(self, wave):
+        return self._statuses.get(wave.number) is True
+
+    def _decide_wave(self, wave, load, now):
+        reserved = set()
+        if self._is_complete(wave):
+            return reserved
+        if not upkeep.remaining(wave, self._listed) and not wave.ordered:
+            self._tell_status(wave, is_completed=True)
+            return reserved
+        self._tell_status(wave, is_completed=False)
+        for instance_id, previous in list(wave.ordered.items()):
+            instance = self._listed.get(instance_id)
+            order = self._orders.get(instance_id)
+            is_back = instance is None or (
+                order is None and instance.state == instances.UP
+            )
+            if is_back:
+                del wave.ordered[instance_id]
+                wave.done.add(instance_id)
+                self._save_wave(wave)
+            elif order is not None and not order.is_answered:
+                reserved.add(previous)
+        chosen = upkeep.choose(
+            wave,
+            self._listed,
+            self._scheduler.executors,
+            load=load,
+            upkeep_s=self._loaded.upkeep_s,
+            now=now,
+        )
+        for instance_id in chosen:
+            instance = self._listed[instance_id]
+            if instance_id in self._orders:
+                continue
+            executor = self._scheduler.executors.get(instance.executor)
+            reserved.add(instance.executor)
+            if executor is None or self._empty(executor):
+                self._take_down(wave, instance, now)
+        return reserved
+
+    def _empty(self, executor):
+        """Move lasting tasks away; return whether nothing runs there any more."""
+        executor.is_reserved = True
+        for run in list(executor.runs.values()):
+            if run.state == model.STOPPING or not run.task.step.is_lasting:
+                continue
+            if run.state == model.PLANNED:
+                self._scheduler.stop_run(run)
+                continue
+            has_place = self._has_place(run, executor)
+            may_stop = upkeep.may_stop(run, self._scheduler.executors)
+            if has_place and may_stop:
+                _logger.info(
+                    "moving a lasting task",
+                    extra={
+                        "request": run.task.job.id,
+                        "task": run.task.name,
+                        "executor": executor.id,
+                    },
+                )
+                self._scheduler.stop_run(run)
+                return False
+        return not executor.runs
+
+    def _has_place(self, run, executor):
+        now = time.monotonic()
+        step = run.task.step
+        used_on = {}
+        for task in run.task.occurrence.tasks[run.task.step_number]:
+            for other in task.runs:
+                used_on[other.executor] = used_on.get(other.executor, 0) + 1
+        for other in self._scheduler.executors.values():
+            if other is executor or other.service != executor.service:
+                continue
+            if not other.can_take(now) or not packing.could_ever_fit(step, other):
+                continue
+            if step.spread and used_on.get(other.id, 0) >= step.spread:
+                continue
+            used = other.used()
+            free = [
+                other.processors - used[0],
+                other.memory - used[1],
+                other.accelerators - used[2],
+            ]
+            if packing.fits(step, other, free):
+                return True
+        return False
+
+    def _take_down(self, wave, instance, now):
+        _logger.info(
+            "upkeep ordered", extra={"instance_id": instance.id, "wave": wave.number}
+        )
+        wave.ordered[instance.id] = instance.executor
+        order = _Order(target=None, wave=wave, previous=instance.executor, sent_at=now)
+        self._orders[instance.id] = order
+        self._send(instance.id, order)
+
+    def _send(self, instance_id, order):
+        if self._is_stopped or self._orders.get(instance_id) is not order:
+            return
+        if not self._is_certain():
+            self._timers.after(ORDER_RETRY_S, lambda: self._send(instance_id, order))
+            return
+        order.sent_at = time.monotonic()
+
+        def finish(answer):
+            self._on_ordered(instance_id, order, answer)
+
+        if order.wave is not None:
+            self._client.take_down(
+                instance_id, order.wave.number, fence=self._epoch, callback=finish
+            )
+        else:
+            self._client.move(
+                instance_id, order.target, fence=self._epoch, callback=finish
+            )
+
+    def _on_ordered(self, instance_id, order, answer):
+        if self._is_stopped:
+            return
+        if answer.is_accepted:
+            order.is_answered = True
+            return
+        _logger.info(
+            "order refused",
+            extra={"instance_id": instance_id, "reason": answer.refusal or "no answer"},
+        )
+        if answer.refusal == "fenced":
+            self._on_superseded()
+        elif answer.refusal in ("", "limited"):
+            self._timers.after(ORDER_RETRY_S, lambda: self._send(instance_id, order))
+        else:
+            self._orders.pop(instance_id, None)
+            if order.wave is not None:
+                order.wave.ordered.pop(instance_id, None)
+                if answer.refusal in ("wave", "invalid"):
+                    order.wave.done.add(instance_id)
+            elif answer.refusal == "invalid":
+                instance = self._listed.get(instance_id)
+                kind = instance.kind if instance else ""
+                self._forbidden.add((kind, order.target))
+
+    def _tell_status(self, wave, *, is_completed):
+        if self._statuses.get(wave.number) == is_completed:
+            return
+        self._statuses[wave.number] = is_completed
+        record = machines.wave_status(wave.number, is_completed=is_completed)
+
+        def finish(result):
+            if isinstance(result, store.Appended) or self._is_stopped:
+                return
+            if self._statuses.get(wave.number) == is_completed:
+                self._timers.after(STATUS_RETRY_S, send)
+
+        def send():
+            if not self._is_stopped:
+                self._store.append(
+                    store.STATUS_TOPIC,
+                    [record],
+                    callback=finish,
+                    timeout_s=STATUS_TIMEOUT_S,
+                )
+
+        send()
+        _logger.info(
+            "wave state", extra={"wave": wave.number, "is_completed": is_completed}
+        )
+
+    # Moves
+
+    def _demand(self):
+        demand = {}
+        for executor in self._scheduler.executors.values():
+            used = executor.used()[0]
+            demand[executor.service] = demand.get(executor.service, 0) + used
+        for job in self._scheduler.open_jobs.values():
+            for occurrence in job.occurrences.values():
+                for number in occurrence.open_steps:
+                    step = job.steps[number]
+                    waiting = sum(
+                        not task.is_done and not task.runs
+                        for task in occurrence.tasks[number]
+                    )
+                    asked = 0 if step.is_filling else step.processors * waiting
+                    demand[job.service] = demand.get(job.service, 0) + asked
+        return demand
+
+    def _pool_load(self):
+        sizes = {}
+        for instance in self._listed.values():
+            if instance.state == instances.UP:
+                sizes[instance.pool] = sizes.get(instance.pool, 0) + instance.processors
+        return {
+            pool: asked / max(1, sizes.get(pool, 0))
+            for pool, asked in self._demand().items()
+        }
+
+    def _decide_moves(self, reserved, now):
+        if not any(service.is_standby for service in self._services.values()):
+            return
+        demand = self._demand()
+        pools = {}
+        in_wave = {
+            instance_id
+            for wave in self._waves.values()
+            for instance_id in upkeep.remaining(wave, self._listed)
+        }
+        for instance in self._listed.values():
+            pool = instance.pool
+            order = self._orders.get(instance.id)
+            if order is not None and order.target:
+                pool = order.target
+            service = self._services.get(pool)
+            if service is None:
+                continue
+            load = pools.get(pool)
+            if load is None:
+                load = pools[pool] = lending.PoolLoad(
+                    name=pool,
+                    is_off=service.is_standby,
+                    processors=instance.processors,
+                    demand=demand.get(pool, 0),
+                    size=0,
+                    idle=[],
+                )
+            if instance.state == instances.DOWN:
+                continue
+            load.size += 1
+            executor = self._scheduler.executors.get(instance.executor)
+            is_free = service.is_standby or (
+                executor is not None
+                and executor.is_listed
+                and not executor.runs
+                and executor.last_answer is not None
+            )
+            is_free = is_free and instance.state == instances.UP and order is None
+            is_free = is_free and instance.executor not in reserved
+            if is_free and not (service.is_standby and instance.id in in_wave):
+                load.idle.append(instance.id)
+        for instance_id, pool in self._lending.choose(list(pools.values()), now):
+            instance = self._listed[instance_id]
+            if (instance.kind, pool) in self._forbidden:
+                continue
+            _logger.info(
+                "move ordered",
+                extra={
+                    "instance_id": instance_id,
+                    "from": instance.pool,
+                    "pool": pool,
+                },
+            )
+            if instance.executor:
+                reserved.add(instance.executor)
+            order = _Order(
+                target=pool, wave=None, previous=instance.executor, sent_at=now
+            )
+            self._orders[instance_id] = order
+            self._send(instance_id, order)
+        for order in self._orders.values():
+            if order.previous:
+                reserved.add(order.previous)
+
+    def _leave_draining(self, now):
+        """Move work away from executors that are about to leave."""
+        for executor in self._scheduler.executors.values():
+            if executor.state == "ready":
+                continue
+            for run in list(executor.runs.values()):
+                step = run.task.step
+                if run.state == model.RUNNING and (
+                    step.is_lasting or step.saves_checkpoints
+                ):
+                    if not step.is_lasting and not _ends_too_late(run, executor, now):
+                        continue
+                    if self._has_place(run, executor):
+                        self._scheduler.stop_run(run)
+
+
+def _ends_too_late(run, executor, now):
+    """Return whether a run is likely to be cut off when its executor leaves."""
+    if executor.leaves_at is None or run.confirmed_at is None:
+        return False
+    spent_s = now - run.confirmed_at
+    done = max(1, run.percent) / 100
+    left_s = spent_s / done - spent_s
+    return left_s > executor.leaves_at - now
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -13,7 +13,7 @@
 from cranberryport import node_logs, node_metrics, node_settings, timers
 from cranberryport.control import controller, membership, questions, topic_reader
 from cranberryport.http import connection, connection_pool, limits, server
-from cranberryport.platform import configuration, executors, front, store
+from cranberryport.platform import configuration, executors, front, machines, store
 
 BAD_SETTINGS_EXIT_CODE = 2
 CONFIGURATION_WAIT_S = 1.0
@@ -57,6 +57,7 @@
         self._loaded = loaded
         self._configuration = None
         self._controller = None
+        self._waves = {}
         self._stop_at = None
         pollers.EPoll().register(self)
         self._timers = timers.Timers().register(self)
@@ -69,6 +70,13 @@
         self._executor_client = executors.ExecutorClient(
             pool=self._make_pool("executors")
         )
+        self._instance_client = None
+        if loaded.cloud:
+            self._instance_client = machines.InstanceClient(
+                pool=self._make_pool("instances"),
+                address=node_settings.parse_address(loaded.cloud, "cloud"),
+                holder=loaded.instance,
+            )
         self._membership = membership.Membership(
             store_client=self._store,
             timers=self._timers,
@@ -143,6 +151,19 @@
         for key, value in found:
             if key == configuration.CONFIGURATION_KEY:
                 self._take_configuration(value)
+            elif key.startswith(configuration.WAVE_PREFIX):
+                self._take_wave(key, value)
+
+    def _take_wave(self, key, value):
+        wave = machines.read_wave(value, time.monotonic())
+        if wave is None:
+            _logger.error("unreadable wave", extra={"key": key})
+            return
+        if wave.number in self._waves:
+            return
+        self._waves[wave.number] = wave
+        if self._controller is not None:
+            self._controller.add_wave(wave.copy())
 
     def _take_configuration(self, value):
         found = configuration.read(value)
@@ -154,19 +175,23 @@
         self._configuration = found
         _logger.info("configuration in force", extra={"version": found.version})
         if self._controller is not None:
-            self._controller.set_queues(found.queues)
+            self._controller.set_configuration(found)
 
     def _on_gained(self, epoch):
-        queues = self._configuration.queues if self._configuration else {}
         self._controller = controller.Controller(
             store_client=self._store,
             timers=self._timers,
             executor_client=self._executor_client,
             epoch=epoch,
             loaded=self._loaded,
-            queues=queues,
+            instance_client=self._instance_client,
+            is_certain=lambda: self._membership.is_certain,
             on_superseded=self._membership.step_down,
         )
+        if self._configuration is not None:
+            self._controller.set_configuration(self._configuration)
+        for wave in self._waves.values():
+            self._controller.add_wave(wave.copy())
         self._controller.start()
 
     def _on_lost(self):
--- /dev/null
+++ b/cranberryport/scheduling/lending.py
@@ -0,0 +1,113 @@
+"""Choice of the instances that move between pools.
+
+Load pattern: the queues peak by turns, each for some seconds and far above what its
+pool holds, and ask for almost nothing in between. Instances in pools are paid for, those
+of a pool that is off are not, and a move takes longer than a usual task.
+"""
+
+import math
+
+# Placement leaves gaps, so a pool needs more than the sum of its tasks.
+HEADROOM = 1.15
+# A pool keeps what it needed within this time, so that a pause causes no moves.
+KEEP_S = 2.0
+# Smallest size of a pool: the loss of one instance leaves others.
+SMALLEST_POOL = 3
+MOVES_AT_ONCE = 8
+
+
+class PoolLoad:
+    """Size and demand of a pool.
+
+    Parameters
+    ----------
+    name : str
+        Name of the pool.
+    is_off : bool
+        Whether its instances are off and cost nothing.
+    processors : int
+        Thousandths of a core of one instance.
+    demand : int
+        Thousandths of a core that running and waiting tasks ask for.
+    size : int
+        Instances that are there or on their way.
+    idle : list of str
+        Instances without any work that may move.
+    """
+
+    __slots__ = ("demand", "idle", "is_off", "name", "processors", "size")
+
+    def __init__(self, *, name, is_off, processors, demand, size, idle):
+        self.name = name
+        self.is_off = is_off
+        self.processors = processors
+        self.demand = demand
+        self.size = size
+        self.idle = idle
+
+    @property
+    def needed(self):
+        """Instances that the demand needs now."""
+        return math.ceil(self.demand * HEADROOM / max(1, self.processors))
+
+
+class Lending:
+    """Remembers recent needs and chooses moves.
+
+    Parameters
+    ----------
+    base : int
+        Instances that a pool keeps while nothing is asked of it.
+    """
+
+    __slots__ = ("_base", "_peaks")
+
+    def __init__(self, *, base=SMALLEST_POOL):
+        self._base = base
+        self._peaks = {}
+
+    def choose(self, pools, now):
+        """Choose moves.
+
+        Parameters
+        ----------
+        pools : list of PoolLoad
+            All pools.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of tuple of (str, str)
+            Instance and the pool that it moves to.
+        """
+        wanted = {p.name: self._wanted(p, now) for p in pools if not p.is_off}
+        sources = [p for p in pools if p.is_off]
+        donors = [p for p in pools if not p.is_off and p.size > wanted[p.name]]
+        moves = []
+        short = [p for p in pools if not p.is_off and p.needed > p.size]
+        for pool in sorted(short, key=lambda p: p.size - p.needed):
+            lacking = pool.needed - pool.size
+            for source in (*sources, *donors):
+                if source is pool:
+                    continue
+                surplus = len(source.idle)
+                if not source.is_off:
+                    surplus = min(surplus, source.size - wanted[source.name])
+                for _ in range(min(lacking, surplus)):
+                    moves.append((source.idle.pop(), pool.name))
+                    source.size -= 1
+                    pool.size += 1
+                    lacking -= 1
+        if sources:
+            for pool in donors:
+                while pool.idle and pool.size > wanted[pool.name]:
+                    moves.append((pool.idle.pop(), sources[0].name))
+                    pool.size -= 1
+        return moves[:MOVES_AT_ONCE]
+
+    def _wanted(self, pool, now):
+        peaks = [(t, n) for t, n in self._peaks.get(pool.name, ()) if now - t < KEEP_S]
+        peaks.append((now, pool.needed))
+        self._peaks[pool.name] = peaks
+        return max(self._base, *(n for _, n in peaks))
