Let a pool that is off take instances back also while it has none

Cause: with all spare instances lent, the spare pool was missing from the list of pools, so idle instances stayed where they were and were paid for.

--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -434,7 +434,18 @@
         if not any(service.is_standby for service in self._services.values()):
             return
         demand = self._demand()
-        pools = {}
+        # A pool that is off takes instances back also while it has none.
+        pools = {
+            service.name: lending.PoolLoad(
+                name=service.name,
+                is_off=service.is_standby,
+                processors=0,
+                demand=demand.get(service.name, 0),
+                size=0,
+                idle=[],
+            )
+            for service in self._services.values()
+        }
         in_wave = {
             instance_id
             for wave in self._waves.values()
@@ -448,16 +459,8 @@
             service = self._services.get(pool)
             if service is None:
                 continue
-            load = pools.get(pool)
-            if load is None:
-                load = pools[pool] = lending.PoolLoad(
-                    name=pool,
-                    is_off=service.is_standby,
-                    processors=instance.processors,
-                    demand=demand.get(pool, 0),
-                    size=0,
-                    idle=[],
-                )
+            load = pools[pool]
+            load.processors = max(load.processors, instance.processors)
             if instance.state == instances.DOWN:
                 continue
             load.size += 1
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -6,7 +6,7 @@
 from cranberryport.platform import store
 
 GROUP = "controllers"
-# Takeover after a loss takes this long and a join; joins may fail four times in between.
+# Takeover after a loss takes this long and a join; four joins may fail in between.
 TTL_S = 2.0
 JOIN_INTERVAL_S = 0.4
 JOIN_TIMEOUT_S = 1.5
--- a/cranberryport/scheduling/lending.py
+++ b/cranberryport/scheduling/lending.py
@@ -1,8 +1,8 @@
 """Choice of the instances that move between pools.
 
 Load pattern: the queues peak by turns, each for some seconds and far above what its
-pool holds, and ask for almost nothing in between. Instances in pools are paid for, those
-of a pool that is off are not, and a move takes longer than a usual task.
+pool holds, and ask for almost nothing in between. Instances in pools are paid for,
+those of a pool that is off are not, and a move takes longer than a usual task.
 """
 
 import math
@@ -48,7 +48,9 @@
     @property
     def needed(self):
         """Instances that the demand needs now."""
-        return math.ceil(self.demand * HEADROOM / max(1, self.processors))
+        if not self.processors:
+            return 1 if self.demand else 0
+        return math.ceil(self.demand * HEADROOM / self.processors)
 
 
 class Lending:
