Move or take down only instances whose ends are acknowledged

The controller was refused by the store (429) from 16.5 s, still saw runs end, and moved executors that looked empty. Their ends existed nowhere else, so the successor started the tasks again. Ruled out: a lost append (all were refused), a repeat of a sequence number. Change: an instance counts as empty only when its ends are stored and acknowledged. Each life of a process has its own name in the group, since one continued epoch 21 after a power cut. Joins come every 0.25 s, and one that loses the partition joins at once.

--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -295,7 +295,7 @@
                 )
                 self._scheduler.stop_run(run)
                 return False
-        return not executor.runs
+        return executor.is_empty
 
     def _has_place(self, run, executor):
         now = time.monotonic()
@@ -466,10 +466,7 @@
             load.size += 1
             executor = self._scheduler.executors.get(instance.executor)
             is_free = service.is_standby or (
-                executor is not None
-                and executor.is_listed
-                and not executor.runs
-                and executor.last_answer is not None
+                executor is not None and executor.is_listed and executor.is_empty
             )
             is_free = is_free and instance.state == instances.UP and order is None
             is_free = is_free and instance.executor not in reserved
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -1,18 +1,21 @@
 """Membership of the group whose member for the control partition is the controller."""
 
 import logging
+import secrets
 import time
 
 from cranberryport.platform import store
 
 GROUP = "controllers"
-# Takeover after a loss takes this long and a join; four joins may fail in between.
-TTL_S = 2.0
-JOIN_INTERVAL_S = 0.4
+# Takeover after a loss takes this long and a join; five joins may fail in between.
+TTL_S = 1.5
+JOIN_INTERVAL_S = 0.25
+JOINS_PENDING_LIMIT = 6
 JOIN_TIMEOUT_S = 1.5
 OWNERS_TIMEOUT_S = 1.0
 OWNERS_INTERVAL_S = 0.3
 CONTROL_PARTITION = 0
+LIFE_MARK = "#"
 
 _logger = logging.getLogger(__name__)
 
@@ -26,8 +29,10 @@
         The store.
     timers : cranberryport.timers.Timers
         Timers of the process.
-    member : str
-        Address of this process for the others, as ``host:port``.
+    address : str
+        Address of this process for the others, as ``host:port``. Its name in the group
+        is another in each life: an order of an earlier life may still be carried out,
+        so a new life must not continue its epoch.
     ttl_s : float
         Seconds without a join after which the store gives the partition to another.
     on_gained : callable
@@ -37,6 +42,7 @@
     """
 
     __slots__ = (
+        "_address",
         "_asked_at",
         "_controller",
         "_epoch",
@@ -54,11 +60,12 @@
     )
 
     def __init__(
-        self, *, store_client, timers, member, on_gained, on_lost, ttl_s=TTL_S
+        self, *, store_client, timers, address, on_gained, on_lost, ttl_s=TTL_S
     ):
         self._store = store_client
         self._timers = timers
-        self._member = member
+        self._address = address
+        self._member = f"{address}{LIFE_MARK}{secrets.token_hex(4)}"
         self._ttl_s = ttl_s
         self._on_gained = on_gained
         self._on_lost = on_lost
@@ -84,7 +91,7 @@
     @property
     def controller(self):
         """Address of the controller as far as known, as ``host:port``, or None."""
-        return self._member if self._epoch is not None else self._controller
+        return self._address if self._epoch is not None else self._controller
 
     @property
     def is_certain(self):
@@ -126,8 +133,10 @@
         self._timers.after(JOIN_INTERVAL_S, self._tick)
         if self._controller is None and self._epoch is None and self._generation:
             self.find_controller()
-        if self._pending > 2:
-            return
+        if self._pending < JOINS_PENDING_LIMIT:
+            self._join()
+
+    def _join(self):
         self._pending += 1
         sent_at = time.monotonic()
         self._store.join(
@@ -157,8 +166,11 @@
             self._epoch = result.generation
             _logger.info("controller role gained", extra={"epoch": self._epoch})
             self._on_gained(self._epoch)
-        elif not is_owner:
+        elif not is_owner and self._epoch is not None:
             self._lose()
+            # The store gives the partition to its new owner once it hears that the
+            # previous one knows of the new generation.
+            self._join()
 
     def _lose(self):
         if self._epoch is not None:
@@ -168,8 +180,8 @@
 
     def _on_owners(self, result):
         if isinstance(result, store.Owners):
-            found = result.members.get(CONTROL_PARTITION) or None
-            if found == self._member and self._epoch is None:
+            found = result.members.get(CONTROL_PARTITION, "").partition(LIFE_MARK)[0]
+            if not found or found == self._address:
                 found = None
             if found != self._controller:
                 _logger.info("controller found", extra={"controller": found})
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -80,7 +80,7 @@
         self._membership = membership.Membership(
             store_client=self._store,
             timers=self._timers,
-            member=f"{loaded.peer_host}:{loaded.peer_port}",
+            address=f"{loaded.peer_host}:{loaded.peer_port}",
             ttl_s=max(membership.TTL_S, loaded.membership_ttl_least_ms / 1000),
             on_gained=self._on_gained,
             on_lost=self._on_lost,
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -106,6 +106,19 @@
         self.tickets = {}
         self.unlisted_at = None
 
+    @property
+    def is_empty(self):
+        """Whether nothing runs there and every end is stored and acknowledged.
+
+        An instance that moves or goes down forgets the ends that it has listed, so a
+        successor would start these tasks again.
+        """
+        return (
+            self.last_answer is not None
+            and not self.runs
+            and self.acked >= self.stored_end
+        )
+
     def clock_at(self, now):
         """Return the executor's clock in milliseconds, never ahead of its own."""
         return self.clock_ms + int((now - self.clock_read_at) * 1000 / CLOCK_DRIFT)
--- /dev/null
+++ b/tests/scheduling.py
@@ -0,0 +1,138 @@
+"""Builders for tests of the scheduling package."""
+
+import types
+
+from cranberryport.scheduling import executors, model, ordering, scheduler
+
+WALL = 1_000_000.0
+
+
+def make_step(count=1, *, processors=1000, memory=100, estimate_s=1.0, **values):
+    """Return a step."""
+    return model.Step(
+        count=count,
+        processors=processors,
+        memory=memory,
+        estimate_s=estimate_s,
+        **values,
+    )
+
+
+def make_job(*steps, job="aaaaaaaaaaaaaaaa", accepted_at=WALL, **values):
+    """Return a job of the queue ``queue`` in the pool ``pool``."""
+    return model.Job(
+        id=job,
+        queue="queue",
+        service="pool",
+        spec="work",
+        steps=list(steps) or [make_step()],
+        accepted_at=accepted_at,
+        **values,
+    )
+
+
+def make_executor(name="e1", *, processors=16_000, memory=32_000, **values):
+    """Return an executor as read from the list of executors."""
+    settings = {
+        "service": "pool",
+        "address": ("127.0.0.1", 1),
+        "data_centre": "a",
+        "accelerators": 0,
+        "labels": frozenset(),
+    }
+    return executors.Executor(
+        id=name, processors=processors, memory=memory, **(settings | values)
+    )
+
+
+def report(running=(), finished=()):
+    """Return an executor's lists: (task, run) and (number, task, run, how)."""
+    return types.SimpleNamespace(
+        running=[
+            types.SimpleNamespace(
+                task=row[0],
+                run=row[1],
+                saved=row[2] if len(row) > 2 else "",
+                percent=row[3] if len(row) > 3 else 10,
+                load=0,
+            )
+            for row in running
+        ],
+        finished=[
+            types.SimpleNamespace(number=n, task=task, run=run, how=how, saved="")
+            for n, task, run, how in finished
+        ],
+    )
+
+
+class Bench:
+    """A scheduler with executors that answer as a test says.
+
+    Parameters
+    ----------
+    count : int
+        Executors, named ``e1`` and so on.
+    attempts : int
+        Failed runs after which a job has failed.
+    takeover_lapses_at : float
+        See the scheduler.
+    """
+
+    def __init__(self, *, count=1, attempts=2, takeover_lapses_at=0.0, **values):
+        self.now = 100.0
+        self.scheduler = scheduler.Scheduler(takeover_lapses_at=takeover_lapses_at)
+        rules = ordering.QueueRules(
+            name="queue", service="pool", attempts=attempts, stretch=1.6, latency_s=0.6
+        )
+        self.scheduler.set_queues({"queue": rules})
+        self.executors = [
+            self.add_executor(f"e{number}", **values) for number in range(1, count + 1)
+        ]
+
+    def add_executor(self, name, **values):
+        """Add an executor that has answered once."""
+        executor = self.scheduler.see_executor(make_executor(name, **values), self.now)
+        executor.read_clock(1000, self.now)
+        executor.is_fenced = True
+        self.list_runs(executor)
+        return executor
+
+    def list_runs(self, executor, running=(), finished=(), *, asked_at=None):
+        """Let an executor answer with its lists; return unknown runs."""
+        return self.scheduler.on_list(
+            executor,
+            report(running, finished),
+            asked_at=self.now if asked_at is None else asked_at,
+            now=self.now,
+            wall=WALL,
+        )
+
+    def add_job(self, job):
+        """Add a job and return it."""
+        self.scheduler.add_job(job, WALL)
+        return job
+
+    def plan(self):
+        """Plan and return the batch to store."""
+        self.scheduler.plan(self.now, WALL)
+        return self.scheduler.take_batch()
+
+    def start(self):
+        """Plan, store and confirm; return the runs that were started."""
+        starts = self.scheduler.commit(self.plan(), self.now)
+        for run in starts:
+            run.deadline_ms = 1
+            self.scheduler.on_started(run, self.now)
+        return starts
+
+    def finish(self, run, number, how="done"):
+        """Let a run end."""
+        executor = self.scheduler.executors[run.executor]
+        self.now += 0.01
+        others = [
+            (key[0], key[1])
+            for key, other in executor.runs.items()
+            if other is not run and other.state != model.PLANNED
+        ]
+        end = (number, run.task.name, run.number, how)
+        return self.list_runs(executor, others, [end])
--- /dev/null
+++ b/tests/test_scheduling_decisions.py
@@ -0,0 +1,207 @@
+"""Tests for the pure decisions of cranberryport.scheduling."""
+
+import unittest
+
+from cranberryport.scheduling import (
+    instances,
+    lending,
+    model,
+    ordering,
+    packing,
+    suspicion,
+    upkeep,
+)
+from tests import scheduling
+
+RULES = ordering.QueueRules(
+    name="queue", service="pool", attempts=2, stretch=1.6, latency_s=0.6
+)
+
+
+def make_occurrence(job):
+    """Return the only occurrence of a job."""
+    return model.Occurrence(job=job, number=0, due=0.0)
+
+
+class OrderingTest(unittest.TestCase):
+    """Order when a queue asks for more than its pool holds."""
+
+    def _key(self, estimate_s, age_s):
+        job = scheduling.make_job(
+            scheduling.make_step(estimate_s=estimate_s),
+            accepted_at=scheduling.WALL - age_s,
+        )
+        return ordering.order_key(make_occurrence(job), RULES, scheduling.WALL)
+
+    def test_job_that_can_meet_its_objective_goes_before_a_late_one(self):
+        """Guards against serving only jobs that are late already."""
+        self.assertLess(self._key(1.0, 0.1), self._key(1.0, 3.0))
+
+    def test_late_job_goes_before_one_that_nobody_waits_for(self):
+        """Guards against work that is worth nothing to its caller."""
+        self.assertLess(self._key(1.0, 3.0), self._key(1.0, 9.0))
+
+    def test_lasting_tasks_go_first(self):
+        """Guards against lasting tasks that wait behind a burst."""
+        job = scheduling.make_job(scheduling.make_step(is_lasting=True))
+        key = ordering.order_key(make_occurrence(job), RULES, scheduling.WALL)
+        self.assertLess(key, self._key(1.0, 0.1))
+
+
+class PackingTest(unittest.TestCase):
+    """Choice of an executor."""
+
+    def _choose(self, step, candidates, **values):
+        settings = {"used_on": {}, "racks": set(), "avoid": (), "serving_on": {}}
+        return packing.choose(step, candidates, **(settings | values))
+
+    def test_task_takes_the_fullest_executor_with_room(self):
+        """Guards against small tasks that leave no executor for a wide one."""
+        full, empty = scheduling.make_executor("a"), scheduling.make_executor("b")
+        candidates = [(full, [2000, 9000, 0]), (empty, [16000, 32000, 0])]
+        self.assertIs(self._choose(scheduling.make_step(), candidates), full)
+
+    def test_spread_is_kept(self):
+        """Guards against more tasks of a step on one executor than it allows."""
+        only = scheduling.make_executor("a")
+        step = scheduling.make_step(spread=1)
+        candidates = [(only, [16000, 32000, 0])]
+        self.assertIsNone(self._choose(step, candidates, used_on={"a": 1}))
+
+    def test_label_is_required(self):
+        """Guards against a start without the label."""
+        only = scheduling.make_executor("a", labels=frozenset({"x"}))
+        candidates = [(only, [16000, 32000, 0])]
+        step = scheduling.make_step(label="y")
+        self.assertIsNone(self._choose(step, candidates))
+
+    def test_rack_of_the_data_is_preferred(self):
+        """Guards against tasks far from their data while there is room near it."""
+        near = scheduling.make_executor("a", rack="r1")
+        far = scheduling.make_executor("b", rack="r2")
+        candidates = [(far, [2000, 9000, 0]), (near, [16000, 32000, 0])]
+        step = scheduling.make_step(rack="r1")
+        self.assertIs(self._choose(step, candidates), near)
+
+    def test_executor_on_which_the_task_failed_is_avoided(self):
+        """Guards against spending all attempts on one broken executor."""
+        bad, good = scheduling.make_executor("a"), scheduling.make_executor("b")
+        candidates = [(bad, [2000, 9000, 0]), (good, [16000, 32000, 0])]
+        chosen = self._choose(scheduling.make_step(), candidates, avoid=("a",))
+        self.assertIs(chosen, good)
+
+
+class SuspicionTest(unittest.TestCase):
+    """Executors that fail everything."""
+
+    def test_failures_of_one_job_do_not_make_an_executor_suspect(self):
+        """Guards against emptying a pool because of a job that can never be done."""
+        executor = scheduling.make_executor()
+        for now in (1.0, 1.1, 1.2):
+            suspicion.note_end(executor, "job", "failed", now)
+        self.assertLessEqual(executor.suspected_until, 1.2)
+
+    def test_failures_of_several_jobs_make_an_executor_suspect(self):
+        """Guards against an executor that fails everything and so always has room."""
+        bad, good = scheduling.make_executor("a"), scheduling.make_executor("b")
+        suspicion.note_end(bad, "one", "failed", 1.0)
+        suspicion.note_end(bad, "two", "failed", 1.1)
+        candidates = [(bad, [1, 1, 1]), (good, [1, 1, 1])]
+        self.assertEqual(suspicion.trusted(candidates, 1.2), candidates[1:])
+
+
+def make_pool(name, *, size, demand=0, idle=(), is_off=False):
+    """Return the load of a pool with instances of 16 cores."""
+    return lending.PoolLoad(
+        name=name,
+        is_off=is_off,
+        processors=16_000,
+        demand=demand,
+        size=size,
+        idle=list(idle),
+    )
+
+
+class LendingTest(unittest.TestCase):
+    """Moves between pools while the queues peak by turns."""
+
+    def test_peak_borrows_from_the_pool_that_is_off(self):
+        """Guards against a peak that waits beside instances that are off."""
+        pools = [
+            make_pool("spare", size=2, idle=["m1", "m2"], is_off=True),
+            make_pool("peak", size=3, demand=80_000),
+        ]
+        moves = lending.Lending().choose(pools, 0.0)
+        self.assertEqual({pool for _, pool in moves}, {"peak"})
+        self.assertEqual(len(moves), 2)
+
+    def test_idle_instances_return_although_the_spare_pool_is_empty(self):
+        """Guards against paying for idle instances all day.
+
+        Seen on brazos quiet-1: with every spare instance lent, none came back.
+        """
+        pools = [
+            make_pool("spare", size=0, is_off=True),
+            make_pool("idle", size=6, idle=["m1", "m2", "m3"]),
+        ]
+        moves = lending.Lending().choose(pools, 0.0)
+        self.assertEqual({pool for _, pool in moves}, {"spare"})
+
+    def test_pool_keeps_its_base(self):
+        """Guards against an empty pool when its next job comes."""
+        names = [f"m{number}" for number in range(lending.SMALLEST_POOL)]
+        pools = [
+            make_pool("spare", size=0, is_off=True),
+            make_pool("idle", size=len(names), idle=names),
+        ]
+        self.assertEqual(lending.Lending().choose(pools, 0.0), [])
+
+
+class UpkeepTest(unittest.TestCase):
+    """Waves of upkeep."""
+
+    def _listed(self, count, **values):
+        settings = {"pool": "pool", "state": "up", "kind": "a", "processors": 16_000}
+        return {
+            f"m{number}": instances.Instance(
+                id=f"m{number}", executor=f"e{number}", **(settings | values)
+            )
+            for number in range(1, count + 1)
+        }
+
+    def _choose(self, wave, listed, executors=None):
+        return upkeep.choose(
+            wave, listed, executors or {}, load={}, upkeep_s=2.0, now=0.0
+        )
+
+    def test_no_more_than_the_maximum_are_down(self):
+        """Guards against an upkeep that begins while the most allowed are down."""
+        listed = self._listed(4)
+        wave = instances.Wave(number=1, instances=list(listed), ends_at=30.0, maximum=2)
+        self.assertEqual(len(self._choose(wave, listed)), 2)
+        wave.ordered = {"m1": "e1", "m2": "e2"}
+        self.assertEqual(self._choose(wave, listed), [])
+        listed["m1"].executor = "e9"
+        self.assertEqual(len(self._choose(wave, listed)), 1)
+
+    def test_instances_without_work_go_first(self):
+        """Guards against moving work while idle instances could go down."""
+        bench = scheduling.Bench(count=2)
+        bench.add_job(scheduling.make_job(scheduling.make_step(is_lasting=True)))
+        (run,) = bench.start()
+        listed = self._listed(2)
+        wave = instances.Wave(number=1, instances=list(listed), ends_at=30.0, maximum=1)
+        (chosen,) = self._choose(wave, listed, bench.scheduler.executors)
+        self.assertNotEqual(listed[chosen].executor, run.executor)
+
+    def test_lasting_task_stays_while_another_of_its_step_is_away(self):
+        """Guards against more tasks away than their job allows."""
+        bench = scheduling.Bench(count=2)
+        step = scheduling.make_step(2, is_lasting=True, max_unavailable=1)
+        bench.add_job(scheduling.make_job(step))
+        runs = bench.start()
+        known = bench.scheduler.executors
+        self.assertFalse(upkeep.may_stop(runs[0], known))
+        for run in runs:
+            run.percent = 100
+        self.assertTrue(upkeep.may_stop(runs[0], known))
