Size pools by what arrives, not only by what runs

Cause: at the start of a peak the demand showed only once tasks waited, in steps of one instance, and each move takes 1.5 s.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -15,7 +15,7 @@
 JOBS_WAIT_S = 1.0
 JOBS_GAP_S = 0.02
 EXECUTORS_WAIT_S = 1.0
-EXECUTORS_GAP_S = 0.3
+EXECUTORS_GAP_S = 0.1
 READ_TIMEOUT_S = 2.0
 READ_RETRY_S = 0.1
 # An answer that a job is not known needs knowledge at most this old.
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -6,8 +6,8 @@
 from cranberryport.platform import machines, store
 from cranberryport.scheduling import instances, lending, model, packing, upkeep
 
-STEP_S = 0.15
-LIST_BUSY_S = 0.4
+STEP_S = 0.06
+LIST_BUSY_S = 0.3
 LIST_IDLE_S = 2.0
 STATUS_TIMEOUT_S = 1.5
 STATUS_RETRY_S = 0.3
@@ -220,7 +220,7 @@
         if self._listed_at is None or now < self._begins_at or not self._is_certain():
             return
         reserved = set()
-        load = self._pool_load()
+        load = self._pool_load(now)
         for number in sorted(self._waves):
             wave = self._waves[number]
             reserved |= self._decide_wave(wave, load, now)
@@ -403,37 +403,20 @@
 
     # Moves
 
-    def _demand(self):
-        demand = {}
-        for executor in self._scheduler.executors.values():
-            used = executor.used()[0]
-            demand[executor.service] = demand.get(executor.service, 0) + used
-        for job in self._scheduler.open_jobs.values():
-            for occurrence in job.occurrences.values():
-                for number in occurrence.open_steps:
-                    step = job.steps[number]
-                    waiting = sum(
-                        not task.is_done and not task.runs
-                        for task in occurrence.tasks[number]
-                    )
-                    asked = 0 if step.is_filling else step.processors * waiting
-                    demand[job.service] = demand.get(job.service, 0) + asked
-        return demand
-
-    def _pool_load(self):
+    def _pool_load(self, now):
         sizes = {}
         for instance in self._listed.values():
             if instance.state == instances.UP:
                 sizes[instance.pool] = sizes.get(instance.pool, 0) + instance.processors
         return {
             pool: asked / max(1, sizes.get(pool, 0))
-            for pool, asked in self._demand().items()
+            for pool, asked in self._scheduler.demand(now).items()
         }
 
     def _decide_moves(self, reserved, now):
         if not any(service.is_standby for service in self._services.values()):
             return
-        demand = self._demand()
+        demand = self._scheduler.demand(now)
         # A pool that is off takes instances back also while it has none.
         pools = {
             service.name: lending.PoolLoad(
--- a/cranberryport/scheduling/lending.py
+++ b/cranberryport/scheduling/lending.py
@@ -5,15 +5,49 @@
 those of a pool that is off are not, and a move takes longer than a usual task.
 """
 
+import collections
 import math
 
 # Placement leaves gaps, so a pool needs more than the sum of its tasks.
 HEADROOM = 1.15
 # A pool keeps what it needed within this time, so that a pause causes no moves.
-KEEP_S = 2.0
-# Smallest size of a pool: the loss of one instance leaves others.
-SMALLEST_POOL = 3
-MOVES_AT_ONCE = 8
+KEEP_S = 1.0
+# Smallest size of a pool: the loss of one instance leaves another.
+SMALLEST_POOL = 2
+# Work that became ready within this time tells how much a beginning peak will ask for.
+ARRIVAL_WINDOW_S = 0.5
+MOVES_AT_ONCE = 12
+
+
+class ArrivalRate:
+    """Work that becomes ready in a pool, in thousandths of a core.
+
+    A peak shows in what arrives some tenths of a second before it shows in what runs,
+    and a move takes longer than that.
+    """
+
+    __slots__ = ("_recent",)
+
+    def __init__(self):
+        self._recent = collections.deque()
+
+    def note(self, work, now):
+        """Take work that became ready.
+
+        Parameters
+        ----------
+        work : float
+            Thousandths of a core times seconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        self._recent.append((now, work))
+
+    def steady_demand(self, now):
+        """Return the processors that this rate keeps busy for good."""
+        while self._recent and now - self._recent[0][0] > ARRIVAL_WINDOW_S:
+            self._recent.popleft()
+        return sum(work for _, work in self._recent) / ARRIVAL_WINDOW_S
 
 
 class PoolLoad:
@@ -28,7 +62,7 @@
     processors : int
         Thousandths of a core of one instance.
     demand : int
-        Thousandths of a core that running and waiting tasks ask for.
+        Thousandths of a core that the pool needs now or soon.
     size : int
         Instances that are there or on their way.
     idle : list of str
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -7,8 +7,16 @@
 
 import collections
 import logging
+import time
 
-from cranberryport.scheduling import model, ordering, packing, records, suspicion
+from cranberryport.scheduling import (
+    lending,
+    model,
+    ordering,
+    packing,
+    records,
+    suspicion,
+)
 
 # A start without an answer may be carried out until its own deadline.
 START_VALIDITY_S = 2.0
@@ -74,6 +82,7 @@
         self._stops = collections.deque()
         self._waiting_runs = {}
         self._timed = {}
+        self._arrivals = collections.defaultdict(lending.ArrivalRate)
 
     @property
     def jobs(self):
@@ -180,12 +189,18 @@
             self._open_ready_steps(occurrence)
         self._timed.pop(job.id, None)
 
-    def _open_ready_steps(self, occurrence):
-        for number in range(len(occurrence.tasks)):
-            if occurrence.remaining[number] and occurrence.is_step_ready(number):
-                occurrence.open_steps.add(number)
-            else:
+    def _open_ready_steps(self, occurrence, now=None):
+        for number, step in enumerate(occurrence.job.steps):
+            if not occurrence.remaining[number]:
                 occurrence.open_steps.discard(number)
+            elif number not in occurrence.open_steps and occurrence.is_step_ready(
+                number
+            ):
+                occurrence.open_steps.add(number)
+                if not step.is_lasting and not step.is_filling:
+                    work = step.processors * step.count * step.estimate_s
+                    arrivals = self._arrivals[occurrence.job.service]
+                    arrivals.note(work, time.monotonic() if now is None else now)
 
     def _mark(self, job):
         self._dirty[job.id] = job
@@ -707,6 +722,47 @@
         job = self._jobs.get(job_id)
         return None if job is None else job.state
 
+    def demand(self, now):
+        """Return the processors that each pool needs now or soon.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        dict of str to int
+            Thousandths of a core: what runs and waits, or what the present rate of
+            arrivals keeps busy with what waits, whichever is more.
+        """
+        lasting = collections.Counter()
+        running = collections.Counter()
+        waiting = collections.Counter()
+        for executor in self._executors.values():
+            for run in executor.runs.values():
+                step = run.task.step
+                kept = lasting if step.is_lasting else running
+                kept[executor.service] += 0 if step.is_filling else step.processors
+        for job in self._open_jobs.values():
+            for occurrence in job.occurrences.values():
+                for number in occurrence.open_steps:
+                    step = job.steps[number]
+                    if step.is_filling:
+                        continue
+                    count = sum(
+                        not task.is_done and not task.runs
+                        for task in occurrence.tasks[number]
+                    )
+                    waiting[job.service] += step.processors * count
+        services = {*lasting, *running, *waiting, *self._arrivals}
+        return {
+            service: lasting[service]
+            + waiting[service]
+            + max(running[service], self._arrivals[service].steady_demand(now))
+            for service in services
+        }
+
     def waiting_count(self, queue):
         """Return the number of jobs of a queue of which nothing has started."""
         return sum(
