Gather lasting tasks on few instances; log the sizes of pools

Cause: lasting tasks were spread over all instances of a pool, which kept them from being lent or switched off; moves away and back cost as much as 2.3 s of an instance.

--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -10,6 +10,7 @@
 LIST_BUSY_S = 0.3
 LIST_IDLE_S = 2.0
 STATUS_TIMEOUT_S = 1.5
+POOLS_LOG_S = 1.0
 STATUS_RETRY_S = 0.3
 # An order without an answer may be carried out this much later (platform's protocol:
 # up to 12 s), so the instance gets no other order before.
@@ -71,6 +72,7 @@
         "_listed",
         "_listed_at",
         "_loaded",
+        "_logged_at",
         "_on_stops",
         "_on_superseded",
         "_orders",
@@ -113,6 +115,7 @@
         self._listed = {}
         self._listed_at = None
         self._is_listing = False
+        self._logged_at = 0.0
         self._orders = {}
         self._forbidden = set()
         self._services = {}
@@ -455,6 +458,7 @@
             is_free = is_free and instance.executor not in reserved
             if is_free and not (service.is_standby and instance.id in in_wave):
                 load.idle.append(instance.id)
+        self._log_pools(pools, now)
         for instance_id, pool in self._lending.choose(list(pools.values()), now):
             instance = self._listed[instance_id]
             if (instance.kind, pool) in self._forbidden:
@@ -478,6 +482,22 @@
             if order.previous:
                 reserved.add(order.previous)
 
+    def _log_pools(self, pools, now):
+        if now - self._logged_at < POOLS_LOG_S:
+            return
+        self._logged_at = now
+        sizes = {
+            pool.name: [pool.size, len(pool.idle), pool.needed]
+            for pool in pools.values()
+        }
+        _logger.info(
+            "pools",
+            extra={
+                "size_idle_needed": sizes,
+                "list_age_s": round(now - self._listed_at, 3),
+            },
+        )
+
     def _leave_draining(self, now):
         """Move work away from executors that are about to leave."""
         for executor in self._scheduler.executors.values():
--- a/cranberryport/scheduling/lending.py
+++ b/cranberryport/scheduling/lending.py
@@ -10,8 +10,9 @@
 
 # Placement leaves gaps, so a pool needs more than the sum of its tasks.
 HEADROOM = 1.15
-# A pool keeps what it needed within this time, so that a pause causes no moves.
-KEEP_S = 1.0
+# A pool keeps what it needed within this time: a move away and back costs as much as an
+# instance that stays for 2.3 s (prices of the deployments).
+KEEP_S = 2.3
 # Smallest size of a pool: the loss of one instance leaves another.
 SMALLEST_POOL = 2
 # Work that became ready within this time tells how much a beginning peak will ask for.
--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -1,7 +1,7 @@
 """Choice of the executor for a task.
 
-Load pattern: tasks of uneven size on few executors; tasks that serve stay for long and
-should not fill the executors that wide jobs need.
+Load pattern: tasks of uneven size on few executors; lasting tasks stay for long, and an
+executor that has one cannot be lent to another pool while its own is idle.
 """
 
 
@@ -41,7 +41,7 @@
     return fits(step, executor, whole)
 
 
-def choose(step, candidates, *, used_on, racks, avoid, serving_on):
+def choose(step, candidates, *, used_on, racks, avoid, lasting_on):
     """Choose an executor for one task.
 
     Parameters
@@ -56,8 +56,8 @@
         Racks on which tasks of a tightly coupled step run already.
     avoid : collection of str
         Executors on which the task has failed.
-    serving_on : dict of str to int
-        Serving tasks on each executor, which tasks that fill would disturb.
+    lasting_on : dict of str to int
+        Lasting tasks on each executor, which tasks that fill would disturb.
 
     Returns
     -------
@@ -73,17 +73,17 @@
         share = (free[0] - step.processors) / max(1, executor.processors)
         is_remote = bool(step.rack) and executor.rack != step.rack
         splits = step.is_coupled and bool(racks) and executor.rack not in racks
-        spread = used_on.get(executor.id, 0) if step.is_lasting else 0
-        disturbs = serving_on.get(executor.id, 0) if step.is_filling else 0
-        # Lasting tasks spread out; others take the fullest executor that has room, so
-        # that wide tasks still find a whole one.
-        tightness = -share if step.is_lasting else share
+        lasting = lasting_on.get(executor.id, 0)
+        disturbs = lasting if step.is_filling else 0
+        # Lasting tasks gather on few executors. All take the fullest executor that has
+        # room, so that wide tasks still find a whole one.
+        gathers = -min(1, lasting) if step.is_lasting else 0
         key = (
             executor.id in avoid,
             is_remote or splits,
             disturbs,
-            spread,
-            tightness,
+            gathers,
+            share,
             executor.id,
         )
         if best_key is None or key < best_key:
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -572,16 +572,16 @@
     def _plan_pool(self, occurrences, candidates, now, wall):
         occurrences.sort(key=lambda o: ordering.order_key(o, self.rules(o.job), wall))
         trusted = suspicion.trusted(candidates, now)
-        serving = {}
+        lasting = collections.Counter()
         for executor, _ in candidates:
-            serving[executor.id] = sum(
-                run.task.step.tail_target_ms > 0 for run in executor.runs.values()
+            lasting[executor.id] = sum(
+                run.task.step.is_lasting for run in executor.runs.values()
             )
         for occurrence in occurrences:
             for number in sorted(occurrence.open_steps):
-                self._plan_step(occurrence, number, trusted, serving, now)
+                self._plan_step(occurrence, number, trusted, lasting, now)
 
-    def _plan_step(self, occurrence, number, candidates, serving, now):
+    def _plan_step(self, occurrence, number, candidates, lasting, now):
         tasks = occurrence.tasks[number]
         step = occurrence.job.steps[number]
         attempts = self.rules(occurrence.job).attempts
@@ -606,10 +606,11 @@
                 used_on=used_on,
                 racks=racks,
                 avoid=task.avoid,
-                serving_on=serving,
+                lasting_on=lasting,
             )
             if executor is None:
                 return
+            lasting[executor.id] += step.is_lasting
             self._plan_run(task, executor, task.next_run, candidates, used_on, racks)
 
     def _placed(self, tasks):
@@ -636,7 +637,7 @@
                 used_on=used_on,
                 racks=racks,
                 avoid=task.avoid,
-                serving_on={},
+                lasting_on={},
             )
             if executor is None:
                 return
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -52,7 +52,7 @@
     """Choice of an executor."""
 
     def _choose(self, step, candidates, **values):
-        settings = {"used_on": {}, "racks": set(), "avoid": (), "serving_on": {}}
+        settings = {"used_on": {}, "racks": set(), "avoid": (), "lasting_on": {}}
         return packing.choose(step, candidates, **(settings | values))
 
     def test_task_takes_the_fullest_executor_with_room(self):
@@ -61,6 +61,12 @@
         candidates = [(full, [2000, 9000, 0]), (empty, [16000, 32000, 0])]
         self.assertIs(self._choose(scheduling.make_step(), candidates), full)
 
+    def test_lasting_tasks_gather(self):
+        """Guards against lasting tasks that hold every instance of an idle pool."""
+        bench = scheduling.Bench(count=3)
+        bench.add_job(scheduling.make_job(scheduling.make_step(5, is_lasting=True)))
+        self.assertEqual(len({run.executor for run in bench.start()}), 1)
+
     def test_spread_is_kept(self):
         """Guards against more tasks of a step on one executor than it allows."""
         only = scheduling.make_executor("a")
