Serve the smallest remaining work first among jobs that can meet their objective

Cause: with least slack first, a peak above the fleet makes nearly every job just late. Late jobs come first when 1.5 s are left in which their caller still waits.

--- a/cranberryport/scheduling/ordering.py
+++ b/cranberryport/scheduling/ordering.py
@@ -4,13 +4,17 @@
 and for almost nothing in between, while declared run times are off by half.
 """
 
-FEASIBLE = 0
-LATE = 1
-MISSED = 2
+RESCUED = 0
+FEASIBLE = 1
+LATE = 2
+MISSED = 3
 # A job that ends after this multiple of its objective is worth nothing to its caller
 # (platform's rules).
 LATE_FACTOR = 3.0
 SERVING_FIRST = -1
+# A late job is served before all others when that little of its last time is left;
+# otherwise a long peak would starve it until nobody waits for it any more.
+RESCUE_S = 1.5
 
 
 class QueueRules:
@@ -78,6 +82,14 @@
     return max(ends, default=0.0)
 
 
+def remaining_work(occurrence):
+    """Return the declared work that is still to be done, in core-seconds."""
+    return sum(
+        occurrence.remaining[number] * step.processors * step.estimate_s / 1000
+        for number, step in enumerate(occurrence.job.steps)
+    )
+
+
 def order_key(occurrence, rules, now):
     """Return the sort key of an occurrence of a job; the smallest is served first.
 
@@ -94,20 +106,22 @@
     -------
     tuple
         Jobs that can still meet their objective come before those that cannot, and
-        these before those that nobody waits for any more. Within a class the queue's
-        priority decides, then what was begun, then the time that is left.
+        these before those that nobody waits for any more; late jobs about to become
+        useless come first. Among the feasible ones the smallest remaining work comes
+        first, as most callers are served that way when not all can be; among the
+        others the least time left.
     """
     job = occurrence.job
     began = max(job.accepted_at, occurrence.due)
     if any(step.is_lasting for step in job.steps):
-        return (SERVING_FIRST, rules.priority, 0, began)
+        return (SERVING_FIRST, rules.priority, began)
     objective = objective_s(job, rules)
     left = began + objective - now
     need = remaining_chain_s(occurrence)
     if left >= need:
-        urgency = FEASIBLE
-    elif left + objective * (LATE_FACTOR - 1) >= need:
-        urgency = LATE
-    else:
-        urgency = MISSED
-    return (urgency, rules.priority, 0 if occurrence.open_steps else 1, left - need)
+        return (FEASIBLE, rules.priority, remaining_work(occurrence))
+    left += objective * (LATE_FACTOR - 1)
+    if left < need:
+        return (MISSED, rules.priority, began)
+    urgency = RESCUED if left - need < RESCUE_S else LATE
+    return (urgency, rules.priority, left - need)
