--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -413,13 +413,13 @@
                 sizes[instance.pool] = sizes.get(instance.pool, 0) + instance.processors
         return {
             pool: asked / max(1, sizes.get(pool, 0))
-            for pool, asked in self._scheduler.demand(now).items()
+            for pool, asked in self._scheduler.demand(now, time.time()).items()
         }
 
     def _decide_moves(self, reserved, now):
         if not any(service.is_standby for service in self._services.values()):
             return
-        demand = self._scheduler.demand(now)
+        demand = self._scheduler.demand(now, time.time())
         # A pool that is off takes instances back also while it has none.
         pools = {
             service.name: lending.PoolLoad(
--- a/cranberryport/scheduling/lending.py
+++ b/cranberryport/scheduling/lending.py
@@ -14,7 +14,10 @@
 # instance that stays for 2.3 s (prices of the deployments).
 KEEP_S = 2.3
 # Smallest size of a pool: the loss of one instance leaves another.
-SMALLEST_POOL = 2
+SMALLEST_POOL = 4
+# Waiting tasks of late jobs count this much: their callers lost most of the worth,
+# and others still wait in time.
+LATE_SHARE = 0.25
 # Work that became ready within this time tells how much a beginning peak will ask for.
 ARRIVAL_WINDOW_S = 0.5
 MOVES_AT_ONCE = 12
@@ -120,7 +123,7 @@
         """
         wanted = {p.name: self._wanted(p, now) for p in pools if not p.is_off}
         sources = [p for p in pools if p.is_off]
-        donors = [p for p in pools if not p.is_off and p.size > wanted[p.name]]
+        donors = [p for p in pools if not p.is_off and p.size > p.needed]
         moves = []
         short = [p for p in pools if not p.is_off and p.needed > p.size]
         for pool in sorted(short, key=lambda p: p.size - p.needed):
@@ -130,7 +133,9 @@
                     continue
                 surplus = len(source.idle)
                 if not source.is_off:
-                    surplus = min(surplus, source.size - wanted[source.name])
+                    # Idle instances help a short pool at once; the base and what was
+                    # needed lately only matter while no pool is short.
+                    surplus = min(surplus, source.size - source.needed)
                 for _ in range(min(lacking, surplus)):
                     moves.append((source.idle.pop(), pool.name))
                     source.size -= 1
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -723,13 +723,15 @@
         job = self._jobs.get(job_id)
         return None if job is None else job.state
 
-    def demand(self, now):
+    def demand(self, now, wall):
         """Return the processors that each pool needs now or soon.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
+        wall : float
+            Unix time in seconds.
 
         Returns
         -------
@@ -747,15 +749,13 @@
                 kept[executor.service] += 0 if step.is_filling else step.processors
         for job in self._open_jobs.values():
             for occurrence in job.occurrences.values():
-                for number in occurrence.open_steps:
-                    step = job.steps[number]
-                    if step.is_filling:
-                        continue
-                    count = sum(
-                        not task.is_done and not task.runs
-                        for task in occurrence.tasks[number]
-                    )
-                    waiting[job.service] += step.processors * count
+                asked = _waiting_processors(occurrence)
+                if not asked:
+                    continue
+                urgency = ordering.order_key(occurrence, self.rules(job), wall)[0]
+                is_late = urgency in (ordering.LATE, ordering.MISSED)
+                share = lending.LATE_SHARE if is_late else 1.0
+                waiting[job.service] += asked * share
         services = {*lasting, *running, *waiting, *self._arrivals}
         return {
             service: lasting[service]
@@ -770,3 +770,15 @@
             job.queue == queue and not job.has_started
             for job in self._open_jobs.values()
         )
+
+
+def _waiting_processors(occurrence):
+    """Return the processors that the tasks of an occurrence ask for that wait."""
+    asked = 0
+    for number in occurrence.open_steps:
+        step = occurrence.job.steps[number]
+        if not step.is_filling:
+            asked += step.processors * sum(
+                not task.is_done and not task.runs for task in occurrence.tasks[number]
+            )
+    return asked
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -1,5 +1,6 @@
 """Tests for the pure decisions of cranberryport.scheduling."""
 
+import time
 import unittest
 
 from cranberryport.scheduling import (
@@ -41,6 +42,18 @@
         """Guards against work that is worth nothing to its caller."""
         self.assertLess(self._key(1.0, 3.0), self._key(1.0, 9.0))
 
+    def test_short_job_goes_before_a_long_one(self):
+        """Guards against a peak in which nearly every job is just late."""
+        self.assertLess(self._key(0.5, 0.1), self._key(2.0, 0.1))
+
+    def test_late_job_is_rescued_before_nobody_waits_for_it(self):
+        """Guards against late jobs that starve in a long peak.
+
+        The objective of a task of 1 s is 2.2 s; callers wait for 6.6 s.
+        """
+        self.assertLess(self._key(1.0, 4.5), self._key(1.0, 0.1))
+        self.assertGreater(self._key(1.0, 3.5), self._key(1.0, 0.1))
+
     def test_lasting_tasks_go_first(self):
         """Guards against lasting tasks that wait behind a burst."""
         job = scheduling.make_job(scheduling.make_step(is_lasting=True))
@@ -153,6 +166,39 @@
         moves = lending.Lending().choose(pools, 0.0)
         self.assertEqual({pool for _, pool in moves}, {"spare"})
 
+    def test_idle_instances_of_a_past_peak_help_the_next_one_at_once(self):
+        """Guards against a peak that waits while the pool before it keeps its size."""
+        choose = lending.Lending().choose
+        choose([make_pool("past", size=10, demand=140_000)], 0.0)
+        pools = [
+            make_pool("past", size=10, demand=10_000, idle=["m1", "m2"]),
+            make_pool("peak", size=4, demand=140_000),
+        ]
+        self.assertEqual(choose(pools, 0.1), [("m2", "peak"), ("m1", "peak")])
+
+    def test_beginning_peak_shows_in_its_arrivals(self):
+        """Guards against a peak that borrows one instance after the other."""
+        bench = scheduling.Bench(count=1, processors=4000)
+        step = scheduling.make_step(4, processors=1000, estimate_s=1.0)
+        for number in range(5):
+            bench.add_job(scheduling.make_job(step, job=f"{number:016x}"))
+        now = time.monotonic()
+        asked = bench.scheduler.demand(now, scheduling.WALL)["pool"]
+        # 20 tasks of one core-second in half a second keep 40 cores busy.
+        self.assertGreaterEqual(asked, 40_000)
+
+    def test_late_jobs_count_less_than_those_in_time(self):
+        """Guards against lending for callers that lost the worth of their jobs."""
+        bench = scheduling.Bench(count=0)
+        for number, age_s in enumerate((0.0, 3.5)):
+            job = scheduling.make_job(
+                job=f"{number:016x}", accepted_at=scheduling.WALL - age_s
+            )
+            bench.add_job(job)
+        later = time.monotonic() + 10
+        asked = bench.scheduler.demand(later, scheduling.WALL)["pool"]
+        self.assertEqual(asked, 1000 * (1 + lending.LATE_SHARE))
+
     def test_pool_keeps_its_base(self):
         """Guards against an empty pool when its next job comes."""
         names = [f"m{number}" for number in range(lending.SMALLEST_POOL)]
