Store orders for instances before they are sent; refuse sooner without the store

Instances cut off from the store held requests for 2.7 s before they refused them. Change: the times of the last orders are stored under the epoch before an order is sent, so a successor waits only for instances that were ordered lately. A request waits 1.2 s for the store, and 0.3 s while reads fail as well.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -23,6 +23,7 @@
 JOB_PREFIX = "j/"
 CANCEL_PREFIX = "c/"
 WAVE_PREFIX = "wave/"
+ORDERS_KEY = "orders"
 FORGET_INTERVAL_S = 10.0
 
 _logger = logging.getLogger(__name__)
@@ -70,9 +71,11 @@
         "_started_at",
         "_store",
         "_timers",
+        "_unsaved_orders",
         "_unsaved_waves",
         "_waves",
         "_waves_done",
+        "_when_orders_saved",
         "_writer",
     )
 
@@ -105,6 +108,8 @@
         self._waves = []
         self._waves_done = {}
         self._unsaved_waves = {}
+        self._unsaved_orders = None
+        self._when_orders_saved = []
         self._fleet = None
         if instance_client is not None:
             self._fleet = fleet.Fleet(
@@ -118,6 +123,7 @@
                 on_superseded=on_superseded,
                 on_stops=self.wake,
                 save_wave=self._save_wave,
+                save_orders=self._save_orders,
             )
         self._progress = {}
         self._cancelled = set()
@@ -237,6 +243,11 @@
         reply.state = state or ""
         return reply
 
+    def _save_orders(self, sent, callback):
+        self._unsaved_orders = messages.OrdersStored(job=ORDERS_KEY, sent=dict(sent))
+        self._when_orders_saved.append(callback)
+        self.wake()
+
     def _is_current(self):
         confirmed_at = self._jobs_reader.confirmed_at
         if confirmed_at is None:
@@ -271,6 +282,11 @@
                     number = int(key.removeprefix(WAVE_PREFIX))
                     self._waves_done[number] = set(record.done)
                 continue
+            if key == ORDERS_KEY:
+                record = _decode(key, value, messages.OrdersStored)
+                if record is not None and self._fleet is not None:
+                    self._fleet.restore_orders(record.sent, time.time())
+                continue
             record = _decode(key, value, messages.ProgressStored)
             if record is not None:
                 self._progress[key] = record
@@ -417,17 +433,22 @@
 
     def _store_batch(self):
         batch = self._scheduler.take_batch()
-        waves, self._unsaved_waves = list(self._unsaved_waves.values()), {}
-        if batch.is_empty and not waves:
-            return
-        if batch.stored or waves:
-            found = [*batch.stored, *waves]
-            self._writer.write(found, lambda: self._on_stored(batch))
-        else:
-            self._on_stored(batch)
-
-    def _on_stored(self, batch):
+        further = list(self._unsaved_waves.values())
+        if self._unsaved_orders is not None:
+            further.append(self._unsaved_orders)
+        callbacks, self._when_orders_saved = self._when_orders_saved, []
+        self._unsaved_waves = {}
+        self._unsaved_orders = None
+        found = [*batch.stored, *further]
+        if found:
+            self._writer.write(found, lambda: self._on_stored(batch, callbacks))
+        elif not batch.is_empty:
+            self._on_stored(batch, callbacks)
+
+    def _on_stored(self, batch, callbacks):
         now = time.monotonic()
+        for callback in callbacks:
+            callback()
         for run in self._scheduler.commit(batch, now):
             link = self._links.get(run.executor)
             if link is None:
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -16,6 +16,8 @@
 # up to 12 s), so the instance gets no other order before.
 LATE_ORDER_S = 13.0
 ORDER_RETRY_S = 0.4
+# Clocks of the entry instances differ by less than this on an ordinary day.
+TURN_SLACK_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -58,13 +60,16 @@
         Called after runs were stopped, so that the stops are sent.
     save_wave : callable
         Called with a wave whose progress is to be stored.
+    save_orders : callable
+        Called with the wall-clock times of the last orders by instance, and with a
+        function that is called once they are stored.
     """
 
     __slots__ = (
-        "_begins_at",
         "_client",
         "_epoch",
         "_forbidden",
+        "_free_at",
         "_is_certain",
         "_is_listing",
         "_is_stopped",
@@ -75,7 +80,9 @@
         "_logged_at",
         "_on_stops",
         "_on_superseded",
+        "_ordered_at",
         "_orders",
+        "_save_orders",
         "_save_wave",
         "_scheduler",
         "_services",
@@ -98,6 +105,7 @@
         on_superseded,
         on_stops,
         save_wave,
+        save_orders,
     ):
         self._scheduler = scheduler_
         self._client = client
@@ -109,8 +117,9 @@
         self._on_superseded = on_superseded
         self._on_stops = on_stops
         self._save_wave = save_wave
-        # Two controllers must not take turns within this time.
-        self._begins_at = time.monotonic() + loaded.duty_turn_ms / 1000 + 0.5
+        self._save_orders = save_orders
+        self._free_at = {}
+        self._ordered_at = {}
         self._lending = lending.Lending()
         self._listed = {}
         self._listed_at = None
@@ -136,6 +145,31 @@
         """Give no more orders."""
         self._is_stopped = True
 
+    def restore_orders(self, sent, wall):
+        """Take the last orders of the previous controller.
+
+        Parameters
+        ----------
+        sent : dict of str to float
+            Unix time of the last order by instance. Two controllers must not take
+            turns on an instance within a time that the platform sets.
+        wall : float
+            Unix time in seconds.
+        """
+        now = time.monotonic()
+        turn_s = self._loaded.duty_turn_ms / 1000 + TURN_SLACK_S
+        for instance_id, sent_at in sent.items():
+            waited_s = max(0.0, wall - sent_at)
+            if waited_s < turn_s:
+                self._free_at[instance_id] = now + turn_s - waited_s
+        self._ordered_at = dict(sent)
+
+    def _is_free(self, instance_id, now):
+        """Return whether this controller may order an instance now."""
+        if instance_id in self._orders:
+            return False
+        return now >= self._free_at.get(instance_id, 0.0)
+
     def set_services(self, services):
         """Take the pools of a configuration."""
         self._services = services
@@ -220,7 +254,7 @@
                 del self._orders[instance_id]
 
     def _decide(self, now):
-        if self._listed_at is None or now < self._begins_at or not self._is_certain():
+        if self._listed_at is None or not self._is_certain():
             return
         reserved = set()
         load = self._pool_load(now)
@@ -268,7 +302,7 @@
         )
         for instance_id in chosen:
             instance = self._listed[instance_id]
-            if instance_id in self._orders:
+            if not self._is_free(instance_id, now):
                 continue
             executor = self._scheduler.executors.get(instance.executor)
             reserved.add(instance.executor)
@@ -331,7 +365,18 @@
         wave.ordered[instance.id] = instance.executor
         order = _Order(target=None, wave=wave, previous=instance.executor, sent_at=now)
         self._orders[instance.id] = order
-        self._send(instance.id, order)
+        self._store_and_send(instance.id, order)
+
+    def _store_and_send(self, instance_id, order):
+        """Send an order once a successor would know of it."""
+        wall = time.time()
+        self._ordered_at[instance_id] = wall
+        self._ordered_at = {
+            key: sent_at
+            for key, sent_at in self._ordered_at.items()
+            if wall - sent_at < LATE_ORDER_S
+        }
+        self._save_orders(self._ordered_at, lambda: self._send(instance_id, order))
 
     def _send(self, instance_id, order):
         if self._is_stopped or self._orders.get(instance_id) is not order:
@@ -454,7 +499,8 @@
             is_free = service.is_standby or (
                 executor is not None and executor.is_listed and executor.is_empty
             )
-            is_free = is_free and instance.state == instances.UP and order is None
+            is_free = is_free and instance.state == instances.UP
+            is_free = is_free and self._is_free(instance.id, now)
             is_free = is_free and instance.executor not in reserved
             if is_free and not (service.is_standby and instance.id in in_wave):
                 load.idle.append(instance.id)
@@ -477,7 +523,7 @@
                 target=pool, wave=None, previous=instance.executor, sent_at=now
             )
             self._orders[instance_id] = order
-            self._send(instance_id, order)
+            self._store_and_send(instance_id, order)
         for order in self._orders.values():
             if order.previous:
                 reserved.add(order.previous)
--- a/cranberryport/control/topic_reader.py
+++ b/cranberryport/control/topic_reader.py
@@ -68,6 +68,11 @@
         """Monotonic time up to which everything is known; None before the snapshot."""
         return self._confirmed_at
 
+    @property
+    def is_lost(self):
+        """Whether the last read failed."""
+        return self._is_lost
+
     def start(self):
         """Begin to read."""
         self._ask()
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -115,6 +115,7 @@
             questions=self._questions,
             timers=self._timers,
             metrics=self._metrics,
+            is_store_lost=lambda: self._configuration_reader.is_lost,
         ).register(self)
         bounds = limits.Limits(connections=loaded.connections)
         few = limits.Limits(connections=32)
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -16,7 +16,11 @@
 DEFAULT_DEADLINE_S = 3.0
 # The answer has to reach the caller before it gives up.
 DEADLINE_MARGIN_S = 0.3
-STORE_TIMEOUT_S = 1.2
+# A request waits this long for the store, so that its caller can still try another
+# instance; a store at 60 times its usual 4 ms answers within it.
+STORE_HOLD_S = 1.2
+# The same while reads of the store fail as well.
+LOST_STORE_HOLD_S = 0.3
 STORE_RETRY_S = 0.06
 RETRY_AFTER_S = 1
 # The platform's words for the states of jobs.
@@ -59,12 +63,24 @@
         Timers of the process.
     metrics : cranberryport.node_metrics.NodeMetrics
         Counters.
+    is_store_lost : callable
+        Returns whether reads of the store fail.
     """
 
     channel = "front"
 
-    def __init__(self, *, configuration, store_client, questions, timers, metrics):
+    def __init__(
+        self,
+        *,
+        configuration,
+        store_client,
+        questions,
+        timers,
+        metrics,
+        is_store_lost,
+    ):
         super().__init__()
+        self._is_store_lost = is_store_lost
         self._configuration = configuration
         self._store = store_client
         self._questions = questions
@@ -149,7 +165,9 @@
         self._append(call, record, stored)
 
     def _append(self, call, record, done):
-        left_s = call.deadline - time.monotonic()
+        hold_s = LOST_STORE_HOLD_S if self._is_store_lost() else STORE_HOLD_S
+        give_up_at = min(call.deadline, call.arrived + hold_s)
+        left_s = give_up_at - time.monotonic()
         if left_s <= 0:
             self._give_up(call)
             return
@@ -169,7 +187,7 @@
             store.JOB_TOPIC,
             [record],
             callback=finish,
-            timeout_s=min(STORE_TIMEOUT_S, left_s),
+            timeout_s=left_s,
         )
 
     def _give_up(self, call):
--- /dev/null
+++ b/tests/test_control_fleet.py
@@ -0,0 +1,129 @@
+"""Tests for cranberryport.control.fleet."""
+
+import time
+import types
+import unittest
+
+from cranberryport.control import fleet
+from cranberryport.generated import node_settings
+from cranberryport.platform import configuration, machines
+from cranberryport.scheduling import instances
+from tests import scheduling
+
+SETTINGS = node_settings.NodeSettings(
+    instance="entry-1",
+    data_centre="a",
+    front="127.0.0.1:1",
+    readiness="127.0.0.1:2",
+    peer_host="127.0.0.1",
+    peer_port=3,
+    metrics_port=4,
+    store="127.0.0.1:5",
+)
+
+
+class FakeTimers:
+    """Keeps the calls for a test to make."""
+
+    def __init__(self):
+        self.calls = []
+
+    def after(self, delay_s, callback):
+        """Note a call."""
+        self.calls.append((delay_s, callback))
+        return types.SimpleNamespace(cancel=lambda: None)
+
+
+class FakeInstances:
+    """The platform's interface for instances, as a test says."""
+
+    def __init__(self, listed):
+        self.listed = listed
+        self.orders = []
+
+    def list_all(self, callback):
+        """Answer at once."""
+        callback(self.listed)
+
+    def move(self, instance, pool, *, fence, callback):
+        """Note an order."""
+        self.orders.append(("move", instance, pool, fence, callback))
+
+    def take_down(self, instance, wave, *, fence, callback):
+        """Note an order."""
+        self.orders.append(("upkeep", instance, wave, fence, callback))
+
+
+class FleetTest(unittest.TestCase):
+    """Orders for instances."""
+
+    def setUp(self):
+        """Make a fleet of two instances that are off."""
+        self.listed = {
+            name: instances.Instance(
+                id=name,
+                pool="spare",
+                state=instances.UP,
+                executor="",
+                kind="a",
+                processors=16_000,
+            )
+            for name in ("m1", "m2")
+        }
+        self.bench = scheduling.Bench(count=0)
+        self.client = FakeInstances(self.listed)
+        self.saved = []
+        self.statuses = []
+        self.fleet = fleet.Fleet(
+            scheduler_=self.bench.scheduler,
+            client=self.client,
+            store_client=types.SimpleNamespace(
+                append=lambda *a, **k: self.statuses.append(a)
+            ),
+            timers=FakeTimers(),
+            epoch=7,
+            loaded=SETTINGS,
+            is_certain=lambda: True,
+            on_superseded=lambda: None,
+            on_stops=lambda: None,
+            save_wave=lambda wave: None,
+            save_orders=lambda sent, callback: self.saved.append((sent, callback)),
+        )
+        self.fleet.set_services(
+            {"spare": configuration.Service(name="spare", is_standby=True)}
+        )
+        wave = instances.Wave(
+            number=1,
+            instances=["m1", "m2"],
+            ends_at=time.monotonic() + 30,
+            maximum=2,
+        )
+        self.fleet.add_wave(wave, ())
+
+    def test_order_is_sent_only_after_it_is_stored(self):
+        """Guards against an order that a successor would not know of."""
+        self.fleet.start()
+        self.assertEqual(len(self.saved), 2)
+        self.assertEqual(self.client.orders, [])
+        for _, callback in self.saved:
+            callback()
+        self.assertEqual([order[1] for order in self.client.orders], ["m1", "m2"])
+        self.assertEqual(self.client.orders[0][3], 7)
+
+    def test_instance_ordered_lately_by_another_controller_waits(self):
+        """Guards against two controllers that take turns on one instance."""
+        self.fleet.restore_orders({"m1": time.time() - 1.0}, time.time())
+        self.fleet.start()
+        self.assertEqual([list(sent) for sent, _ in self.saved][-1], ["m1", "m2"])
+        self.assertEqual(len(self.saved), 1)
+        self.saved[0][1]()
+        self.assertEqual([order[1] for order in self.client.orders], ["m2"])
+
+    def test_unanswered_order_keeps_the_instance(self):
+        """Guards against another order while the first may still be carried out."""
+        self.fleet.start()
+        for _, callback in list(self.saved):
+            callback()
+        self.client.orders[0][4](machines.Ordered(is_accepted=False))
+        self.fleet._step()
+        self.assertEqual(len(self.client.orders), 2)
