Stragglers, pace, tickets, forgetting of ended jobs; answer half-closed callers

Runs that stand still are copied where that is allowed and stopped otherwise; executors 2.5 times slower than the median of their pool get work last. Tasks that fill are paced by the tail latency of serving ones beside them. Queues with advice start only with a ticket. Ended jobs leave memory and store after the time for which their state is owed. A caller that has shut down its sending side gets the answers to its whole requests.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -24,7 +24,13 @@
 CANCEL_PREFIX = "c/"
 WAVE_PREFIX = "wave/"
 ORDERS_KEY = "orders"
+# The advice service takes the calls of a machine in turn and refuses above 32.
+ADVICE_CALLS_LIMIT = 4
+ADVICE_MARGIN_S = 1.0
 FORGET_INTERVAL_S = 10.0
+# A hand-in may be repeated some seconds after it was answered, and would be a new job.
+FORGET_MARGIN_S = 30.0
+FORGET_LIMIT = 200
 
 _logger = logging.getLogger(__name__)
 
@@ -46,6 +52,8 @@
         Settings.
     instance_client : cranberryport.platform.machines.InstanceClient or None
         Lists and orders instances; None where the platform has no interface for them.
+    advice_client : cranberryport.platform.advice.AdviceClient or None
+        Asks which executors may run a step; None where there is no such service.
     is_certain : callable
         Returns whether no other process can be the controller.
     on_superseded : callable
@@ -53,6 +61,8 @@
     """
 
     __slots__ = (
+        "_advice_asked",
+        "_advice_client",
         "_cancelled",
         "_epoch",
         "_executor_client",
@@ -88,6 +98,7 @@
         epoch,
         loaded,
         instance_client,
+        advice_client,
         is_certain,
         on_superseded,
     ):
@@ -105,6 +116,8 @@
             takeover_lapses_at=self._started_at + lapses_in_s
         )
         self._links = {}
+        self._advice_client = advice_client
+        self._advice_asked = set()
         self._waves = []
         self._waves_done = {}
         self._unsaved_waves = {}
@@ -315,6 +328,7 @@
         if self._fleet is not None:
             self._fleet.start()
         self._tick()
+        self._timers.after(FORGET_INTERVAL_S, self._forget_ended)
 
     def _on_jobs(self, found):
         wall = time.time()
@@ -414,6 +428,35 @@
             self._timers.after(TICK_S, self._tick)
             self.wake()
 
+    def _forget_ended(self):
+        """Drop jobs whose state is not owed any more from memory and the store."""
+        if self._is_stopped:
+            return
+        self._timers.after(FORGET_INTERVAL_S, self._forget_ended)
+        before = time.time() - self._loaded.status_kept_s - FORGET_MARGIN_S
+        ended = [
+            job.id
+            for job in self._scheduler.jobs.values()
+            if job.has_ended and job.ended_at is not None and job.ended_at < before
+        ][:FORGET_LIMIT]
+        if not ended or self._writer.is_busy:
+            return
+        _logger.info("jobs forgotten", extra={"jobs": len(ended)})
+        dropped = [(f"{JOB_PREFIX}{job_id}", b"") for job_id in ended]
+        dropped += [
+            (f"{CANCEL_PREFIX}{job_id}", b"")
+            for job_id in ended
+            if job_id in self._cancelled
+        ]
+        for job_id in ended:
+            self._scheduler.forget_job(job_id)
+            self._cancelled.discard(job_id)
+        # A record that stays because this fails is dropped by a later controller.
+        self._store.append(
+            store.JOB_TOPIC, dropped, callback=_log_drop, timeout_s=READ_TIMEOUT_S
+        )
+        self._writer.write([], self.wake, dropped=ended)
+
     def _step(self):
         self._next_step = None
         if self._is_stopped or not self._is_ready:
@@ -425,12 +468,41 @@
                 self._links.pop(executor_id).close()
         if not self._writer.is_busy:
             self._scheduler.plan(now, wall)
+            self._ask_advice()
             self._store_batch()
         for run in self._scheduler.take_stops():
             link = self._links.get(run.executor)
             if link is not None:
                 link.stop(run)
 
+    def _ask_advice(self):
+        for step, (workers, rules) in self._scheduler.take_advice_wanted().items():
+            # The service takes the calls of one machine in turn.
+            if self._advice_client is None or step in self._advice_asked:
+                continue
+            if len(self._advice_asked) >= ADVICE_CALLS_LIMIT:
+                return
+            self._advice_asked.add(step)
+            decide_s, worker_s, _ = rules
+            expected_s = decide_s + worker_s * len(workers)
+            asked_at = time.monotonic()
+
+            def finish(permits, step=step, workers=workers, asked_at=asked_at):
+                self._advice_asked.discard(step)
+                if permits is None:
+                    _logger.warning("no advice", extra={"task": step})
+                    return
+                valid_until = asked_at + permits.valid_s
+                self._scheduler.on_advice(step, workers, permits.tickets, valid_until)
+                self.wake()
+
+            self._advice_client.ask(
+                step,
+                workers,
+                callback=finish,
+                timeout_s=expected_s * ADVICE_CALLS_LIMIT + ADVICE_MARGIN_S,
+            )
+
     def _store_batch(self):
         batch = self._scheduler.take_batch()
         further = list(self._unsaved_waves.values())
@@ -467,6 +539,11 @@
         self.wake()
 
 
+def _log_drop(result):
+    if not isinstance(result, store.Appended):
+        _logger.warning("records not dropped", extra={"reason": str(result)})
+
+
 def _decode(key, value, expected):
     if not value:
         return None
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -4,13 +4,15 @@
 import time
 
 from cranberryport.platform import executors
-from cranberryport.scheduling import model
+from cranberryport.scheduling import model, pacing
 
 # Long enough that a successor finds all runs alive after the loss of a controller.
 LEASE_S = 4.0
 ORDER_TIMEOUT_S = 0.7
 LIST_TIMEOUT_S = 0.8
 BUSY_WAIT_S = 1.0
+# Tail latencies of serving tasks beside tasks that fill are looked at this often.
+SHARED_WAIT_S = 0.5
 IDLE_WAIT_S = 2.0
 # Ends that come within this time share one list; each list has a price.
 LIST_GAP_S = 0.06
@@ -28,7 +30,7 @@
     ----------
     executor : cranberryport.scheduling.executors.Executor
         The executor.
-    scheduler_ : scheduler.Scheduler
+    scheduler_ : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs.
     client : executors.ExecutorClient
         Sends the orders.
@@ -206,6 +208,8 @@
         if executor.clock_ms is not None and not self._is_silent:
             deadline_ms = executor.deadline_for(now, self._lease_s)
         wait_s = BUSY_WAIT_S if executor.runs else IDLE_WAIT_S
+        if any(run.task.step.is_filling for run in executor.runs.values()):
+            wait_s = SHARED_WAIT_S
         if executor.clock_ms is None or self._is_silent:
             wait_s = 0.0
         self._is_asking = True
@@ -253,12 +257,38 @@
                 callback=lambda _: None,
                 timeout_s=ORDER_TIMEOUT_S,
             )
+        self._adjust_pace()
         self._on_news()
         if is_first:
             self._ask()
         else:
             self._timers.after(LIST_GAP_S, self._ask_when_stored)
 
+    def _adjust_pace(self):
+        runs = list(self._executor.runs.values())
+        fillers = [
+            run
+            for run in runs
+            if run.task.step.is_filling and run.state == model.RUNNING
+        ]
+        if not fillers:
+            return
+        share = pacing.worst_share(runs)
+        for run in fillers:
+            percent = pacing.next_pace(run.pace, share)
+            if percent != run.pace:
+                _logger.info(
+                    "pace",
+                    extra={
+                        "request": run.task.job.id,
+                        "task": run.task.name,
+                        "executor": self._executor.id,
+                        "percent": percent,
+                        "tail_share": None if share is None else round(share, 2),
+                    },
+                )
+                self.pace(run, percent)
+
     def _ask_when_stored(self):
         executor = self._executor
         waited_s = time.monotonic() - executor.last_answer
--- a/cranberryport/http/caller_connection.py
+++ b/cranberryport/http/caller_connection.py
@@ -55,6 +55,7 @@
         "_head",
         "_head_data",
         "_http",
+        "_is_ending",
         "_is_reading",
         "_limits",
         "_protocol",
@@ -74,6 +75,7 @@
         self.current = None
         self.is_refused = False
         self.last_progress = time.monotonic()
+        self._is_ending = False
         self._is_reading = True
         self._waiting = collections.deque()
         self._timer = None
@@ -116,6 +118,22 @@
             self.stop()
         self.current = None
         self._advance()
+        if self._is_ending and self.current is None:
+            self._http.finish(self.sock)
+
+    def finish_reading(self):
+        """Take no more requests, and close after the last one that was read.
+
+        Returns
+        -------
+        bool
+            Whether a response is still owed.
+        """
+        self._stop_reading()
+        is_owed = bool(self._waiting) or not self.is_idle
+        if is_owed:
+            self._is_ending = True
+        return is_owed
 
     def stop(self):
         """Forget everything that was read; the socket is closed."""
--- a/cranberryport/http/caller_sockets.py
+++ b/cranberryport/http/caller_sockets.py
@@ -37,10 +37,16 @@
         Called with the socket when all its data is with the kernel.
     channel : str
         Channel of the server.
+    on_ended : callable or None
+        Called with the socket when the caller has shut down its sending side; returns
+        whether responses are still owed. None closes such a connection.
     """
 
-    def __init__(self, *, bind, timers, connections, on_written, channel):
+    def __init__(
+        self, *, bind, timers, connections, on_written, channel, on_ended=None
+    ):
         super().__init__(bind, channel=channel)
+        self._on_ended = on_ended
         self._timers = timers
         self._connections = connections
         self._on_written = on_written
@@ -74,6 +80,9 @@
             return
         if data:
             self.fire(net_events.read(sock, data))
+        elif self._on_ended is not None and self._on_ended(sock):
+            # The caller sent everything and still waits for its responses.
+            self._poller.removeReader(sock)
         elif self._buffers.get(sock):
             # The caller sent everything and still reads its response.
             self._poller.removeReader(sock)
--- a/cranberryport/http/server.py
+++ b/cranberryport/http/server.py
@@ -71,6 +71,10 @@
         """Number of open connections without refused ones."""
         return sum(not c.is_refused for c in self._connections.values())
 
+    def finish(self, sock):
+        """Close a caller's socket after its data."""
+        self.fire(net_events.close(sock))
+
     def write(self, sock, data):
         """Queue raw bytes for a caller."""
         self.fire(net_events.write(sock, data))
@@ -119,6 +123,11 @@
             elif connection.current is not None:
                 connection.current[1].close = True
 
+    def on_ended(self, sock):
+        """Handle that a caller sends no more; return whether responses are owed."""
+        connection = self._connections.get(sock)
+        return connection is not None and connection.finish_reading()
+
     def on_written(self, sock):
         """Handle that all data of a socket is with the kernel."""
         connection = self._connections.get(sock)
@@ -245,6 +254,9 @@
         TCP port; 0 for any free one.
     limits : Limits
         Limits on input.
+    answers_half_closed : bool, default=False
+        Whether a caller that has shut down its sending side still gets the responses
+        to its whole requests; otherwise it counts as gone.
     """
 
     channel = "web"
@@ -252,7 +264,7 @@
     display_banner = False
     secure = False
 
-    def __init__(self, *, timers, host, port, limits):
+    def __init__(self, *, timers, host, port, limits, answers_half_closed=False):
         super().__init__()
         self._http = StrictHTTP(
             server=self, timers=timers, limits=limits, channel=self.channel
@@ -262,6 +274,7 @@
             timers=timers,
             connections=limits.connections + REFUSED_CONNECTIONS_LIMIT,
             on_written=self._http.on_written,
+            on_ended=self._http.on_ended if answers_half_closed else None,
             channel=self.channel,
         ).register(self)
 
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -13,7 +13,14 @@
 from cranberryport import node_logs, node_metrics, node_settings, timers
 from cranberryport.control import controller, membership, questions, topic_reader
 from cranberryport.http import connection, connection_pool, limits, server
-from cranberryport.platform import configuration, executors, front, machines, store
+from cranberryport.platform import (
+    advice,
+    configuration,
+    executors,
+    front,
+    machines,
+    store,
+)
 
 BAD_SETTINGS_EXIT_CODE = 2
 CONFIGURATION_WAIT_S = 1.0
@@ -77,6 +84,12 @@
                 address=node_settings.parse_address(loaded.cloud, "cloud"),
                 holder=loaded.instance,
             )
+        self._advice_client = None
+        if loaded.advice:
+            self._advice_client = advice.AdviceClient(
+                pool=self._make_pool("advice"),
+                address=node_settings.parse_address(loaded.advice, "advice"),
+            )
         self._membership = membership.Membership(
             store_client=self._store,
             timers=self._timers,
@@ -121,7 +134,11 @@
         few = limits.Limits(connections=32)
         host, port = node_settings.parse_address(loaded.front, "front")
         self._server = server.StrictServer(
-            timers=self._timers, host=host, port=port, limits=bounds
+            timers=self._timers,
+            host=host,
+            port=port,
+            limits=bounds,
+            answers_half_closed=True,
         ).register(self)
         host, port = node_settings.parse_address(loaded.readiness, "readiness")
         ReadinessServer(timers=self._timers, host=host, port=port, limits=few).register(
@@ -186,6 +203,7 @@
             epoch=epoch,
             loaded=self._loaded,
             instance_client=self._instance_client,
+            advice_client=self._advice_client,
             is_certain=lambda: self._membership.is_certain,
             on_superseded=self._membership.step_down,
         )
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -56,6 +56,7 @@
         "refused_until",
         "runs",
         "service",
+        "slowness",
         "state",
         "stored_end",
         "suspected_until",
@@ -103,7 +104,9 @@
         self.refused_until = 0.0
         self.suspected_until = 0.0
         self.failures = []
+        # Ticket and end of its validity by step; None for a step that may not run here.
         self.tickets = {}
+        self.slowness = 1.0
         self.unlisted_at = None
 
     @property
@@ -119,6 +122,13 @@
             and self.acked >= self.stored_end
         )
 
+    def ticket_for(self, step, now):
+        """Return the valid ticket for a step, None if there is none."""
+        found = self.tickets.get(step)
+        if found is None or now >= found[1]:
+            return None
+        return found[0]
+
     def clock_at(self, now):
         """Return the executor's clock in milliseconds, never ahead of its own."""
         return self.clock_ms + int((now - self.clock_read_at) * 1000 / CLOCK_DRIFT)
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -15,6 +15,7 @@
     ordering,
     packing,
     records,
+    stragglers,
     suspicion,
 )
 
@@ -82,6 +83,7 @@
         self._stops = collections.deque()
         self._waiting_runs = {}
         self._timed = {}
+        self._advice_wanted = {}
         self._arrivals = collections.defaultdict(lending.ArrivalRate)
 
     @property
@@ -477,6 +479,9 @@
         if run.percent != entry.percent or run.percent_at is None:
             run.percent = entry.percent
             run.percent_at = now
+            executor = self._executors.get(run.executor)
+            if executor is not None:
+                stragglers.note_progress(executor, run, now)
         run.saved = entry.saved
         run.tail_or_processors = entry.load
 
@@ -571,7 +576,8 @@
 
     def _plan_pool(self, occurrences, candidates, now, wall):
         occurrences.sort(key=lambda o: ordering.order_key(o, self.rules(o.job), wall))
-        trusted = suspicion.trusted(candidates, now)
+        slow = stragglers.slow_executors([executor for executor, _ in candidates])
+        trusted = suspicion.trusted(candidates, now, slow)
         lasting = collections.Counter()
         for executor, _ in candidates:
             lasting[executor.id] = sum(
@@ -580,6 +586,7 @@
         for occurrence in occurrences:
             for number in sorted(occurrence.open_steps):
                 self._plan_step(occurrence, number, trusted, lasting, now)
+        self._leave_stragglers(occurrences, trusted, slow, now)
 
     def _plan_step(self, occurrence, number, candidates, lasting, now):
         tasks = occurrence.tasks[number]
@@ -596,6 +603,7 @@
         if not waiting:
             return
         used_on, racks = self._placed(tasks)
+        candidates = self._permitted(occurrence, number, candidates, now)
         if step.is_gang:
             self._plan_gang(tasks, waiting, candidates, used_on, racks, now)
             return
@@ -613,6 +621,101 @@
             lasting[executor.id] += step.is_lasting
             self._plan_run(task, executor, task.next_run, candidates, used_on, racks)
 
+    def _leave_stragglers(self, occurrences, candidates, slow, now):
+        """Copy or move runs that stand still or are far too slow."""
+        for occurrence in occurrences:
+            for number in occurrence.open_steps:
+                step = occurrence.job.steps[number]
+                if step.is_gang:
+                    continue
+                for task in occurrence.tasks[number]:
+                    if len(task.runs) != 1:
+                        continue
+                    (run,) = task.runs
+                    if not stragglers.is_worth_leaving(run, now, slow):
+                        continue
+                    self._leave(run, candidates, now)
+
+    def _leave(self, run, candidates, now):
+        task = run.task
+        others = [c for c in candidates if c[0].id != run.executor]
+        others = self._permitted(task.occurrence, task.step_number, others, now)
+        used_on, racks = self._placed(task.occurrence.tasks[task.step_number])
+        executor = packing.choose(
+            task.step,
+            others,
+            used_on=used_on,
+            racks=racks,
+            avoid=task.avoid,
+            lasting_on={},
+        )
+        if executor is None:
+            return
+        if task.step.may_copy:
+            self._plan_run(task, executor, task.next_run, others, used_on, racks)
+        elif stragglers.is_stalled(run, now) or task.step.saves_checkpoints:
+            self._abandon(run)
+        else:
+            return
+        _logger.info(
+            "run left",
+            extra={
+                "request": task.job.id,
+                "task": task.name,
+                "run": run.number,
+                "executor": run.executor,
+                "percent": run.percent,
+                "is_copied": task.step.may_copy,
+            },
+        )
+        if stragglers.is_stalled(run, now):
+            straggling = self._executors.get(run.executor)
+            if straggling is not None:
+                suspicion.note_end(straggling, task.job.id, "failed", now)
+
+    def _permitted(self, occurrence, number, candidates, now):
+        """Return the candidates that may run a step, and note what is to be asked."""
+        rules = self.rules(occurrence.job)
+        if rules.advice is None:
+            return candidates
+        step = f"{occurrence.job.id}.{occurrence.number}.{number}"
+        permitted, unknown = [], []
+        for candidate in candidates:
+            executor = candidate[0]
+            if executor.ticket_for(step, now) is not None:
+                permitted.append(candidate)
+            elif step not in executor.tickets or executor.tickets[step] is not None:
+                unknown.append(executor.id)
+        if unknown:
+            self._advice_wanted[step] = (unknown, rules.advice)
+        return permitted
+
+    def take_advice_wanted(self):
+        """Return workers to ask about and the rules of the queue, by step."""
+        wanted, self._advice_wanted = self._advice_wanted, {}
+        return wanted
+
+    def on_advice(self, step, asked, tickets, valid_until):
+        """Take the answer about the executors that may run a step.
+
+        Parameters
+        ----------
+        step : str
+            Job, occurrence and step.
+        asked : list of str
+            Executors that were asked about.
+        tickets : dict of str to str
+            Ticket by permitted executor; the others stay excluded for good.
+        valid_until : float
+            Monotonic time in seconds.
+        """
+        for executor_id in asked:
+            executor = self._executors.get(executor_id)
+            if executor is None:
+                continue
+            ticket = tickets.get(executor_id)
+            executor.tickets[step] = None if ticket is None else (ticket, valid_until)
+
     def _placed(self, tasks):
         used_on = collections.Counter()
         racks = set()
@@ -658,6 +761,9 @@
     def _plan_run(self, task, executor, number, candidates, used_on, racks):
         run = model.Run(task=task, number=number, executor=executor.id)
         run.saved = task.saved
+        if self.rules(task.job).advice is not None:
+            step = task.name.rpartition(".")[0]
+            run.ticket = executor.tickets[step][0]
         task.next_run = number + 1
         task.runs.append(run)
         executor.runs[(task.name, number)] = run
--- a/cranberryport/scheduling/suspicion.py
+++ b/cranberryport/scheduling/suspicion.py
@@ -36,7 +36,7 @@
         executor.suspected_until = now + SUSPECTED_S
 
 
-def trusted(candidates, now):
+def trusted(candidates, now, slow=frozenset()):
     """Return the candidates that are not suspect, or all if most of them are.
 
     Parameters
@@ -45,8 +45,12 @@
         Executors of one pool with what is free.
     now : float
         Monotonic time in seconds.
+    slow : set of str
+        Executors that are far slower than the others.
     """
-    good = [c for c in candidates if now >= c[0].suspected_until]
+    good = [
+        c for c in candidates if now >= c[0].suspected_until and c[0].id not in slow
+    ]
     if len(good) * 2 < len(candidates):
         return candidates
     return good
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -22,11 +22,15 @@
         Registered beside the server.
     make_server : callable or None
         Called with the timers; the default makes a StrictServer.
+    answers_half_closed : bool
+        See the server.
     **limits
         Parameters of :class:`limits.Limits`.
     """
 
-    def __init__(self, components, *, make_server=None, **limits):
+    def __init__(
+        self, components, *, make_server=None, answers_half_closed=False, **limits
+    ):
         self.make_server = make_server
         self.root = BaseComponent()
         pollers.EPoll().register(self.root)
@@ -37,6 +41,7 @@
                 host="127.0.0.1",
                 port=0,
                 limits=http_limits.Limits(**limits),
+                answers_half_closed=answers_half_closed,
             )
         else:
             self.server = make_server()
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -8,7 +8,9 @@
     lending,
     model,
     ordering,
+    pacing,
     packing,
+    stragglers,
     suspicion,
     upkeep,
 )
@@ -129,6 +131,105 @@
         self.assertEqual(suspicion.trusted(candidates, 1.2), candidates[1:])
 
 
+class StragglersTest(unittest.TestCase):
+    """Executors that stand still or are slow while they answer."""
+
+    def _run(self, **values):
+        bench = scheduling.Bench(count=4, processors=2000)
+        bench.add_job(scheduling.make_job(scheduling.make_step(**values)))
+        (run,) = bench.start()
+        return bench, run
+
+    def _progress(self, bench, run, percent):
+        executor = bench.scheduler.executors[run.executor]
+        bench.list_runs(executor, [(run.task.name, run.number, "", percent)])
+
+    def test_copy_starts_beside_a_run_that_stands_still(self):
+        """Guards against callers that wait for an executor that hangs."""
+        bench, run = self._run(may_copy=True)
+        bench.now += 1.0
+        self._progress(bench, run, 20)
+        self.assertEqual(bench.start(), [])
+        bench.now += 2.5
+        self._progress(bench, run, 20)
+        (copy,) = bench.start()
+        self.assertNotEqual(copy.executor, run.executor)
+        bench.finish(copy, 1)
+        self.assertEqual(run.state, model.STOPPING)
+
+    def test_run_that_may_not_be_copied_is_stopped_first(self):
+        """Guards against two runs of a task that may not run twice."""
+        bench, run = self._run()
+        bench.now += 1.0
+        self._progress(bench, run, 20)
+        bench.now += 2.5
+        self._progress(bench, run, 20)
+        self.assertEqual(bench.start(), [])
+        self.assertEqual(run.state, model.STOPPING)
+        bench.finish(run, 1, "stopped")
+        (again,) = bench.start()
+        self.assertNotEqual(again.executor, run.executor)
+
+    def test_executor_far_slower_than_the_others_is_found(self):
+        """Guards against work for an executor that takes several times as long."""
+        known = [scheduling.make_executor(name) for name in "abcd"]
+        known[0].slowness = 5.0
+        self.assertEqual(stragglers.slow_executors(known), {"a"})
+
+    def test_rough_estimates_alone_make_no_executor_slow(self):
+        """Guards against avoiding executors because declared times are wrong."""
+        known = [scheduling.make_executor(name) for name in "abcd"]
+        for executor, slowness in zip(known, (1.5, 2.0, 1.0, 3.0), strict=True):
+            executor.slowness = slowness
+        self.assertEqual(stragglers.slow_executors(known), set())
+
+
+class PacingTest(unittest.TestCase):
+    """Tasks that fill beside tasks that serve."""
+
+    def test_pace_falls_before_the_bound_is_reached(self):
+        """Guards against a serving task above its bound because of its neighbours."""
+        self.assertEqual(pacing.next_pace(100, 0.9), 40)
+        self.assertEqual(pacing.next_pace(10, 1.2), 0)
+
+    def test_pace_rises_while_there_is_room(self):
+        """Guards against idle processors after a disturbance has passed."""
+        self.assertEqual(pacing.next_pace(0, 0.3), pacing.RISE_PERCENT)
+        self.assertEqual(pacing.next_pace(50, 0.7), 50)
+        self.assertEqual(pacing.next_pace(50, None), 100)
+
+
+class AdviceTest(unittest.TestCase):
+    """Queues whose placement needs tickets."""
+
+    def _bench(self):
+        bench = scheduling.Bench(count=2)
+        rules = ordering.QueueRules(
+            name="queue", service="pool", advice=(0.1, 0.01, 3.0)
+        )
+        bench.scheduler.set_queues({"queue": rules})
+        return bench, bench.add_job(scheduling.make_job())
+
+    def test_start_waits_for_a_ticket_and_carries_it(self):
+        """Guards against starts that executors refuse for want of a ticket."""
+        bench, job = self._bench()
+        self.assertEqual(bench.start(), [])
+        wanted = bench.scheduler.take_advice_wanted()
+        step = f"{job.id}.0.0"
+        self.assertEqual(sorted(wanted[step][0]), ["e1", "e2"])
+        bench.scheduler.on_advice(step, ["e1", "e2"], {"e2": "t"}, bench.now + 3)
+        (run,) = bench.start()
+        self.assertEqual((run.executor, run.ticket), ("e2", "t"))
+
+    def test_executor_that_is_not_permitted_is_not_asked_about_again(self):
+        """Guards against calls of the advice service that cannot change anything."""
+        bench, job = self._bench()
+        step = f"{job.id}.0.0"
+        bench.scheduler.on_advice(step, ["e1", "e2"], {}, bench.now + 3)
+        self.assertEqual(bench.start(), [])
+        self.assertEqual(bench.scheduler.take_advice_wanted(), {})
+
+
 def make_pool(name, *, size, demand=0, idle=(), is_off=False):
     """Return the load of a pool with instances of 16 cores."""
     return lending.PoolLoad(
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import json
 import queue
+import socket
 import threading
 import unittest
 
@@ -311,3 +312,16 @@
             self.assertEqual(loopback.read_response(sock)[0], 100)
             sock.sendall(b"ab")
             self.assertEqual(loopback.read_response(sock)[2], b"POST /p ab")
+
+    def test_caller_that_sends_no_more_gets_all_responses(self):
+        """Guards against whole requests that are closed without an answer."""
+        thread = self.start(answers_half_closed=True)
+        with thread.connect() as sock:
+            sock.sendall(GET % b"/slow" + GET % b"/1" + GET % b"/2")
+            self.handler.started.wait(loopback.HANG_LIMIT_S)
+            sock.shutdown(socket.SHUT_WR)
+            self.handler.released.set()
+            bodies = [loopback.read_response(sock)[2] for _ in range(3)]
+            self.assertEqual(bodies, [b"slow answer", b"GET /1 ", b"GET /2 "])
+            self.assertEqual(loopback.read_to_end(sock), b"")
+        self.assertFalse(self.handler.gone.is_set())
