Give no work to executors that were ordered away; lend while a wave goes on

A lasting task was started on two executors whose instances had just been moved, as their entries outlive them by seconds; its pool had then shrunk to one instance, reserved for upkeep. While an instance that was off was in upkeep, all of those counted as reserved, so none was lent. Change: an accepted order retires the executor of that life; instances in upkeep or reserved do not count as the size of a pool; instances without executor are not reserved.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -383,18 +383,19 @@
     def _on_executors(self, found):
         now = time.monotonic()
         for key, value in dict(found).items():
-            executor, born = executors.read_entry(key, value, now)
+            executor = executors.read_entry(key, value, now)
             if executor is None:
                 if value:
                     _logger.warning("unusable entry", extra={"executor": key})
                 self._scheduler.unlist_executor(key, now)
                 continue
             known = self._scheduler.executors.get(key)
+            births = {executor.born, None if known is None else known.born} - {None}
+            if known is not None and len(births) == 2:
+                self._scheduler.restarted(known, executor.born)
             kept = self._scheduler.see_executor(executor, now)
-            if born is not None and kept.born not in (None, born):
-                self._scheduler.restarted(kept, born)
-            if born is not None:
-                kept.born = born
+            if kept is None:
+                continue
             if kept is not known:
                 self._open_link(kept)
         self.wake()
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -290,7 +290,7 @@
                 del wave.ordered[instance_id]
                 wave.done.add(instance_id)
                 self._save_wave(wave)
-            elif order is not None and not order.is_answered:
+            elif order is not None and not order.is_answered and previous:
                 reserved.add(previous)
         chosen = upkeep.choose(
             wave,
@@ -305,7 +305,8 @@
             if not self._is_free(instance_id, now):
                 continue
             executor = self._scheduler.executors.get(instance.executor)
-            reserved.add(instance.executor)
+            if executor is not None:
+                reserved.add(instance.executor)
             if executor is None or self._empty(executor):
                 self._take_down(wave, instance, now)
         return reserved
@@ -403,6 +404,9 @@
             return
         if answer.is_accepted:
             order.is_answered = True
+            executor = self._scheduler.executors.get(order.previous)
+            if executor is not None:
+                self._scheduler.retire_executor(executor)
             return
         _logger.info(
             "order refused",
@@ -492,7 +496,10 @@
                 continue
             load = pools[pool]
             load.processors = max(load.processors, instance.processors)
-            if instance.state == instances.DOWN:
+            is_usable = instance.state in (instances.UP, instances.MOVING)
+            is_usable = is_usable and (order is None or order.wave is None)
+            if not is_usable or instance.executor in reserved:
+                # An instance in upkeep, or about to be, serves nobody.
                 continue
             load.size += 1
             executor = self._scheduler.executors.get(instance.executor)
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -228,20 +228,19 @@
 
     Returns
     -------
-    tuple of (executors.Executor or None, int or None)
-        The executor and its birth (Unix milliseconds); None for an entry that names no
-        executor to use.
+    executors.Executor or None
+        None for an entry that names no executor to use.
     """
     fields = bodies.decode(value)
     if fields is None or fields.get("State") not in ("ready", "draining"):
-        return None, None
+        return None
     room = fields.get("Capacity")
     host, _, port = bodies.text(fields, "Address").rpartition(":")
     labels = fields.get("Labels", [])
     is_valid = isinstance(room, dict) and bool(host) and port.isdecimal()
     is_valid = is_valid and bool(bodies.text(fields, "Service"))
     if not is_valid or not isinstance(labels, list):
-        return None, None
+        return None
     executor = executors.Executor(
         id=executor_id,
         service=fields["Service"],
@@ -259,4 +258,5 @@
     if isinstance(left_ms, int | float):
         executor.leaves_at = now + left_ms / 1000
     born = fields.get("born")
-    return executor, int(born) if isinstance(born, int | float) else None
+    executor.born = int(born) if isinstance(born, int | float) else None
+    return executor
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -84,6 +84,7 @@
         self._waiting_runs = {}
         self._timed = {}
         self._advice_wanted = {}
+        self._retired = {}
         self._arrivals = collections.defaultdict(lending.ArrivalRate)
 
     @property
@@ -234,13 +235,17 @@
 
         Returns
         -------
-        executors.Executor
-            The one that is kept.
+        executors.Executor or None
+            The one that is kept; None for an entry left by a retired life.
         """
+        if executor.id in self._retired and self._retired[executor.id] == executor.born:
+            return None
         known = self._executors.get(executor.id)
         if known is not None and known.address == executor.address:
             changed = known.state != executor.state or not known.is_listed
             known.state = executor.state
+            if known.born is None:
+                known.born = executor.born
             known.service = executor.service
             known.labels = executor.labels
             known.processors = executor.processors
@@ -301,6 +306,17 @@
             "executor removed", extra={"executor": executor.id, "reason": reason}
         )
 
+    def retire_executor(self, executor):
+        """Drop an executor whose instance has ended it; its entry may stay for seconds.
+
+        Parameters
+        ----------
+        executor : executors.Executor
+            Another life under the same id has another birth and is taken again.
+        """
+        self._retired[executor.id] = executor.born
+        self.remove_executor(executor, "instance was ordered away")
+
     def _lose_runs(self, executor, reason):
         for run in list(executor.runs.values()):
             _logger.info(
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -119,6 +119,46 @@
         self.saved[0][1]()
         self.assertEqual([order[1] for order in self.client.orders], ["m2"])
 
+    def test_spare_instances_are_lent_while_others_are_in_upkeep(self):
+        """Guards against a peak that finds no instance during a wave.
+
+        An instance that is off has no executor, and all of these were taken for
+        reserved while one of them was in upkeep.
+        """
+        self.listed["m3"] = instances.Instance(
+            id="m3",
+            pool="spare",
+            state=instances.UP,
+            executor="",
+            kind="a",
+            processors=16_000,
+        )
+        self.fleet.set_services(
+            {
+                "spare": configuration.Service(name="spare", is_standby=True),
+                "pool": configuration.Service(name="pool", is_standby=False),
+            }
+        )
+        self.bench.add_job(scheduling.make_job())
+        self.fleet.start()
+        for _, callback in list(self.saved):
+            callback()
+        kinds = {order[1]: order[0] for order in self.client.orders}
+        self.assertEqual(kinds, {"m1": "upkeep", "m2": "upkeep", "m3": "move"})
+
+    def test_nothing_starts_on_an_executor_that_was_ordered_away(self):
+        """Guards against starts on an executor whose entry outlives it.
+
+        Seen on brazos quiet-1: a lasting task was started on two such executors in
+        turn and then found no place.
+        """
+        executor = self.bench.add_executor("e1")
+        self.bench.scheduler.retire_executor(executor)
+        stale = scheduling.make_executor("e1")
+        self.assertIsNone(self.bench.scheduler.see_executor(stale, self.bench.now))
+        self.bench.add_job(scheduling.make_job())
+        self.assertEqual(self.bench.start(), [])
+
     def test_unanswered_order_keeps_the_instance(self):
         """Guards against another order while the first may still be carried out."""
         self.fleet.start()
