--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -8,7 +8,7 @@
 from cranberryport.generated import node_settings
 from cranberryport.platform import configuration, machines
 from cranberryport.scheduling import instances
-from tests import scheduling
+from tests import scheduling, scripted
 
 SETTINGS = node_settings.NodeSettings(
     instance="entry-1",
@@ -22,18 +22,6 @@
 )
 
 
-class FakeTimers:
-    """Keeps the calls for a test to make."""
-
-    def __init__(self):
-        self.calls = []
-
-    def after(self, delay_s, callback):
-        """Note a call."""
-        self.calls.append((delay_s, callback))
-        return types.SimpleNamespace(cancel=lambda: None)
-
-
 class FakeInstances:
     """The platform's interface for instances, as a test says."""
 
@@ -80,7 +68,7 @@
             store_client=types.SimpleNamespace(
                 append=lambda *a, **k: self.statuses.append(a)
             ),
-            timers=FakeTimers(),
+            timers=scripted.FakeTimers(),
             epoch=7,
             loaded=SETTINGS,
             is_certain=lambda: True,
--- /dev/null
+++ b/tests/test_control_store.py
@@ -0,0 +1,155 @@
+"""Tests for the components that keep state in the store."""
+
+import unittest
+
+from cranberryport.control import membership, progress_writer, topic_reader
+from cranberryport.generated import messages
+from cranberryport.platform import store
+from tests import scripted
+
+
+class MembershipTest(unittest.TestCase):
+    """Who the controller is."""
+
+    def setUp(self):
+        """Make a member."""
+        self.store = scripted.FakeStore()
+        self.timers = scripted.FakeTimers()
+        self.events = []
+        self.member = membership.Membership(
+            store_client=self.store,
+            timers=self.timers,
+            address="127.0.0.1:7",
+            on_gained=self.events.append,
+            on_lost=lambda: self.events.append("lost"),
+        )
+        self.member.start()
+
+    def _answer(self, generation, *partitions):
+        self.store.take("join").callback(
+            store.Membership(generation=generation, partitions=frozenset(partitions))
+        )
+
+    def test_epoch_is_the_generation_of_the_takeover(self):
+        """Guards against an epoch that changes while the controller stays."""
+        self._answer(5, 0, 3)
+        self.timers.run()
+        self._answer(6, 0)
+        self.assertEqual((self.events, self.member.epoch), ([5], 5))
+
+    def test_member_that_loses_the_partition_joins_again_at_once(self):
+        """Guards against a gap until the previous owner's next join."""
+        self._answer(5, 0)
+        self.timers.run()
+        self._answer(6, 1)
+        self.assertEqual(self.events, [5, "lost"])
+        self.assertEqual(self.store.take("join").generation, 6)
+
+    def test_late_answer_of_an_earlier_join_changes_nothing(self):
+        """Guards against a role that is taken up again after it was lost."""
+        self.timers.run()
+        earlier, later = self.store.take("join"), self.store.take("join")
+        later.callback(store.Membership(generation=6, partitions=frozenset()))
+        earlier.callback(store.Membership(generation=5, partitions=frozenset({0})))
+        self.assertEqual(self.events, [])
+
+    def test_each_life_has_its_own_name(self):
+        """Guards against a life that continues the epoch of an earlier one.
+
+        Seen on brazos trouble-1 after a power cut.
+        """
+        other = scripted.FakeStore()
+        membership.Membership(
+            store_client=other,
+            timers=self.timers,
+            address="127.0.0.1:7",
+            on_gained=self.events.append,
+            on_lost=lambda: None,
+        ).start()
+        names = {s.take("join").arguments[1] for s in (self.store, other)}
+        self.assertEqual(len(names), 2)
+
+
+class ProgressWriterTest(unittest.TestCase):
+    """Batches under an epoch."""
+
+    def setUp(self):
+        """Make a writer that has set its epoch."""
+        self.store = scripted.FakeStore()
+        self.timers = scripted.FakeTimers()
+        self.events = []
+        self.writer = progress_writer.ProgressWriter(
+            store_client=self.store,
+            timers=self.timers,
+            epoch=9,
+            on_fenced=lambda: self.events.append("fenced"),
+        )
+        self.writer.fence(lambda: self.events.append("set"))
+        self.store.take("append").callback(store.Appended(offset=0, end=0))
+        message = messages.ProgressStored(job="j", state="active")
+        self.writer.write([message], lambda: self.events.append("stored"))
+
+    def test_append_without_answer_is_repeated_under_its_number(self):
+        """Guards against a batch that is stored twice or lost."""
+        first = self.store.take("append")
+        with self.assertLogs(level="WARNING"):
+            first.callback(store.Unknown(detail="reset"))
+        self.assertEqual(self.events, ["set"])
+        self.timers.run()
+        again = self.store.take("append")
+        self.assertEqual(again.producer, first.producer)
+        again.callback(store.Appended(offset=1, end=2))
+        self.assertEqual(self.events, ["set", "stored"])
+
+    def test_fenced_writer_tells_its_owner(self):
+        """Guards against a controller that goes on beside its successor."""
+        with self.assertLogs(level="WARNING"):
+            self.store.take("append").callback(
+                store.Refused(status=409, reason="fenced")
+            )
+        self.assertEqual(self.events, ["set", "fenced"])
+        self.assertEqual(self.timers.calls, [])
+
+
+class TopicReaderTest(unittest.TestCase):
+    """Newest records, then every change."""
+
+    def setUp(self):
+        """Make a reader that has its snapshot."""
+        self.store = scripted.FakeStore()
+        self.timers = scripted.FakeTimers()
+        self.seen = []
+        self.reader = topic_reader.TopicReader(
+            store_client=self.store,
+            timers=self.timers,
+            topic="t",
+            on_snapshot=lambda found: self.seen.append(("snapshot", found)),
+            on_records=lambda found: self.seen.append(("records", found)),
+            wait_s=1.0,
+            gap_s=0.0,
+        )
+        self.reader.start()
+        self.store.take("newest").callback(store.Newest(records=[("a", b"1")], end=4))
+
+    def test_reading_goes_on_after_the_snapshot(self):
+        """Guards against changes between the snapshot and the first read."""
+        call = self.store.take("read")
+        self.assertEqual(call.arguments, ("t", 4))
+        call.callback(store.Records(first=0, end=5, next=5, records=[("b", b"2")]))
+        self.timers.run()
+        self.assertEqual(self.store.take("read").arguments, ("t", 5))
+        self.assertEqual(self.seen[1], ("records", [("b", b"2")]))
+
+    def test_expired_history_leads_to_a_new_snapshot(self):
+        """Guards against a reader that misses what expired."""
+        self.store.take("read").callback(store.Expired(first=90))
+        self.store.take("newest").callback(store.Newest(records=[], end=95))
+        self.assertEqual(self.store.take("read").arguments, ("t", 95))
+
+    def test_failed_read_is_repeated_from_the_same_place(self):
+        """Guards against records that are skipped when an answer is lost."""
+        with self.assertLogs(level="WARNING"):
+            self.store.take("read").callback(store.Unknown(detail="reset"))
+        self.assertTrue(self.reader.is_lost)
+        self.timers.run()
+        self.assertEqual(self.store.take("read").arguments, ("t", 4))
--- /dev/null
+++ b/tests/test_platform_front.py
@@ -0,0 +1,152 @@
+"""Tests for the reading of callers' jobs, entries and configurations."""
+
+import json
+import unittest
+
+from cranberryport.platform import configuration, executors, machines, submissions
+from cranberryport.scheduling import records
+from tests import scripted
+
+
+def read_job(**fields):
+    """Return the job of a body."""
+    body = json.dumps(fields).encode()
+    return submissions.read("0" * 16, body, queue="q", service="s", wall=5.0)
+
+
+class SubmissionTest(unittest.TestCase):
+    """Jobs as callers hand them in."""
+
+    def test_fields_get_their_own_names(self):
+        """Guards against fields that get lost on the way to the store."""
+        job = read_job(
+            Spec="work",
+            Steps=[
+                {"Count": 2, "Cpu": 500, "MemMb": 64, "EstimateMs": 900},
+                {
+                    "Count": 1,
+                    "DependsOn": [0],
+                    "Gang": True,
+                    "Speculative": True,
+                    "LongRunning": True,
+                    "MaxUnavailable": 1,
+                    "AntiAffinity": 2,
+                    "DataLocality": "r1-1",
+                    "Requirements": "a",
+                    "TargetMs": 40,
+                    "Utilization": True,
+                },
+            ],
+            RepeatCount=3,
+            StartAtMs=7000,
+            IntervalMs=500,
+        )
+        again = records.load_job(records.store_job(job))
+        for found in (job, again):
+            self.assertEqual(found.steps[0].estimate_s, 0.9)
+            second = found.steps[1]
+            self.assertEqual(second.depends_on, (0,))
+            self.assertTrue(second.is_gang and second.may_copy and second.is_lasting)
+            self.assertTrue(second.is_filling)
+            self.assertEqual((second.max_unavailable, second.spread), (1, 2))
+            self.assertEqual((second.rack, second.label), ("r1-1", "a"))
+            self.assertEqual((found.first_due, found.interval_s), (7.0, 0.5))
+            self.assertEqual(found.repeats, 3)
+
+    def test_bad_bodies_are_refused_with_the_place(self):
+        """Guards against jobs that are stored and can never be read."""
+        bad = [
+            ({}, "Steps"),
+            ({"Steps": [{"Count": 0}]}, "Count of step 0 is 0"),
+            ({"Steps": [{"Count": 1, "DependsOn": [0]}]}, "DependsOn of step 0"),
+            ({"Steps": [{"Count": 1, "Cpu": -1}]}, "Cpu of step 0 is -1"),
+            ({"Steps": [{"Count": 1}], "Spec": 5}, "Spec"),
+            ({"Steps": [3]}, "step 0 is 3"),
+        ]
+        for fields, place in bad:
+            with (
+                self.subTest(fields=fields),
+                self.assertRaisesRegex(submissions.InvalidJob, place),
+            ):
+                read_job(**fields)
+
+
+class EntryTest(unittest.TestCase):
+    """Entries of executors, which other writers can spoil."""
+
+    def _read(self, **fields):
+        entry = {
+            "Service": "s",
+            "Address": "127.0.0.1:80",
+            "State": "ready",
+            "Capacity": {"Cpu": 1000, "MemMb": 5, "Gpu": 0},
+            "Labels": ["a", "r1-2"],
+            "born": 77,
+        }
+        value = json.dumps(entry | fields).encode()
+        return executors.read_entry("e1", value, 10.0)
+
+    def test_entry_is_decoded(self):
+        """Guards against executors in the wrong place or of the wrong size."""
+        found = self._read(State="draining", RemainingMs=1500)
+        self.assertEqual(found.address, ("127.0.0.1", 80))
+        self.assertEqual((found.rack, found.born), ("r1-2", 77))
+        self.assertEqual((found.processors, found.leaves_at), (1000, 11.5))
+
+    def test_entry_that_names_no_executor_is_left_out(self):
+        """Guards against a crash on an entry of another writer."""
+        self.assertIsNone(executors.read_entry("e1", b"\xff\x00", 0.0))
+        for fields in ({"State": "odd"}, {"Capacity": 3}, {"Address": 5}):
+            with self.subTest(fields=fields):
+                self.assertIsNone(self._read(**fields))
+
+
+class AnswerTest(unittest.TestCase):
+    """Answers of executors and of the interface for instances."""
+
+    def test_answer_without_body_proves_nothing(self):
+        """Guards against taking a broken answer for a success."""
+        found = executors.read_answer(scripted.answer(200))
+        self.assertIsInstance(found, executors.NoAnswer)
+
+    def test_lists_are_decoded(self):
+        """Guards against ends that are read from the wrong column."""
+        found = executors.read_answer(
+            scripted.answer(
+                ClockMs=5,
+                born=7,
+                Running=[["j.0.0.0", 2, "c", 40, 12]],
+                Finished=[[58, "j.0.0.1", 1, "done", ""]],
+            )
+        )
+        self.assertEqual((found.running[0].percent, found.running[0].load), (40, 12))
+        self.assertEqual(
+            (found.finished[0].number, found.finished[0].how), (58, "done")
+        )
+
+    def test_order_without_answer_is_neither_done_nor_refused(self):
+        """Guards against another order while the first may still be carried out."""
+        found = machines._read_order(scripted.lost())
+        self.assertEqual((found.is_accepted, found.refusal), (False, ""))
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The operator's configuration."""
+
+    def test_longest_prefix_of_the_host_wins(self):
+        """Guards against requests that reach the queue of another service."""
+
+        def route(name, host, prefix):
+            return {"Name": name, "Host": host, "PathPrefix": prefix, "Service": "s"}
+
+        routes = [route("short", "h", "/a/"), route("long", "h", "/a/b/")]
+        routes.append(route("other", "g", "/a/b/c/"))
+        value = json.dumps({"Version": 3, "Routes": routes, "Services": []}).encode()
+        found = configuration.read(value)
+        self.assertEqual(found.find("H:80", "/a/b/c/1").queue.name, "long")
+        self.assertEqual(found.find("h", "/a/1").queue.name, "short")
+        self.assertIsNone(found.find("h", "/b/"))
+
+    def test_unreadable_configuration_is_none(self):
+        """Guards against dropping the configuration in force for a broken record."""
+        self.assertIsNone(configuration.read(b"{"))
