--- a/cranberryport/command_line/main.py
+++ b/cranberryport/command_line/main.py
@@ -3,6 +3,7 @@
 import datetime
 import json
 import pathlib
+import sys
 import time
 import urllib.parse
 from typing import Annotated
@@ -10,7 +11,7 @@
 import typer
 
 from cranberryport import findings, requests, settings
-from cranberryport.command_line import client, publishing, rendering
+from cranberryport.command_line import client, explaining, publishing, rendering
 from cranberryport.sheet import reader
 
 EXIT_FAILED = 1
@@ -287,6 +288,30 @@
     _job_request(instance, "DELETE", _job_path(job))
 
 
+@app.command("explain")
+def explain(
+    request: Annotated[str, typer.Argument(metavar="ID")],
+    files: Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(metavar="FILE", help="Logs of the instances; none for stdin."),
+    ] = None,
+):
+    """Tell from logs, in order, what was decided about a job and why."""
+    lines = []
+    for path in files or []:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            _stop(f"cannot read {path}: {error.strerror}", EXIT_FINDINGS)
+    if not files:
+        lines = sys.stdin
+    story = explaining.explain(lines, request)
+    if not story:
+        _stop(f"no log line is about {request!r}")
+    for line in story:
+        typer.echo(line)
+
+
 def main():
     """Run the tool."""
     app()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,6 +5,7 @@
 list cannot go stale.
 """
 
+import concurrent.futures
 import io
 import json
 import pathlib
@@ -14,6 +15,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Each feature starts a fleet of about ten processes; a machine of CI has six cores.
+FEATURES_AT_ONCE = 4
 
 
 def known_red():
@@ -40,24 +43,37 @@
     return result.testsRun - len(failed) - skipped, failed, skipped
 
 
-def run_scenarios():
-    """Run behave in a process of its own.
+def run_feature(path):
+    """Run behave for one feature in a process of its own, with ports of its own.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The feature.
 
     Returns
     -------
     tuple of (int, set of str, int)
         Number of passed scenarios, names of failed scenarios, number of skipped ones.
     """
-    if not any((ROOT / "features").glob("*.feature")):
-        return 0, set(), 0
-    report = ROOT / "build" / "behave.json"
+    report = ROOT / "build" / f"behave-{path.stem}.json"
     report.parent.mkdir(exist_ok=True)
     report.unlink(missing_ok=True)
     command = [sys.executable, "-m", "behave", "--no-capture"]
     command += ["--format", "json", "--outfile", str(report), "--format", "progress"]
-    code = subprocess.run([*command, "features"], cwd=ROOT, check=False).returncode
+    command.append(str(path))
+    ended = subprocess.run(
+        command,
+        cwd=ROOT,
+        check=False,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    # Written in one piece, since several features run at once.
+    sys.stdout.write(ended.stdout)
     if not report.exists():
-        return 0, {"behave did not write a report"}, 0
+        return 0, {f"behave did not write a report for {path.name}"}, 0
     passed, failed, skipped = 0, set(), 0
     for feature in json.loads(report.read_text() or "[]"):
         for scenario in feature.get("elements", []):
@@ -69,11 +85,34 @@
                 skipped += 1
             else:
                 failed.add(f"{feature['name']}: {scenario['name']}")
-    if code and not failed:
-        failed.add(f"behave exited with {code}")
+    if ended.returncode and not failed:
+        failed.add(f"behave exited with {ended.returncode} for {path.name}")
     return passed, failed, skipped
 
 
+def run_scenarios():
+    """Run all features, some of them at once.
+
+    Returns
+    -------
+    tuple of (int, set of str, int)
+        Number of passed scenarios, names of failed scenarios, number of skipped ones.
+    """
+    # The features with the most lines take longest and begin first.
+    paths = sorted((ROOT / "features").glob("*.feature"), key=_line_count, reverse=True)
+    passed, failed, skipped = 0, set(), 0
+    with concurrent.futures.ThreadPoolExecutor(FEATURES_AT_ONCE) as executor:
+        for result in executor.map(run_feature, paths):
+            passed += result[0]
+            failed |= result[1]
+            skipped += result[2]
+    return passed, failed, skipped
+
+
+def _line_count(path):
+    return len(path.read_text().splitlines())
+
+
 def main():
     """Run everything; exit with 1 unless exactly the known failures failed."""
     sys.stdout = io.TextIOWrapper(sys.stdout.buffer, line_buffering=True)
