--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -70,6 +70,7 @@
         "_executor_client",
         "_executors_reader",
         "_fleet",
+        "_has_configuration",
         "_is_ready",
         "_is_stopped",
         "_jobs_readers",
@@ -143,6 +144,7 @@
             )
         self._progress = {}
         self._cancelled = set()
+        self._has_configuration = False
         self._is_ready = False
         self._is_stopped = False
         self._next_step = None
@@ -222,6 +224,7 @@
         found : cranberryport.platform.configuration.Configuration
             The newest version.
         """
+        self._has_configuration = True
         self._scheduler.set_queues(found.queues)
         if self._fleet is not None:
             self._fleet.set_services(found.services)
@@ -532,7 +535,7 @@
 
     def _step(self):
         self._next_step = None
-        if self._is_stopped or not self._is_ready:
+        if self._is_stopped or not self._is_ready or not self._has_configuration:
             return
         now, wall = time.monotonic(), time.time()
         self._scheduler.expire(now, wall)
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -16,6 +16,9 @@
 # up to 12 s), so the instance gets no other order before.
 LATE_ORDER_S = 13.0
 ORDER_RETRY_S = 0.4
+# An instance that is still up with the same executor this long after its order was
+# accepted had been moved, or had its upkeep, before.
+UNCHANGED_S = 0.6
 # Clocks of the entry instances differ by less than this on an ordinary day.
 TURN_SLACK_S = 0.5
 
@@ -25,14 +28,19 @@
 class _Order:
     """An order that was sent for an instance."""
 
-    __slots__ = ("is_answered", "previous", "sent_at", "target", "wave")
+    __slots__ = ("answered_at", "previous", "sent_at", "target", "wave")
 
     def __init__(self, *, target, wave, previous, sent_at):
         self.target = target
         self.wave = wave
         self.previous = previous
         self.sent_at = sent_at
-        self.is_answered = False
+        self.answered_at = None
+
+    @property
+    def is_answered(self):
+        """Whether the order was accepted."""
+        return self.answered_at is not None
 
 
 class Fleet:
@@ -238,21 +246,31 @@
         now = time.monotonic()
         for instance_id, order in list(self._orders.items()):
             instance = self._listed.get(instance_id)
-            if instance is None:
-                del self._orders[instance_id]
-                continue
-            if order.sent_at >= asked_at or not order.is_answered:
-                if now - order.sent_at > LATE_ORDER_S:
-                    del self._orders[instance_id]
-                continue
-            is_back = instance.state == instances.UP
-            if is_back and order.wave is None:
-                is_back = instance.pool == order.target
-            if is_back and order.wave is not None:
-                is_back = instance.executor != order.previous or not order.previous
-            if is_back or now - order.sent_at > LATE_ORDER_S:
+            is_over = now - order.sent_at > LATE_ORDER_S
+            if instance is not None and order.is_answered:
+                self._retire_previous(instance, order)
+                is_over = is_over or self._is_carried_out(instance, order, asked_at)
+            if instance is None or is_over:
                 del self._orders[instance_id]
 
+    def _retire_previous(self, instance, order):
+        """Drop the executor that an order has ended, once the list shows it."""
+        if instance.state == instances.UP and instance.executor == order.previous:
+            return
+        executor = self._scheduler.executors.get(order.previous)
+        if executor is not None:
+            self._scheduler.retire_executor(executor)
+
+    def _is_carried_out(self, instance, order, asked_at):
+        if instance.state != instances.UP:
+            return False
+        if order.wave is None and instance.pool != order.target:
+            return False
+        if instance.executor != order.previous:
+            return True
+        # An order that was carried out earlier is accepted and changes nothing.
+        return asked_at - order.answered_at > UNCHANGED_S
+
     def _decide(self, now):
         if self._listed_at is None or not self._is_certain():
             return
@@ -403,10 +421,7 @@
         if self._is_stopped:
             return
         if answer.is_accepted:
-            order.is_answered = True
-            executor = self._scheduler.executors.get(order.previous)
-            if executor is not None:
-                self._scheduler.retire_executor(executor)
+            order.answered_at = time.monotonic()
             return
         _logger.info(
             "order refused",
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -1,6 +1,7 @@
 """An entry instance on the users' platform: front, controller and their state."""
 
 import argparse
+import dataclasses
 import logging
 import pathlib
 import signal
@@ -61,13 +62,16 @@
     ----------
     loaded : cranberryport.generated.node_settings.NodeSettings
         Checked settings.
+    settings_path : pathlib.Path
+        File that they were read from.
     """
 
     channel = "node"
 
-    def __init__(self, *, loaded):
+    def __init__(self, *, loaded, settings_path):
         super().__init__()
         self._loaded = loaded
+        self._settings_path = settings_path
         self._configuration = None
         self._controller = None
         self._waves = {}
@@ -247,11 +251,6 @@
     @handler("signal", channel="*", priority=10)
     def _on_signal(self, event, number, stack):
         event.stop()
-        if number == signal.SIGHUP:
-            # Nothing of the settings can change while the process runs; the platform
-            # starts it anew for another address.
-            _logger.info("reload")
-            return
         if number not in (signal.SIGTERM, signal.SIGINT) or self._stop_at is not None:
             return
         now = time.monotonic()
@@ -260,6 +259,26 @@
         self._membership.stop(lambda: None)
         self._timers.after(LEAVE_ROTATION_S, self._stop_taking)
 
+    def watch_reload(self):
+        """Reload the settings on SIGHUP, which circuits does not handle."""
+        signal.signal(signal.SIGHUP, lambda *_: self._timers.after(0.0, self._reload))
+
+    def _reload(self):
+        try:
+            found = node_settings.load(self._settings_path)
+        except node_settings.SettingsError as error:
+            _logger.error("settings not reloaded", extra={"reason": str(error)})
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(found)
+            if getattr(found, field.name) != getattr(self._loaded, field.name)
+        ]
+        logging.getLogger().setLevel(found.log_level)
+        # Addresses hold for the life of the process; the platform starts it anew where
+        # it moves, so the others are only told.
+        _logger.info("settings reloaded", extra={"changed": changed})
+
     def _stop_taking(self):
         self._server.stop_accepting()
         self._wait_for_requests()
@@ -295,7 +314,8 @@
         print(error, file=sys.stderr)
         return BAD_SETTINGS_EXIT_CODE
     node_logs.configure(instance=loaded.instance, level=loaded.log_level)
-    node = Node(loaded=loaded)
+    node = Node(loaded=loaded, settings_path=options.settings)
+    node.watch_reload()
     _logger.info("started", extra={"data_centre": loaded.data_centre})
     node.run()
     return 0
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -148,6 +148,7 @@
         except submissions.InvalidJob as error:
             self._answer(call, 400, {"Error": str(error)})
             return
+        job.attempts = queue.attempts
         value = codec.encode(records.store_job(job))
         record = (controller.JOB_PREFIX + job.id, value)
 
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -285,10 +285,14 @@
         When occurrences are due (wall clock); 0 for at once.
     repeats : int
         Number of occurrences; 0 for a job that does not recur.
+    attempts : int
+        Failed runs of a task after which the job has failed, as its queue said when it
+        was accepted; used once the configuration does not have the queue any more.
     """
 
     __slots__ = (
         "accepted_at",
+        "attempts",
         "chain_s",
         "cancel_requested",
         "done_occurrences",
@@ -321,6 +325,7 @@
         first_due=0.0,
         interval_s=0.0,
         repeats=0,
+        attempts=0,
     ):
         self.id = id
         self.queue = queue
@@ -331,6 +336,7 @@
         self.first_due = first_due
         self.interval_s = interval_s
         self.repeats = repeats
+        self.attempts = attempts
         self.state = ACCEPTED
         self.stored_state = ACCEPTED
         self.occurrences = {}
--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -46,6 +46,7 @@
         first_due=job.first_due,
         interval_s=job.interval_s,
         repeats=job.repeats,
+        attempts=job.attempts,
     )
 
 
@@ -61,6 +62,7 @@
         first_due=record.first_due,
         interval_s=record.interval_s,
         repeats=record.repeats,
+        attempts=record.attempts,
     )
 
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -27,6 +27,8 @@
 # list of runs corrects the account before.
 REFUSED_DELAY_S = 0.3
 UNHEALTHY_DELAY_S = 1.0
+# A job whose queue is not known does not fail for the number of its attempts.
+UNKNOWN_ATTEMPTS = 1_000_000
 # A stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
 # Before that much work is left undone, a draining executor is emptied by stops.
@@ -115,7 +117,11 @@
         """Return the rules of a job's queue."""
         rules = self._queues.get(job.queue)
         if rules is None:
-            rules = ordering.QueueRules(name=job.queue, service=job.service)
+            rules = ordering.QueueRules(
+                name=job.queue,
+                service=job.service,
+                attempts=job.attempts or UNKNOWN_ATTEMPTS,
+            )
         return rules
 
     # Jobs
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -147,6 +147,29 @@
         self.bench.add_job(scheduling.make_job())
         self.assertEqual(self.bench.start(), [])
 
+    def test_instance_whose_upkeep_was_done_before_is_released(self):
+        """Guards against a wave that ends late, and against a lost executor.
+
+        Seen on a hunted day of brazos: a new controller ordered an upkeep again that
+        was done; the order changed nothing, and the instance stayed reserved for 13 s.
+        """
+        executor = self.bench.add_executor("e1")
+        instance = self.listed["m1"]
+        instance.pool, instance.executor = "pool", "e1"
+        del self.listed["m2"]
+        self.fleet.start()
+        self.saved[0][1]()
+        self.client.orders[0][4](machines.Ordered(is_accepted=True))
+        answered_at = time.monotonic()
+        self.fleet._on_listed(self.listed, answered_at + 0.1)
+        self.assertTrue(self.fleet._orders)
+        self.fleet._on_listed(self.listed, answered_at + 1.0)
+        self.assertFalse(self.fleet._orders)
+        self.fleet._decide(answered_at + 1.0)
+        self.assertIn(executor.id, self.bench.scheduler.executors)
+        self.assertFalse(executor.is_reserved)
+        self.assertTrue(self.fleet.waves[1].done)
+
     def test_unanswered_order_keeps_the_instance(self):
         """Guards against another order while the first may still be carried out."""
         self.fleet.start()
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -99,6 +99,23 @@
         self.assertEqual(job.state, model.FAILED)
         self.assertEqual(bench.start(), [])
 
+    def test_job_of_an_unknown_queue_keeps_its_attempts(self):
+        """Guards against a job shown as failed after fewer runs than it may have.
+
+        Seen on a hunted day of brazos: a controller without configuration took one
+        failure for the last.
+        """
+        bench = scheduling.Bench()
+        for attempts, state in ((0, model.ACTIVE), (1, model.FAILED)):
+            job = scheduling.make_job(job=f"{attempts:016x}", attempts=attempts)
+            job.queue = "dropped"
+            bench.add_job(job)
+            (run,) = bench.start()
+            executor = bench.executors[0]
+            bench.finish(run, executor.stored_end + 1, "failed")
+            self.assertEqual(job.state, state)
+            bench.scheduler.cancel_job(job.id, scheduling.WALL)
+
     def test_lasting_task_is_started_again_however_it_ends(self):
         """Guards against a lasting task that stays away after it failed."""
         bench = scheduling.Bench(attempts=1)
