--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -16,6 +16,8 @@
 # up to 12 s), so the instance gets no other order before.
 LATE_ORDER_S = 13.0
 ORDER_RETRY_S = 0.4
+# Lists of runs are answered within a second; after this time one was missed.
+SILENT_S = 1.6
 # An instance that is still up with the same executor this long after its order was
 # accepted had been moved, or had its upkeep, before.
 UNCHANGED_S = 0.6
@@ -90,6 +92,7 @@
         "_on_superseded",
         "_ordered_at",
         "_orders",
+        "_present",
         "_save_orders",
         "_save_wave",
         "_scheduler",
@@ -127,6 +130,7 @@
         self._save_wave = save_wave
         self._save_orders = save_orders
         self._free_at = {}
+        self._present = set()
         self._ordered_at = {}
         self._lending = lending.Lending()
         self._listed = {}
@@ -214,6 +218,10 @@
         is_busy = bool(self._orders) or any(
             not self._is_complete(wave) for wave in self._waves.values()
         )
+        is_busy = is_busy or any(
+            executor.runs and now - (executor.last_answer or now) > SILENT_S
+            for executor in self._scheduler.executors.values()
+        )
         pause_s = LIST_BUSY_S if is_busy else LIST_IDLE_S
         is_due = self._listed_at is None or now - self._listed_at >= pause_s
         if is_due and not self._is_listing:
@@ -233,14 +241,26 @@
         self._listed = found
         self._listed_at = asked_at
         self._settle_orders(asked_at)
-        self._drop_replaced_executors()
+        self._drop_dead_executors(asked_at)
+
+    def _drop_dead_executors(self, asked_at):
+        """Drop silent executors whose instance is down or has another one.
 
-    def _drop_replaced_executors(self):
-        """Drop executors whose instance lives again under another id."""
-        present = {i.executor for i in self._listed.values() if i.executor}
+        Their tasks need not wait for the lease then.
+        """
+        present = {
+            instance.executor
+            for instance in self._listed.values()
+            if instance.state == instances.UP and instance.executor
+        }
         for executor in list(self._scheduler.executors.values()):
-            if not executor.is_listed and executor.id not in present and executor.runs:
-                self._scheduler.remove_executor(executor, "instance lives again")
+            if executor.id in present or executor.id not in self._present:
+                continue
+            is_silent = asked_at - (executor.last_answer or 0.0) > SILENT_S
+            if is_silent and executor.runs:
+                self._scheduler.retire_executor(executor, "instance is down")
+        known = self._scheduler.executors.keys()
+        self._present = (self._present | present) & known
 
     def _settle_orders(self, asked_at):
         now = time.monotonic()
@@ -259,7 +279,7 @@
             return
         executor = self._scheduler.executors.get(order.previous)
         if executor is not None:
-            self._scheduler.retire_executor(executor)
+            self._scheduler.retire_executor(executor, "instance was ordered away")
 
     def _is_carried_out(self, instance, order, asked_at):
         if instance.state != instances.UP:
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -176,6 +176,7 @@
 
     @handler("started", channel="*")
     def _on_started(self, *_):
+        _logger.info("started", extra={"data_centre": self._loaded.data_centre})
         self._questions.start()
         self._configuration_reader.start()
         self._membership.start()
@@ -316,7 +317,6 @@
     node_logs.configure(instance=loaded.instance, level=loaded.log_level)
     node = Node(loaded=loaded, settings_path=options.settings)
     node.watch_reload()
-    _logger.info("started", extra={"data_centre": loaded.data_centre})
     node.run()
     return 0
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -29,6 +29,8 @@
 UNHEALTHY_DELAY_S = 1.0
 # A job whose queue is not known does not fail for the number of its attempts.
 UNKNOWN_ATTEMPTS = 1_000_000
+# Lists come once a second; without one for longer an executor counts as silent.
+SILENT_S = 1.6
 # A stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
 # Before that much work is left undone, a draining executor is emptied by stops.
@@ -312,16 +314,18 @@
             "executor removed", extra={"executor": executor.id, "reason": reason}
         )
 
-    def retire_executor(self, executor):
+    def retire_executor(self, executor, reason):
         """Drop an executor whose instance has ended it; its entry may stay for seconds.
 
         Parameters
         ----------
         executor : executors.Executor
             Another life under the same id has another birth and is taken again.
+        reason : str
+            For the log.
         """
         self._retired[executor.id] = executor.born
-        self.remove_executor(executor, "instance was ordered away")
+        self.remove_executor(executor, reason)
 
     def _lose_runs(self, executor, reason):
         for run in list(executor.runs.values()):
@@ -348,7 +352,8 @@
             Unix time in seconds.
         """
         for executor in list(self._executors.values()):
-            if executor.runs and executor.is_lapsed(now):
+            is_lapsed = executor.is_lapsed(now)
+            if executor.runs and is_lapsed:
                 self._lose_runs(executor, "lease lapsed")
                 executor.is_fenced = False
             if not executor.is_listed and not executor.runs:
@@ -671,7 +676,12 @@
             avoid=task.avoid,
             lasting_on={},
         )
-        if executor is None:
+        straggling = self._executors.get(run.executor)
+        if executor is None or straggling is None:
+            return
+        is_silent = now - straggling.last_answer > SILENT_S
+        if is_silent and not task.step.may_copy:
+            # Its progress is not known, and a stop would not arrive either.
             return
         if task.step.may_copy:
             self._plan_run(task, executor, task.next_run, others, used_on, racks)
@@ -691,9 +701,7 @@
             },
         )
         if stragglers.is_stalled(run, now):
-            straggling = self._executors.get(run.executor)
-            if straggling is not None:
-                suspicion.note_end(straggling, task.job.id, "failed", now)
+            suspicion.note_end(straggling, task.job.id, "failed", now)
 
     def _permitted(self, occurrence, number, candidates, now):
         """Return the candidates that may run a step, and note what is to be asked."""
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -141,7 +141,7 @@
         turn and then found no place.
         """
         executor = self.bench.add_executor("e1")
-        self.bench.scheduler.retire_executor(executor)
+        self.bench.scheduler.retire_executor(executor, "test")
         stale = scheduling.make_executor("e1")
         self.assertIsNone(self.bench.scheduler.see_executor(stale, self.bench.now))
         self.bench.add_job(scheduling.make_job())
@@ -170,6 +170,29 @@
         self.assertFalse(executor.is_reserved)
         self.assertTrue(self.fleet.waves[1].done)
 
+    def _crash(self, state):
+        """Let an executor with a run fall silent; return the run."""
+        executor = self.bench.add_executor("e1")
+        self.listed["m1"].pool, self.listed["m1"].executor = "pool", "e1"
+        self.bench.add_job(scheduling.make_job())
+        (run,) = self.bench.start()
+        self.fleet._on_listed(self.listed, self.bench.now)
+        self.listed["m1"].state = state
+        self.fleet._on_listed(self.listed, executor.last_answer + 1.0)
+        self.assertTrue(run.task.runs)
+        self.fleet._on_listed(self.listed, executor.last_answer + 2.0)
+        return run
+
+    def test_silent_executor_of_an_instance_that_is_down_is_dead(self):
+        """Guards against callers that wait for the lease of a crashed executor."""
+        run = self._crash(instances.DOWN)
+        self.assertFalse(run.task.runs)
+
+    def test_silent_executor_of_an_instance_that_is_up_may_go_on(self):
+        """Guards against a second run beside an executor that is only cut off."""
+        run = self._crash(instances.UP)
+        self.assertTrue(run.task.runs)
+
     def test_unanswered_order_keeps_the_instance(self):
         """Guards against another order while the first may still be carried out."""
         self.fleet.start()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,131 @@
+"""Tests of cranberryport.node as a process, without a store to reach."""
+
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from cranberryport import node
+
+# Only ends a test that would otherwise hang; no test depends on its length.
+HANG_LIMIT_S = 30.0
+
+
+def free_port():
+    """Return a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class NodeTest(unittest.TestCase):
+    """Signals, readiness and refusals of an entry instance."""
+
+    def setUp(self):
+        """Start an entry instance whose store refuses connections."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = pathlib.Path(directory.name) / "settings.toml"
+        self.ports = {name: free_port() for name in ("front", "readiness", "metrics")}
+        self.text = "\n".join(
+            [
+                'instance = "entry-1"',
+                'data_centre = "a"',
+                f'front = "127.0.0.1:{self.ports["front"]}"',
+                f'readiness = "127.0.0.1:{self.ports["readiness"]}"',
+                'peer_host = "127.0.0.1"',
+                f"peer_port = {free_port()}",
+                f"metrics_port = {self.ports['metrics']}",
+                f'store = "127.0.0.1:{free_port()}"',
+                "grace_s = 2.0",
+            ]
+        )
+        self.path.write_text(self.text)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "cranberryport.node", "--settings", str(self.path)],
+            cwd=pathlib.Path(__file__).resolve().parent.parent,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(self._end)
+        self.read_event("started")
+
+    def _end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(HANG_LIMIT_S)
+        self.process.stdout.close()
+
+    def read_event(self, event):
+        """Return the fields of the next line of an event."""
+        for line in self.process.stdout:
+            fields = json.loads(line)
+            if fields["event"] == event:
+                return fields
+        raise AssertionError(f"the process ended without the event {event!r}")
+
+    def get(self, name, path):
+        """Return status, headers and body of a GET."""
+        client = http.client.HTTPConnection(
+            "127.0.0.1", self.ports[name], timeout=HANG_LIMIT_S
+        )
+        self.addCleanup(client.close)
+        client.request("GET", path)
+        answer = client.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+
+    def test_sighup_reloads_the_settings(self):
+        """Guards against a process that SIGHUP ends.
+
+        Seen on hunted days of brazos: processes ended with code 129.
+        """
+        self.path.write_text(self.text.replace("grace_s = 2.0", "grace_s = 3.0"))
+        self.process.send_signal(signal.SIGHUP)
+        self.assertEqual(self.read_event("settings reloaded")["changed"], ["grace_s"])
+        self.assertEqual(self.get("readiness", "/")[0], 503)
+
+    def test_unreadable_settings_are_reported_and_change_nothing(self):
+        """Guards against a process that ends because of a file half written."""
+        self.path.write_text("instance = ")
+        self.process.send_signal(signal.SIGHUP)
+        found = self.read_event("settings not reloaded")
+        self.assertIn("settings.toml", found["reason"])
+        self.assertEqual(self.get("readiness", "/")[0], 503)
+
+    def test_instance_without_configuration_refuses_and_is_not_ready(self):
+        """Guards against callers that are sent to an instance that knows no queue."""
+        self.assertEqual(self.get("readiness", "/")[0], 503)
+        status, headers, _ = self.get("front", "/any/0123456789abcdef")
+        self.assertEqual((status, headers["Retry-After"]), (503, "1"))
+        self.assertIn(b"front.GET.503 1", self.get("metrics", "/metrics")[2])
+
+    def test_sigterm_ends_the_process_within_its_grace(self):
+        """Guards against a process that has to be killed."""
+        self.process.send_signal(signal.SIGTERM)
+        self.read_event("stopped")
+        self.assertEqual(self.process.wait(HANG_LIMIT_S), 0)
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings that cannot be used."""
+
+    def test_missing_setting_is_named(self):
+        """Guards against a start with settings that are not whole."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "settings.toml"
+            path.write_text('instance = "a"')
+            result = subprocess.run(
+                [sys.executable, "-m", "cranberryport.node", "--settings", str(path)],
+                cwd=pathlib.Path(__file__).resolve().parent.parent,
+                capture_output=True,
+                text=True,
+                timeout=HANG_LIMIT_S,
+                check=False,
+            )
+        self.assertEqual(result.returncode, node.BAD_SETTINGS_EXIT_CODE)
+        self.assertIn("data_centre", result.stderr)
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -211,6 +211,27 @@
         (again,) = bench.start()
         self.assertNotEqual(again.executor, run.executor)
 
+    def test_run_on_a_silent_executor_is_not_stopped(self):
+        """Guards against losing the work of an executor that is cut off for seconds.
+
+        Seen on a hunted day of brazos: a run at 90 % was given up as it stood still,
+        though only its lists were missing.
+        """
+        bench, run = self._run()
+        bench.now += 1.0
+        self._progress(bench, run, 90)
+        bench.now += 3.0
+        self.assertEqual(bench.start(), [])
+        self.assertEqual(run.state, model.RUNNING)
+
+    def test_copy_starts_while_an_executor_is_silent(self):
+        """Guards against waiting for the lease where copies are allowed."""
+        bench, run = self._run(may_copy=True)
+        bench.now += 1.0
+        self._progress(bench, run, 90)
+        bench.now += 3.0
+        self.assertEqual(len(bench.start()), 1)
+
     def test_executor_far_slower_than_the_others_is_found(self):
         """Guards against work for an executor that takes several times as long."""
         known = [scheduling.make_executor(name) for name in "abcd"]
