--- a/cranberryport/scheduling/lending.py
+++ b/cranberryport/scheduling/lending.py
@@ -13,8 +13,13 @@
 # A pool keeps what it needed within this time: a move away and back costs as much as an
 # instance that stays for 2.3 s (prices of the deployments).
 KEEP_S = 2.3
-# Smallest size of a pool: the loss of one instance leaves another.
-SMALLEST_POOL = 4
+# Smallest size of a pool that has just peaked: the loss of one instance leaves another.
+RESTED_SIZE = 2
+# Smallest size of a pool whose peak may come next; a move takes longer than a usual
+# task, so these instances serve the first second of the peak.
+READY_SIZE = 4
+# Queues peak by turns, so a pool that has peaked waits for the turns of the others.
+REST_S = 10.0
 # Waiting tasks of late jobs count this much: their callers lost most of the worth,
 # and others still wait in time.
 LATE_SHARE = 0.25
@@ -92,19 +97,13 @@
 
 
 class Lending:
-    """Remembers recent needs and chooses moves.
+    """Remembers recent needs and chooses moves."""
 
-    Parameters
-    ----------
-    base : int
-        Instances that a pool keeps while nothing is asked of it.
-    """
+    __slots__ = ("_peaked_at", "_peaks")
 
-    __slots__ = ("_base", "_peaks")
-
-    def __init__(self, *, base=SMALLEST_POOL):
-        self._base = base
+    def __init__(self):
         self._peaks = {}
+        self._peaked_at = {}
 
     def choose(self, pools, now):
         """Choose moves.
@@ -152,4 +151,8 @@
         peaks = [(t, n) for t, n in self._peaks.get(pool.name, ()) if now - t < KEEP_S]
         peaks.append((now, pool.needed))
         self._peaks[pool.name] = peaks
-        return max(self._base, *(n for _, n in peaks))
+        if pool.needed > READY_SIZE:
+            self._peaked_at[pool.name] = now
+        rested = now - self._peaked_at.get(pool.name, -REST_S) < REST_S
+        smallest = RESTED_SIZE if rested else READY_SIZE
+        return max(smallest, *(n for _, n in peaks))
