Judge slow executors by rates between two lists

Change: rates between two lists; a leave must save 0.8 s and half of the new run; at most two leaves a task.

--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -135,6 +135,7 @@
         "pace",
         "percent",
         "percent_at",
+        "rate",
         "saved",
         "start_expires",
         "state",
@@ -157,6 +158,8 @@
         self.saved = ""
         self.percent = 0
         self.percent_at = None
+        # Progress in percent a second, None until two lists have shown it.
+        self.rate = None
         self.pace = 100
         self.tail_or_processors = 0
         self.ticket = ""
@@ -181,6 +184,7 @@
         "failures",
         "index",
         "is_done",
+        "leaves",
         "next_run",
         "occurrence",
         "retry_at",
@@ -197,6 +201,7 @@
         self.next_run = 1
         self.failures = 0
         self.is_done = False
+        self.leaves = 0
         self.saved = ""
         self.runs = []
         self.avoid = ()
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -504,11 +504,11 @@
     def _update_run(self, run, entry, now):
         self.on_started(run, now)
         if run.percent != entry.percent or run.percent_at is None:
-            run.percent = entry.percent
-            run.percent_at = now
             executor = self._executors.get(run.executor)
             if executor is not None:
-                stragglers.note_progress(executor, run, now)
+                stragglers.note_progress(executor, run, entry.percent, now)
+            run.percent = entry.percent
+            run.percent_at = now
         run.saved = entry.saved
         run.tail_or_processors = entry.load
 
@@ -656,7 +656,8 @@
                 if step.is_gang:
                     continue
                 for task in occurrence.tasks[number]:
-                    if len(task.runs) != 1:
+                    is_limited = task.leaves >= stragglers.LEAVES_LIMIT
+                    if len(task.runs) != 1 or is_limited:
                         continue
                     (run,) = task.runs
                     if not stragglers.is_worth_leaving(run, now, slow):
@@ -689,6 +690,7 @@
             self._abandon(run)
         else:
             return
+        task.leaves += 1
         _logger.info(
             "run left",
             extra={
--- a/cranberryport/scheduling/stragglers.py
+++ b/cranberryport/scheduling/stragglers.py
@@ -14,8 +14,13 @@
 STALL_SHARE = 0.05
 # A lasting task starts up within this time on a sound executor.
 STARTUP_S = 4.0
-# Projections from less progress than this are too rough.
-LEAST_PERCENT = 5
+# Rates over less time than this are too rough.
+LEAST_INTERVAL_S = 0.25
+# A start elsewhere takes an append, a stop and perhaps the restoring of a checkpoint.
+LEAVE_COST_S = 0.8
+LEAVE_FACTOR = 1.5
+# A task that found only slow executors so far stays where it is.
+LEAVES_LIMIT = 2
 # Declared run times are off by half, so only a larger factor shows a slow executor.
 SLOW_FACTOR = 2.5
 SMOOTHING = 0.3
@@ -40,25 +45,42 @@
     return run.percent_at is not None and now - run.percent_at > limit
 
 
-def projected_s(run, now):
-    """Return the time that a run will take in all, None if that is not known yet."""
-    if run.confirmed_at is None or run.percent < LEAST_PERCENT:
-        return None
-    return (run.percent_at - run.confirmed_at) * 100 / run.percent
-
+def note_progress(executor, run, percent, now):
+    """Take newly listed progress of a run into its rate and its executor's slowness.
 
-def note_progress(executor, run, now):
-    """Take the progress of a run into the slowness of its executor."""
+    Parameters
+    ----------
+    executor : executors.Executor
+        Where it runs.
+    run : model.Run
+        The run with its previous progress.
+    percent : int
+        New progress.
+    now : float
+        Monotonic time in seconds.
+    """
     step = run.task.step
     if step.is_lasting or step.is_filling or not step.estimate_s:
         return
-    total_s = projected_s(run, now)
-    if total_s is None:
+    # The first progress says nothing about the rate: starting up and restoring a
+    # checkpoint take time, and a restored run begins with progress.
+    if not run.percent or percent <= run.percent:
+        return
+    spent_s = now - run.percent_at
+    if spent_s < LEAST_INTERVAL_S:
         return
-    ratio = total_s / step.estimate_s
+    run.rate = (percent - run.percent) / spent_s
+    ratio = 100 / run.rate / step.estimate_s
     executor.slowness += SMOOTHING * (ratio - executor.slowness)
 
 
+def left_s(run, now):
+    """Return the time that a run still takes, None if its rate is not known."""
+    if not run.rate:
+        return None
+    return (100 - run.percent) / run.rate - (now - run.percent_at)
+
+
 def slow_executors(executors):
     """Return the ids of the executors of a pool that are far slower than the others.
 
@@ -87,11 +109,10 @@
     """
     if is_stalled(run, now):
         return True
-    total_s = projected_s(run, now)
-    if total_s is None or run.executor not in slow:
+    remaining_s = left_s(run, now)
+    if remaining_s is None or run.executor not in slow:
         return False
-    left_s = total_s - (now - run.confirmed_at)
     again_s = run.task.step.estimate_s
     if run.task.step.saves_checkpoints:
         again_s *= 1 - run.percent / 100
-    return left_s > 1.5 * again_s
+    return remaining_s > LEAVE_FACTOR * again_s + LEAVE_COST_S
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -232,6 +232,30 @@
         bench.now += 3.0
         self.assertEqual(len(bench.start()), 1)
 
+    def test_slow_begin_makes_no_executor_slow(self):
+        """Guards against leaving runs that restore a checkpoint before they progress.
+
+        Seen on scoica trouble-1: 180 runs were left, most with little progress.
+        """
+        bench, run = self._run(saves_checkpoints=True, estimate_s=2.0)
+        executor = bench.scheduler.executors[run.executor]
+        for after_s, percent in ((0.8, 4), (1.3, 29), (1.8, 54)):
+            bench.now += after_s if percent == 4 else 0.5
+            self._progress(bench, run, percent)
+        self.assertAlmostEqual(run.rate, 50.0)
+        self.assertLessEqual(executor.slowness, 1.0)
+
+    def test_task_is_not_left_for_ever(self):
+        """Guards against a task that goes from one executor to the next."""
+        bench, run = self._run(saves_checkpoints=True)
+        run.task.leaves = stragglers.LEAVES_LIMIT
+        bench.now += 1.0
+        self._progress(bench, run, 20)
+        bench.now += 2.5
+        self._progress(bench, run, 20)
+        self.assertEqual(bench.start(), [])
+        self.assertEqual(run.state, model.RUNNING)
+
     def test_executor_far_slower_than_the_others_is_found(self):
         """Guards against work for an executor that takes several times as long."""
         known = [scheduling.make_executor(name) for name in "abcd"]
