Leave a run once; drop stored runs on executors that no instance has

Cause: a run that was being stopped counted as left again in each pass. A successor waited for the lease of executors that were gone for good.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -137,6 +137,7 @@
                 epoch=epoch,
                 loaded=loaded,
                 is_certain=is_certain,
+                are_executors_known=self._are_executors_known,
                 on_superseded=on_superseded,
                 on_stops=self.wake,
                 save_wave=self._save_wave,
@@ -168,6 +169,9 @@
             gap_s=EXECUTORS_GAP_S,
         )
 
+    def _are_executors_known(self):
+        return self._executors_reader.confirmed_at is not None
+
     def _make_jobs_reader(self, partition):
         return topic_reader.TopicReader(
             store_client=self._store,
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -64,6 +64,8 @@
         Settings.
     is_certain : callable
         Returns whether this process is certain to be the controller.
+    are_executors_known : callable
+        Returns whether the list of executors was read.
     on_superseded : callable
         Called if a later controller has given orders.
     on_stops : callable
@@ -76,6 +78,7 @@
     """
 
     __slots__ = (
+        "_are_executors_known",
         "_client",
         "_epoch",
         "_forbidden",
@@ -113,6 +116,7 @@
         epoch,
         loaded,
         is_certain,
+        are_executors_known,
         on_superseded,
         on_stops,
         save_wave,
@@ -125,6 +129,7 @@
         self._epoch = epoch
         self._loaded = loaded
         self._is_certain = is_certain
+        self._are_executors_known = are_executors_known
         self._on_superseded = on_superseded
         self._on_stops = on_stops
         self._save_wave = save_wave
@@ -242,6 +247,9 @@
         self._listed_at = asked_at
         self._settle_orders(asked_at)
         self._drop_dead_executors(asked_at)
+        if self._are_executors_known():
+            present = {i.executor for i in found.values() if i.executor}
+            self._scheduler.drop_waiting_runs(present)
 
     def _drop_dead_executors(self, asked_at):
         """Drop silent executors whose instance is down or has another one.
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -327,6 +327,28 @@
         self._retired[executor.id] = executor.born
         self.remove_executor(executor, reason)
 
+    def drop_waiting_runs(self, present):
+        """Drop stored runs on executors that no instance has any more.
+
+        Parameters
+        ----------
+        present : set of str
+            Executors of all instances, read after the list of executors.
+        """
+        for executor_id in set(self._waiting_runs) - present:
+            for run in list(self._waiting_runs.pop(executor_id).values()):
+                _logger.info(
+                    "run lost",
+                    extra={
+                        "request": run.task.job.id,
+                        "task": run.task.name,
+                        "run": run.number,
+                        "executor": executor_id,
+                        "reason": "no instance has the executor",
+                    },
+                )
+                self._drop(run)
+
     def _lose_runs(self, executor, reason):
         for run in list(executor.runs.values()):
             _logger.info(
--- a/cranberryport/scheduling/stragglers.py
+++ b/cranberryport/scheduling/stragglers.py
@@ -107,6 +107,8 @@
     slow : set of str
         Slow executors.
     """
+    if run.state != model.RUNNING:
+        return False
     if is_stalled(run, now):
         return True
     remaining_s = left_s(run, now)
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -72,6 +72,7 @@
             epoch=7,
             loaded=SETTINGS,
             is_certain=lambda: True,
+            are_executors_known=lambda: True,
             on_superseded=lambda: None,
             on_stops=lambda: None,
             save_wave=lambda wave: None,
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -245,6 +245,17 @@
         self.assertAlmostEqual(run.rate, 50.0)
         self.assertLessEqual(executor.slowness, 1.0)
 
+    def test_run_is_left_once(self):
+        """Guards against counting a run that is being stopped again and again."""
+        bench, run = self._run(saves_checkpoints=True)
+        bench.now += 1.0
+        self._progress(bench, run, 20)
+        bench.now += 2.5
+        self._progress(bench, run, 20)
+        bench.start()
+        bench.start()
+        self.assertEqual((run.state, run.task.leaves), (model.STOPPING, 1))
+
     def test_task_is_not_left_for_ever(self):
         """Guards against a task that goes from one executor to the next."""
         bench, run = self._run(saves_checkpoints=True)
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -302,3 +302,12 @@
         second.scheduler.expire(second.now, scheduling.WALL)
         (run,) = second.start()
         self.assertEqual(run.number, 2)
+
+    def test_run_on_an_executor_that_no_instance_has_is_lost_at_once(self):
+        """Guards against waiting for the lease of an executor that is gone for good."""
+        second, _ = self._handover()
+        second.add_executor("e2")
+        second.scheduler.drop_waiting_runs({"e1", "e2"})
+        self.assertEqual(second.start(), [])
+        second.scheduler.drop_waiting_runs({"e2"})
+        self.assertEqual([run.number for run in second.start()], [2])
