--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -7,7 +7,13 @@
 from cranberryport.control import executor_link, fleet, progress_writer, topic_reader
 from cranberryport.generated import messages
 from cranberryport.platform import executors, store
-from cranberryport.scheduling import admission, records, scheduler
+from cranberryport.scheduling import (
+    admission,
+    load,
+    records,
+    scheduler,
+    task_planner,
+)
 
 # Decisions of this time share an append; an append takes 4 ms and is priced.
 STEP_GAP_S = 0.01
@@ -80,6 +86,7 @@
         "_loading",
         "_next_step",
         "_on_superseded",
+        "_planner",
         "_progress",
         "_scheduler",
         "_started_at",
@@ -119,6 +126,7 @@
         self._scheduler = scheduler.Scheduler(
             takeover_lapses_at=self._started_at + lapses_in_s
         )
+        self._planner = task_planner.TaskPlanner(state=self._scheduler)
         self._links = {}
         self._advice_client = advice_client
         self._advice_asked = set()
@@ -250,9 +258,9 @@
             # A repeated hand-in of an accepted job is not refused.
             return 0
         now, wall = time.monotonic(), time.time()
-        demand = self._scheduler.demand(now, wall)
+        demand = load.demand(self._scheduler, now, wall)
         processors = self._fleet.reachable_processors(question.service, demand)
-        backlog = self._scheduler.backlog(question.service, rules, wall)
+        backlog = load.backlog(self._scheduler, question.service, rules, wall)
         retry_after_s = admission.retry_after_s(
             work=question.work,
             chain_s=question.chain_s,
@@ -547,7 +555,7 @@
             if executor_id not in self._scheduler.executors:
                 self._links.pop(executor_id).close()
         if not self._writer.is_busy:
-            self._scheduler.plan(now, wall)
+            self._planner.plan(now, wall)
             self._ask_advice()
             self._store_batch()
         for run in self._scheduler.take_stops():
@@ -556,7 +564,7 @@
                 link.stop(run)
 
     def _ask_advice(self):
-        for step, (workers, rules) in self._scheduler.take_advice_wanted().items():
+        for step, (workers, rules) in self._planner.take_advice_wanted().items():
             # The service takes the calls of one machine in turn.
             if self._advice_client is None or step in self._advice_asked:
                 continue
@@ -573,7 +581,7 @@
                     _logger.warning("no advice", extra={"task": step})
                     return
                 valid_until = asked_at + permits.valid_s
-                self._scheduler.on_advice(step, workers, permits.tickets, valid_until)
+                self._planner.on_advice(step, workers, permits.tickets, valid_until)
                 self.wake()
 
             self._advice_client.ask(
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -4,7 +4,14 @@
 import time
 
 from cranberryport.platform import machines, store
-from cranberryport.scheduling import instances, lending, model, packing, upkeep
+from cranberryport.scheduling import (
+    instances,
+    lending,
+    load,
+    model,
+    packing,
+    upkeep,
+)
 
 STEP_S = 0.06
 LIST_BUSY_S = 0.3
@@ -303,10 +310,10 @@
         if self._listed_at is None or not self._is_certain():
             return
         reserved = set()
-        load = self._pool_load(now)
+        pressure = self._pressure(now)
         for number in sorted(self._waves):
             wave = self._waves[number]
-            reserved |= self._decide_wave(wave, load, now)
+            reserved |= self._decide_wave(wave, pressure, now)
         self._decide_moves(reserved, now)
         for executor in self._scheduler.executors.values():
             executor.is_reserved = executor.id in reserved
@@ -318,7 +325,7 @@
     def _is_complete(self, wave):
         return self._statuses.get(wave.number) is True
 
-    def _decide_wave(self, wave, load, now):
+    def _decide_wave(self, wave, pressure, now):
         reserved = set()
         if self._is_complete(wave):
             return reserved
@@ -342,7 +349,7 @@
             wave,
             self._listed,
             self._scheduler.executors,
-            load=load,
+            pressure=pressure,
             upkeep_s=self._loaded.upkeep_s,
             now=now,
         )
@@ -525,20 +532,20 @@
         spare = sum(max(0, size - demand.get(p, 0)) for p, size in others.items())
         return (own + spare) / 1000
 
-    def _pool_load(self, now):
+    def _pressure(self, now):
         sizes = {}
         for instance in self._listed.values():
             if instance.state == instances.UP:
                 sizes[instance.pool] = sizes.get(instance.pool, 0) + instance.processors
         return {
             pool: asked / max(1, sizes.get(pool, 0))
-            for pool, asked in self._scheduler.demand(now, time.time()).items()
+            for pool, asked in load.demand(self._scheduler, now, time.time()).items()
         }
 
     def _decide_moves(self, reserved, now):
         if not any(service.is_standby for service in self._services.values()):
             return
-        demand = self._scheduler.demand(now, time.time())
+        demand = load.demand(self._scheduler, now, time.time())
         # A pool that is off takes instances back also while it has none.
         pools = {
             service.name: lending.PoolLoad(
@@ -564,14 +571,14 @@
             service = self._services.get(pool)
             if service is None:
                 continue
-            load = pools[pool]
-            load.processors = max(load.processors, instance.processors)
+            asked = pools[pool]
+            asked.processors = max(asked.processors, instance.processors)
             is_usable = instance.state in (instances.UP, instances.MOVING)
             is_usable = is_usable and (order is None or order.wave is None)
             if not is_usable or instance.executor in reserved:
                 # An instance in upkeep, or about to be, serves nobody.
                 continue
-            load.size += 1
+            asked.size += 1
             executor = self._scheduler.executors.get(instance.executor)
             is_free = service.is_standby or (
                 executor is not None and executor.is_listed and executor.is_empty
@@ -580,7 +587,7 @@
             is_free = is_free and self._is_free(instance.id, now)
             is_free = is_free and instance.executor not in reserved
             if is_free and not (service.is_standby and instance.id in in_wave):
-                load.idle.append(instance.id)
+                asked.idle.append(instance.id)
         self._log_pools(pools, now)
         for instance_id, pool in self._lending.choose(list(pools.values()), now):
             instance = self._listed[instance_id]
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -218,13 +218,16 @@
         """Step of the task."""
         return self.occurrence.job.steps[self.step_number]
 
+    @property
+    def step_name(self):
+        """Name of the step in its occurrence for the advice service."""
+        occurrence = self.occurrence
+        return f"{occurrence.job.id}.{occurrence.number}.{self.step_number}"
+
     @property
     def name(self):
         """Name for executors."""
-        occurrence = self.occurrence
-        return (
-            f"{occurrence.job.id}.{occurrence.number}.{self.step_number}.{self.index}"
-        )
+        return f"{self.step_name}.{self.index}"
 
 
 class Occurrence:
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -1,8 +1,9 @@
-"""State of all jobs and executors, and the decisions about what runs where.
+"""State of all jobs, their runs and the executors.
 
-The class has no input or output. Its owner hands in what it learns, stores the batches
-that :meth:`Scheduler.take_batch` returns, and only then sends the orders that come out
-of :meth:`Scheduler.commit`. So no start is sent that a successor would not know of.
+The class has no input or output. Its owner hands in what it learns, lets the planner
+plan runs, stores the batches that :meth:`Scheduler.take_batch` returns, and only then
+sends the starts that come out of :meth:`Scheduler.commit`. So no start is sent that a
+successor would not know of.
 """
 
 import collections
@@ -13,7 +14,6 @@
     lending,
     model,
     ordering,
-    packing,
     records,
     stragglers,
     suspicion,
@@ -29,8 +29,6 @@
 UNHEALTHY_DELAY_S = 1.0
 # A job whose queue is not known does not fail for the number of its attempts.
 UNKNOWN_ATTEMPTS = 1_000_000
-# Lists come once a second; without one for longer an executor counts as silent.
-SILENT_S = 1.6
 # A stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
 # Before that much work is left undone, a draining executor is emptied by stops.
@@ -87,7 +85,6 @@
         self._stops = collections.deque()
         self._waiting_runs = {}
         self._timed = {}
-        self._advice_wanted = {}
         self._retired = {}
         self._arrivals = collections.defaultdict(lending.ArrivalRate)
 
@@ -106,6 +103,11 @@
         """Executors by id."""
         return self._executors
 
+    @property
+    def arrivals(self):
+        """Work that becomes ready, by pool."""
+        return self._arrivals
+
     @property
     def queues(self):
         """Rules of the queues by name."""
@@ -594,238 +596,25 @@
 
     # Planning
 
-    def plan(self, now, wall):
-        """Choose executors for the tasks whose turn has come.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds.
-        wall : float
-            Unix time in seconds.
-        """
-        waiting = {}
-        for job in self._open_jobs.values():
-            for occurrence in job.occurrences.values():
-                if occurrence.open_steps:
-                    waiting.setdefault(job.service, []).append(occurrence)
-        if not waiting:
-            return
-        pools = {}
-        for executor in self._executors.values():
-            if executor.service in waiting and executor.can_take(now):
-                used = executor.used()
-                whole = (executor.processors, executor.memory, executor.accelerators)
-                free = [a - b for a, b in zip(whole, used, strict=True)]
-                pools.setdefault(executor.service, []).append((executor, free))
-        for service, occurrences in waiting.items():
-            candidates = pools.get(service)
-            if candidates:
-                self._plan_pool(occurrences, candidates, now, wall)
-
-    def _plan_pool(self, occurrences, candidates, now, wall):
-        occurrences.sort(key=lambda o: ordering.order_key(o, self.rules(o.job), wall))
-        slow = stragglers.slow_executors([executor for executor, _ in candidates])
-        trusted = suspicion.trusted(candidates, now, slow)
-        lasting = collections.Counter()
-        for executor, _ in candidates:
-            lasting[executor.id] = sum(
-                run.task.step.is_lasting for run in executor.runs.values()
-            )
-        for occurrence in occurrences:
-            for number in sorted(occurrence.open_steps):
-                self._plan_step(occurrence, number, trusted, lasting, now)
-        self._leave_stragglers(occurrences, trusted, slow, now)
-
-    def _plan_step(self, occurrence, number, candidates, lasting, now):
-        tasks = occurrence.tasks[number]
-        step = occurrence.job.steps[number]
-        attempts = self.rules(occurrence.job).attempts
-        waiting = [
-            task
-            for task in tasks
-            if not task.is_done
-            and not task.runs
-            and task.retry_at <= now
-            and (step.is_lasting or task.failures < attempts)
-        ]
-        if not waiting:
-            return
-        used_on, racks = self._placed(tasks)
-        candidates = self._permitted(occurrence, number, candidates, now)
-        if step.is_gang:
-            self._plan_gang(tasks, waiting, candidates, used_on, racks, now)
-            return
-        for task in waiting:
-            executor = packing.choose(
-                step,
-                candidates,
-                used_on=used_on,
-                racks=racks,
-                avoid=task.avoid,
-                lasting_on=lasting,
-            )
-            if executor is None:
-                return
-            lasting[executor.id] += step.is_lasting
-            self._plan_run(task, executor, task.next_run, candidates, used_on, racks)
-
-    def _leave_stragglers(self, occurrences, candidates, slow, now):
-        """Copy or move runs that stand still or are far too slow."""
-        for occurrence in occurrences:
-            for number in occurrence.open_steps:
-                step = occurrence.job.steps[number]
-                if step.is_gang:
-                    continue
-                for task in occurrence.tasks[number]:
-                    is_limited = task.leaves >= stragglers.LEAVES_LIMIT
-                    if len(task.runs) != 1 or is_limited:
-                        continue
-                    (run,) = task.runs
-                    if not stragglers.is_worth_leaving(run, now, slow):
-                        continue
-                    self._leave(run, candidates, now)
-
-    def _leave(self, run, candidates, now):
-        task = run.task
-        others = [c for c in candidates if c[0].id != run.executor]
-        others = self._permitted(task.occurrence, task.step_number, others, now)
-        used_on, racks = self._placed(task.occurrence.tasks[task.step_number])
-        executor = packing.choose(
-            task.step,
-            others,
-            used_on=used_on,
-            racks=racks,
-            avoid=task.avoid,
-            lasting_on={},
-        )
-        straggling = self._executors.get(run.executor)
-        if executor is None or straggling is None:
-            return
-        is_silent = now - straggling.last_answer > SILENT_S
-        if is_silent and not task.step.may_copy:
-            # Its progress is not known, and a stop would not arrive either.
-            return
-        if task.step.may_copy:
-            self._plan_run(task, executor, task.next_run, others, used_on, racks)
-        elif stragglers.is_stalled(run, now) or task.step.saves_checkpoints:
-            self._abandon(run)
-        else:
-            return
-        task.leaves += 1
-        _logger.info(
-            "run left",
-            extra={
-                "request": task.job.id,
-                "task": task.name,
-                "run": run.number,
-                "executor": run.executor,
-                "percent": run.percent,
-                "is_copied": task.step.may_copy,
-            },
-        )
-        if stragglers.is_stalled(run, now):
-            suspicion.note_end(straggling, task.job.id, "failed", now)
-
-    def _permitted(self, occurrence, number, candidates, now):
-        """Return the candidates that may run a step, and note what is to be asked."""
-        rules = self.rules(occurrence.job)
-        if rules.advice is None:
-            return candidates
-        step = f"{occurrence.job.id}.{occurrence.number}.{number}"
-        permitted, unknown = [], []
-        for candidate in candidates:
-            executor = candidate[0]
-            if executor.ticket_for(step, now) is not None:
-                permitted.append(candidate)
-            elif step not in executor.tickets or executor.tickets[step] is not None:
-                unknown.append(executor.id)
-        if unknown:
-            self._advice_wanted[step] = (unknown, rules.advice)
-        return permitted
-
-    def take_advice_wanted(self):
-        """Return workers to ask about and the rules of the queue, by step."""
-        wanted, self._advice_wanted = self._advice_wanted, {}
-        return wanted
-
-    def on_advice(self, step, asked, tickets, valid_until):
-        """Take the answer about the executors that may run a step.
+    def plan_run(self, task, executor, number):
+        """Plan a run; it is sent once it is stored.
 
         Parameters
         ----------
-        step : str
-            Job, occurrence and step.
-        asked : list of str
-            Executors that were asked about.
-        tickets : dict of str to str
-            Ticket by permitted executor; the others stay excluded for good.
-        valid_until : float
-            Monotonic time in seconds.
+        task : model.Task
+            What runs.
+        executor : executors.Executor
+            Where it runs.
+        number : int
+            Number of the start; the members of a gang share it.
         """
-        for executor_id in asked:
-            executor = self._executors.get(executor_id)
-            if executor is None:
-                continue
-            ticket = tickets.get(executor_id)
-            executor.tickets[step] = None if ticket is None else (ticket, valid_until)
-
-    def _placed(self, tasks):
-        used_on = collections.Counter()
-        racks = set()
-        for task in tasks:
-            for run in task.runs:
-                used_on[run.executor] += 1
-                executor = self._executors.get(run.executor)
-                if executor is not None:
-                    racks.add(executor.rack)
-        return used_on, racks
-
-    def _plan_gang(self, tasks, waiting, candidates, used_on, racks, now):
-        if len(waiting) != sum(not task.is_done for task in tasks):
-            return
-        step = tasks[0].step
-        trial = [(executor, list(free)) for executor, free in candidates]
-        choices = []
-        for task in waiting:
-            executor = packing.choose(
-                step,
-                trial,
-                used_on=used_on,
-                racks=racks,
-                avoid=task.avoid,
-                lasting_on={},
-            )
-            if executor is None:
-                return
-            for candidate, free in trial:
-                if candidate is executor:
-                    packing.take(step, free)
-            used_on[executor.id] += 1
-            racks.add(executor.rack)
-            choices.append((task, executor))
-        number = max(task.next_run for task in tasks)
-        saved = max(task.saved for task in tasks)
-        for task, executor in choices:
-            task.saved = saved
-            self._plan_run(
-                task, executor, number, candidates, collections.Counter(), set()
-            )
-
-    def _plan_run(self, task, executor, number, candidates, used_on, racks):
         run = model.Run(task=task, number=number, executor=executor.id)
         run.saved = task.saved
         if self.rules(task.job).advice is not None:
-            step = task.name.rpartition(".")[0]
-            run.ticket = executor.tickets[step][0]
+            run.ticket = executor.tickets[task.step_name][0]
         task.next_run = number + 1
         task.runs.append(run)
         executor.runs[(task.name, number)] = run
-        for candidate, free in candidates:
-            if candidate is executor:
-                packing.take(task.step, free)
-        used_on[executor.id] += 1
-        racks.add(executor.rack)
         job = task.job
         job.has_started = True
         if job.state == model.ACCEPTED:
@@ -887,84 +676,9 @@
         job = self._jobs.get(job_id)
         return None if job is None else job.told_state
 
-    def demand(self, now, wall):
-        """Return the processors that each pool needs now or soon.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds.
-        wall : float
-            Unix time in seconds.
-
-        Returns
-        -------
-        dict of str to int
-            Thousandths of a core: what runs and waits, or what the present rate of
-            arrivals keeps busy with what waits, whichever is more.
-        """
-        lasting = collections.Counter()
-        running = collections.Counter()
-        waiting = collections.Counter()
-        for executor in self._executors.values():
-            for run in executor.runs.values():
-                step = run.task.step
-                kept = lasting if step.is_lasting else running
-                kept[executor.service] += 0 if step.is_filling else step.processors
-        for job in self._open_jobs.values():
-            for occurrence in job.occurrences.values():
-                asked = _waiting_processors(occurrence)
-                if not asked:
-                    continue
-                urgency = ordering.order_key(occurrence, self.rules(job), wall)[0]
-                is_late = urgency in (ordering.LATE, ordering.MISSED)
-                share = lending.LATE_SHARE if is_late else 1.0
-                waiting[job.service] += asked * share
-        services = {*lasting, *running, *waiting, *self._arrivals}
-        return {
-            service: lasting[service]
-            + waiting[service]
-            + max(running[service], self._arrivals[service].steady_demand(now))
-            for service in services
-        }
-
-    def backlog(self, service, rules, wall):
-        """Return the core-seconds of a pool that a new job has to wait for.
-
-        Parameters
-        ----------
-        service : str
-            Name of the pool.
-        rules : ordering.QueueRules
-            Rules of the new job's queue; queues that come after it do not count.
-        wall : float
-            Unix time in seconds.
-        """
-        total = 0.0
-        for job in self._open_jobs.values():
-            if job.service != service or self.rules(job).priority > rules.priority:
-                continue
-            for occurrence in job.occurrences.values():
-                urgency = ordering.order_key(occurrence, self.rules(job), wall)[0]
-                if urgency in (ordering.RESCUED, ordering.FEASIBLE, ordering.LATE):
-                    total += ordering.remaining_work(occurrence)
-        return total
-
     def waiting_count(self, queue):
         """Return the number of jobs of a queue of which nothing has started."""
         return sum(
             job.queue == queue and not job.has_started
             for job in self._open_jobs.values()
         )
-
-
-def _waiting_processors(occurrence):
-    """Return the processors that the tasks of an occurrence ask for that wait."""
-    asked = 0
-    for number in occurrence.open_steps:
-        step = occurrence.job.steps[number]
-        if not step.is_filling:
-            asked += step.processors * sum(
-                not task.is_done and not task.runs for task in occurrence.tasks[number]
-            )
-    return asked
--- /dev/null
+++ b/cranberryport/scheduling/task_planner.py
@@ -0,0 +1,259 @@
+"""Chooses executors for the tasks whose turn has come.
+
+The decisions themselves stand in ``ordering``, ``packing``, ``suspicion`` and
+``stragglers``; this module applies them to the state of all jobs.
+"""
+
+import collections
+import logging
+
+from cranberryport.scheduling import ordering, packing, stragglers, suspicion
+
+# Lists come once a second; without one for longer an executor counts as silent.
+SILENT_S = 1.6
+
+_logger = logging.getLogger(__name__)
+
+
+class TaskPlanner:
+    """Plans runs on the executors of all pools.
+
+    Parameters
+    ----------
+    state : cranberryport.scheduling.scheduler.Scheduler
+        State of all jobs; the planned runs go there.
+    """
+
+    __slots__ = ("_advice_wanted", "_state")
+
+    def __init__(self, *, state):
+        self._state = state
+        self._advice_wanted = {}
+
+    def plan(self, now, wall):
+        """Choose executors for the tasks whose turn has come.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        wall : float
+            Unix time in seconds.
+        """
+        waiting = {}
+        for job in self._state.open_jobs.values():
+            for occurrence in job.occurrences.values():
+                if occurrence.open_steps:
+                    waiting.setdefault(job.service, []).append(occurrence)
+        if not waiting:
+            return
+        pools = {}
+        for executor in self._state.executors.values():
+            if executor.service in waiting and executor.can_take(now):
+                used = executor.used()
+                whole = (executor.processors, executor.memory, executor.accelerators)
+                free = [a - b for a, b in zip(whole, used, strict=True)]
+                pools.setdefault(executor.service, []).append((executor, free))
+        for service, occurrences in waiting.items():
+            candidates = pools.get(service)
+            if candidates:
+                self._plan_pool(occurrences, candidates, now, wall)
+
+    def _plan_pool(self, occurrences, candidates, now, wall):
+        occurrences.sort(
+            key=lambda o: ordering.order_key(o, self._state.rules(o.job), wall)
+        )
+        slow = stragglers.slow_executors([executor for executor, _ in candidates])
+        trusted = suspicion.trusted(candidates, now, slow)
+        lasting = collections.Counter()
+        for executor, _ in candidates:
+            lasting[executor.id] = sum(
+                run.task.step.is_lasting for run in executor.runs.values()
+            )
+        for occurrence in occurrences:
+            for number in sorted(occurrence.open_steps):
+                self._plan_step(occurrence, number, trusted, lasting, now)
+        self._leave_stragglers(occurrences, trusted, slow, now)
+
+    def _plan_step(self, occurrence, number, candidates, lasting, now):
+        tasks = occurrence.tasks[number]
+        step = occurrence.job.steps[number]
+        attempts = self._state.rules(occurrence.job).attempts
+        waiting = [
+            task
+            for task in tasks
+            if not task.is_done
+            and not task.runs
+            and task.retry_at <= now
+            and (step.is_lasting or task.failures < attempts)
+        ]
+        if not waiting:
+            return
+        used_on, racks = self._placed(tasks)
+        candidates = self._permitted(occurrence, number, candidates, now)
+        if step.is_gang:
+            self._plan_gang(tasks, waiting, candidates, used_on, racks, now)
+            return
+        for task in waiting:
+            executor = packing.choose(
+                step,
+                candidates,
+                used_on=used_on,
+                racks=racks,
+                avoid=task.avoid,
+                lasting_on=lasting,
+            )
+            if executor is None:
+                return
+            lasting[executor.id] += step.is_lasting
+            self._plan_run(task, executor, task.next_run, candidates, used_on, racks)
+
+    def _leave_stragglers(self, occurrences, candidates, slow, now):
+        """Copy or move runs that stand still or are far too slow."""
+        for occurrence in occurrences:
+            for number in occurrence.open_steps:
+                step = occurrence.job.steps[number]
+                if step.is_gang:
+                    continue
+                for task in occurrence.tasks[number]:
+                    is_limited = task.leaves >= stragglers.LEAVES_LIMIT
+                    if len(task.runs) != 1 or is_limited:
+                        continue
+                    (run,) = task.runs
+                    if not stragglers.is_worth_leaving(run, now, slow):
+                        continue
+                    self._leave(run, candidates, now)
+
+    def _leave(self, run, candidates, now):
+        task = run.task
+        others = [c for c in candidates if c[0].id != run.executor]
+        others = self._permitted(task.occurrence, task.step_number, others, now)
+        used_on, racks = self._placed(task.occurrence.tasks[task.step_number])
+        executor = packing.choose(
+            task.step,
+            others,
+            used_on=used_on,
+            racks=racks,
+            avoid=task.avoid,
+            lasting_on={},
+        )
+        straggling = self._state.executors.get(run.executor)
+        if executor is None or straggling is None:
+            return
+        is_silent = now - straggling.last_answer > SILENT_S
+        if is_silent and not task.step.may_copy:
+            # Its progress is not known, and a stop would not arrive either.
+            return
+        if task.step.may_copy:
+            self._plan_run(task, executor, task.next_run, others, used_on, racks)
+        elif stragglers.is_stalled(run, now) or task.step.saves_checkpoints:
+            self._state.stop_run(run)
+        else:
+            return
+        task.leaves += 1
+        _logger.info(
+            "run left",
+            extra={
+                "request": task.job.id,
+                "task": task.name,
+                "run": run.number,
+                "executor": run.executor,
+                "percent": run.percent,
+                "is_copied": task.step.may_copy,
+            },
+        )
+        if stragglers.is_stalled(run, now):
+            suspicion.note_end(straggling, task.job.id, "failed", now)
+
+    def _permitted(self, occurrence, number, candidates, now):
+        """Return the candidates that may run a step, and note what is to be asked."""
+        rules = self._state.rules(occurrence.job)
+        if rules.advice is None:
+            return candidates
+        step = occurrence.tasks[number][0].step_name
+        permitted, unknown = [], []
+        for candidate in candidates:
+            executor = candidate[0]
+            if executor.ticket_for(step, now) is not None:
+                permitted.append(candidate)
+            elif step not in executor.tickets or executor.tickets[step] is not None:
+                unknown.append(executor.id)
+        if unknown:
+            self._advice_wanted[step] = (unknown, rules.advice)
+        return permitted
+
+    def take_advice_wanted(self):
+        """Return workers to ask about and the rules of the queue, by step."""
+        wanted, self._advice_wanted = self._advice_wanted, {}
+        return wanted
+
+    def on_advice(self, step, asked, tickets, valid_until):
+        """Take the answer about the executors that may run a step.
+
+        Parameters
+        ----------
+        step : str
+            Job, occurrence and step.
+        asked : list of str
+            Executors that were asked about.
+        tickets : dict of str to str
+            Ticket by permitted executor; the others stay excluded for good.
+        valid_until : float
+            Monotonic time in seconds.
+        """
+        for executor_id in asked:
+            executor = self._state.executors.get(executor_id)
+            if executor is None:
+                continue
+            ticket = tickets.get(executor_id)
+            executor.tickets[step] = None if ticket is None else (ticket, valid_until)
+
+    def _placed(self, tasks):
+        used_on = collections.Counter()
+        racks = set()
+        for task in tasks:
+            for run in task.runs:
+                used_on[run.executor] += 1
+                executor = self._state.executors.get(run.executor)
+                if executor is not None:
+                    racks.add(executor.rack)
+        return used_on, racks
+
+    def _plan_gang(self, tasks, waiting, candidates, used_on, racks, now):
+        if len(waiting) != sum(not task.is_done for task in tasks):
+            return
+        step = tasks[0].step
+        trial = [(executor, list(free)) for executor, free in candidates]
+        choices = []
+        for task in waiting:
+            executor = packing.choose(
+                step,
+                trial,
+                used_on=used_on,
+                racks=racks,
+                avoid=task.avoid,
+                lasting_on={},
+            )
+            if executor is None:
+                return
+            for candidate, free in trial:
+                if candidate is executor:
+                    packing.take(step, free)
+            used_on[executor.id] += 1
+            racks.add(executor.rack)
+            choices.append((task, executor))
+        number = max(task.next_run for task in tasks)
+        saved = max(task.saved for task in tasks)
+        for task, executor in choices:
+            task.saved = saved
+            self._plan_run(
+                task, executor, number, candidates, collections.Counter(), set()
+            )
+
+    def _plan_run(self, task, executor, number, candidates, used_on, racks):
+        self._state.plan_run(task, executor, number)
+        for candidate, free in candidates:
+            if candidate is executor:
+                packing.take(task.step, free)
+        used_on[executor.id] += 1
+        racks.add(executor.rack)
--- a/cranberryport/scheduling/upkeep.py
+++ b/cranberryport/scheduling/upkeep.py
@@ -56,7 +56,7 @@
     ]
 
 
-def choose(wave, listed, executors, *, load, upkeep_s, now):
+def choose(wave, listed, executors, *, pressure, upkeep_s, now):
     """Choose the instances to empty and take down next.
 
     Parameters
@@ -67,7 +67,7 @@
         The newest list.
     executors : dict of str to executors.Executor
         Executors by id.
-    load : dict of str to float
+    pressure : dict of str to float
         Share of each pool's processors that is asked for; pools that are off have none.
     upkeep_s : float
         Time that one upkeep takes, in seconds.
@@ -94,7 +94,7 @@
             return (0, 0.0, 0, instance_id)
         lasting = sum(run.task.step.is_lasting for run in executor.runs.values())
         started = 0 if executor.is_reserved else 1
-        return (started, load.get(instance.pool, 0.0), lasting, instance_id)
+        return (started, pressure.get(instance.pool, 0.0), lasting, instance_id)
 
     candidates = []
     for instance_id in sorted(waiting, key=key):
@@ -102,7 +102,7 @@
         if instance.state != instances.UP:
             continue
         executor = executors.get(instance.executor)
-        is_busy_pool = load.get(instance.pool, 0.0) > 1.0
+        is_busy_pool = pressure.get(instance.pool, 0.0) > 1.0
         if executor is not None and executor.runs and is_busy_pool and not is_late:
             continue
         candidates.append(instance_id)
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -2,7 +2,13 @@
 
 import types
 
-from cranberryport.scheduling import executors, model, ordering, scheduler
+from cranberryport.scheduling import (
+    executors,
+    model,
+    ordering,
+    scheduler,
+    task_planner,
+)
 
 WALL = 1_000_000.0
 
@@ -81,6 +87,7 @@
     def __init__(self, *, count=1, attempts=2, takeover_lapses_at=0.0, **values):
         self.now = 100.0
         self.scheduler = scheduler.Scheduler(takeover_lapses_at=takeover_lapses_at)
+        self.planner = task_planner.TaskPlanner(state=self.scheduler)
         rules = ordering.QueueRules(
             name="queue", service="pool", attempts=attempts, stretch=1.6, latency_s=0.6
         )
@@ -114,7 +121,7 @@
 
     def plan(self):
         """Plan and return the batch to store."""
-        self.scheduler.plan(self.now, WALL)
+        self.planner.plan(self.now, WALL)
         return self.scheduler.take_batch()
 
     def start(self):
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -7,6 +7,7 @@
     admission,
     instances,
     lending,
+    load,
     model,
     ordering,
     pacing,
@@ -100,7 +101,7 @@
                 job=f"{number:016x}", accepted_at=scheduling.WALL - age_s
             )
             bench.add_job(job)
-        found = bench.scheduler.backlog("pool", RULES, scheduling.WALL)
+        found = load.backlog(bench.scheduler, "pool", RULES, scheduling.WALL)
         self.assertEqual(found, 1.0)
 
 
@@ -311,10 +312,10 @@
         """Guards against starts that executors refuse for want of a ticket."""
         bench, job = self._bench()
         self.assertEqual(bench.start(), [])
-        wanted = bench.scheduler.take_advice_wanted()
+        wanted = bench.planner.take_advice_wanted()
         step = f"{job.id}.0.0"
         self.assertEqual(sorted(wanted[step][0]), ["e1", "e2"])
-        bench.scheduler.on_advice(step, ["e1", "e2"], {"e2": "t"}, bench.now + 3)
+        bench.planner.on_advice(step, ["e1", "e2"], {"e2": "t"}, bench.now + 3)
         (run,) = bench.start()
         self.assertEqual((run.executor, run.ticket), ("e2", "t"))
 
@@ -322,9 +323,9 @@
         """Guards against calls of the advice service that cannot change anything."""
         bench, job = self._bench()
         step = f"{job.id}.0.0"
-        bench.scheduler.on_advice(step, ["e1", "e2"], {}, bench.now + 3)
+        bench.planner.on_advice(step, ["e1", "e2"], {}, bench.now + 3)
         self.assertEqual(bench.start(), [])
-        self.assertEqual(bench.scheduler.take_advice_wanted(), {})
+        self.assertEqual(bench.planner.take_advice_wanted(), {})
 
 
 def make_pool(name, *, size, demand=0, idle=(), is_off=False):
@@ -397,7 +398,7 @@
         for number in range(5):
             bench.add_job(scheduling.make_job(step, job=f"{number:016x}"))
         now = time.monotonic()
-        asked = bench.scheduler.demand(now, scheduling.WALL)["pool"]
+        asked = load.demand(bench.scheduler, now, scheduling.WALL)["pool"]
         # 20 tasks of one core-second in half a second keep 40 cores busy.
         self.assertGreaterEqual(asked, 40_000)
 
@@ -410,7 +411,7 @@
             )
             bench.add_job(job)
         later = time.monotonic() + 10
-        asked = bench.scheduler.demand(later, scheduling.WALL)["pool"]
+        asked = load.demand(bench.scheduler, later, scheduling.WALL)["pool"]
         self.assertEqual(asked, 1000 * (1 + lending.LATE_SHARE))
 
     def test_pool_keeps_its_base(self):
@@ -437,7 +438,7 @@
 
     def _choose(self, wave, listed, executors=None):
         return upkeep.choose(
-            wave, listed, executors or {}, load={}, upkeep_s=2.0, now=0.0
+            wave, listed, executors or {}, pressure={}, upkeep_s=2.0, now=0.0
         )
 
     def test_no_more_than_the_maximum_are_down(self):
