--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -5,11 +5,10 @@
 
 from cranberryport.platform import machines, store
 from cranberryport.scheduling import (
+    evacuation,
     instances,
     lending,
     load,
-    model,
-    packing,
     upkeep,
 )
 
@@ -317,7 +316,7 @@
         self._decide_moves(reserved, now)
         for executor in self._scheduler.executors.values():
             executor.is_reserved = executor.id in reserved
-        self._leave_draining(now)
+        evacuation.leave_draining(self._scheduler, now)
         self._on_stops()
 
     # Upkeep
@@ -360,58 +359,11 @@
             executor = self._scheduler.executors.get(instance.executor)
             if executor is not None:
                 reserved.add(instance.executor)
-            if executor is None or self._empty(executor):
+                executor.is_reserved = True
+            if executor is None or evacuation.empty(self._scheduler, executor, now):
                 self._take_down(wave, instance, now)
         return reserved
 
-    def _empty(self, executor):
-        """Move lasting tasks away; return whether nothing runs there any more."""
-        executor.is_reserved = True
-        for run in list(executor.runs.values()):
-            if run.state == model.STOPPING or not run.task.step.is_lasting:
-                continue
-            if run.state == model.PLANNED:
-                self._scheduler.stop_run(run)
-                continue
-            has_place = self._has_place(run, executor)
-            may_stop = upkeep.may_stop(run, self._scheduler.executors)
-            if has_place and may_stop:
-                _logger.info(
-                    "moving a lasting task",
-                    extra={
-                        "request": run.task.job.id,
-                        "task": run.task.name,
-                        "executor": executor.id,
-                    },
-                )
-                self._scheduler.stop_run(run)
-                return False
-        return executor.is_empty
-
-    def _has_place(self, run, executor):
-        now = time.monotonic()
-        step = run.task.step
-        used_on = {}
-        for task in run.task.occurrence.tasks[run.task.step_number]:
-            for other in task.runs:
-                used_on[other.executor] = used_on.get(other.executor, 0) + 1
-        for other in self._scheduler.executors.values():
-            if other is executor or other.service != executor.service:
-                continue
-            if not other.can_take(now) or not packing.could_ever_fit(step, other):
-                continue
-            if step.spread and used_on.get(other.id, 0) >= step.spread:
-                continue
-            used = other.used()
-            free = [
-                other.processors - used[0],
-                other.memory - used[1],
-                other.accelerators - used[2],
-            ]
-            if packing.fits(step, other, free):
-                return True
-        return False
-
     def _take_down(self, wave, instance, now):
         _logger.info(
             "upkeep ordered", extra={"instance_id": instance.id, "wave": wave.number}
@@ -627,28 +579,3 @@
                 "list_age_s": round(now - self._listed_at, 3),
             },
         )
-
-    def _leave_draining(self, now):
-        """Move work away from executors that are about to leave."""
-        for executor in self._scheduler.executors.values():
-            if executor.state == "ready":
-                continue
-            for run in list(executor.runs.values()):
-                step = run.task.step
-                if run.state == model.RUNNING and (
-                    step.is_lasting or step.saves_checkpoints
-                ):
-                    if not step.is_lasting and not _ends_too_late(run, executor, now):
-                        continue
-                    if self._has_place(run, executor):
-                        self._scheduler.stop_run(run)
-
-
-def _ends_too_late(run, executor, now):
-    """Return whether a run is likely to be cut off when its executor leaves."""
-    if executor.leaves_at is None or run.confirmed_at is None:
-        return False
-    spent_s = now - run.confirmed_at
-    done = max(1, run.percent) / 100
-    left_s = spent_s / done - spent_s
-    return left_s > executor.leaves_at - now
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -183,6 +183,11 @@
             accelerators += step.accelerators
         return processors, memory, accelerators
 
+    def free(self):
+        """Return a list of free processors, memory and accelerators."""
+        whole = (self.processors, self.memory, self.accelerators)
+        return [a - b for a, b in zip(whole, self.used(), strict=True)]
+
     def can_take(self, now):
         """Return whether new runs may be planned here."""
         return (
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -50,10 +50,8 @@
         pools = {}
         for executor in self._state.executors.values():
             if executor.service in waiting and executor.can_take(now):
-                used = executor.used()
-                whole = (executor.processors, executor.memory, executor.accelerators)
-                free = [a - b for a, b in zip(whole, used, strict=True)]
-                pools.setdefault(executor.service, []).append((executor, free))
+                candidate = (executor, executor.free())
+                pools.setdefault(executor.service, []).append(candidate)
         for service, occurrences in waiting.items():
             candidates = pools.get(service)
             if candidates:
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -5,6 +5,8 @@
 
 from cranberryport.scheduling import (
     admission,
+    evacuation,
+    executors,
     instances,
     lending,
     load,
@@ -472,3 +474,50 @@
         for run in runs:
             run.percent = 100
         self.assertTrue(upkeep.may_stop(runs[0], known))
+
+
+class EvacuationTest(unittest.TestCase):
+    """Executors that go down or leave."""
+
+    def _bench(self, **values):
+        bench = scheduling.Bench(count=2)
+        bench.add_job(scheduling.make_job(scheduling.make_step(2, **values)))
+        runs = bench.start()
+        for run in runs:
+            run.percent = 100
+        return bench, bench.scheduler.executors[runs[0].executor], runs
+
+    def test_lasting_tasks_move_one_after_the_other(self):
+        """Guards against more tasks away at once than their job allows."""
+        bench, executor, runs = self._bench(is_lasting=True, max_unavailable=1)
+        executor.is_reserved = True
+        self.assertFalse(evacuation.empty(bench.scheduler, executor, bench.now))
+        self.assertFalse(evacuation.empty(bench.scheduler, executor, bench.now))
+        states = [run.state for run in runs]
+        self.assertEqual(states.count(model.STOPPING), 1)
+
+    def test_lasting_task_stays_without_another_place(self):
+        """Guards against stopping a task that cannot run anywhere else."""
+        bench, executor, runs = self._bench(is_lasting=True, max_unavailable=1)
+        for other in bench.executors:
+            if other is not executor:
+                other.is_reserved = True
+        self.assertFalse(evacuation.empty(bench.scheduler, executor, bench.now))
+        self.assertEqual([run.state for run in runs], [model.RUNNING] * 2)
+
+    def test_other_tasks_are_left_to_end(self):
+        """Guards against losing work that ends before the instance has to go down."""
+        bench, executor, runs = self._bench()
+        self.assertFalse(evacuation.empty(bench.scheduler, executor, bench.now))
+        self.assertEqual([run.state for run in runs], [model.RUNNING] * 2)
+
+    def test_run_that_would_be_cut_off_leaves_with_its_checkpoint(self):
+        """Guards against work that ends with its executor."""
+        bench, executor, runs = self._bench(saves_checkpoints=True)
+        executor.state = executors.DRAINING
+        executor.leaves_at = bench.now + 1.0
+        for run, rate in zip(runs, (10.0, 90.0), strict=True):
+            run.percent, run.percent_at, run.rate = 50, bench.now, rate
+        evacuation.leave_draining(bench.scheduler, bench.now)
+        states = [run.state for run in runs]
+        self.assertEqual(states, [model.STOPPING, model.RUNNING])
