--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -12,7 +12,8 @@
 import time
 
 from bench import control_records
-from cranberryport import codec, idempotency
+from cranberryport import codec
+from cranberryport.callers import idempotency
 from cranberryport.generated import messages
 from cranberryport.sheet import signing
 from cranberryport.state import fold, snapshot
--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -15,9 +15,12 @@
 import types
 
 from bench import control_records
-from cranberryport import daemon, instance_list, jobs, planner, status, view
+from cranberryport import daemon
+from cranberryport.fleet import instance_list, jobs, planner
 from cranberryport.generated import messages
+from cranberryport.observability import status
 from cranberryport.state import fold, snapshot
+from cranberryport.stream import view
 
 REPEATS = 5
 LOCAL_TIME = "12:00"
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -20,16 +20,11 @@
 from circuits.core import pollers
 
 from bench import dispatch
-from cranberryport import (
-    backend_pool,
-    dispatcher,
-    log_client,
-    log_follower,
-    log_writer,
-    timers,
-)
+from cranberryport import timers
+from cranberryport.callers import backend_pool, dispatcher
 from cranberryport.generated import messages
 from cranberryport.http import connection
+from cranberryport.stream import log_client, log_follower, log_writer
 from standins import processes
 
 IN_FLIGHT = (1, 16, 64)
--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -17,16 +17,12 @@
 from circuits import BaseComponent, Event, Manager, handler
 from circuits.core import pollers
 
-from cranberryport import (
-    backend_pool,
-    dispatcher,
-    log_writer_events,
-    requests,
-    timers,
-)
+from cranberryport import timers
+from cranberryport.callers import backend_pool, dispatcher, requests
 from cranberryport.generated import messages
 from cranberryport.http import connection
 from cranberryport.state import keys, outcomes
+from cranberryport.stream import log_writer_events
 
 IN_FLIGHT = (1, 16, 64)
 SERVERS = 6
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -10,7 +10,7 @@
 import random
 import time
 
-from cranberryport import placement
+from cranberryport.fleet import placement
 from cranberryport.generated import messages
 from cranberryport.state import jobs as jobs_module
 
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -12,7 +12,7 @@
 import math
 import random
 
-from cranberryport import admission, balancing, health, lending, retry, routing
+from cranberryport.callers import admission, balancing, health, lending, retry, routing
 from cranberryport.state import shares
 
 ENTRY_COUNT = 8
--- a/bench/policy_signals.py
+++ b/bench/policy_signals.py
@@ -8,7 +8,7 @@
 import collections
 import random
 
-from cranberryport import health
+from cranberryport.callers import health
 
 ENTRY_COUNT = 8
 SERVER_COUNT = 30
--- a/cranberryport/admission.py
+++ b/cranberryport/callers/admission.py
@@ -16,7 +16,7 @@
 import itertools
 import math
 
-from cranberryport import requests
+from cranberryport.callers import requests
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 30.0
--- a/cranberryport/backend_pool.py
+++ b/cranberryport/callers/backend_pool.py
@@ -6,7 +6,7 @@
 
 from circuits import BaseComponent, Event, handler
 
-from cranberryport import lending
+from cranberryport.callers import lending
 from cranberryport.http import connection
 from cranberryport.state import shares
 
--- a/cranberryport/dispatcher.py
+++ b/cranberryport/callers/dispatcher.py
@@ -6,19 +6,12 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import (
-    admission,
-    claims,
-    health,
-    log_writer_events,
-    metrics_events,
-    outcomes,
-    requests,
-    retry,
-    routing,
-)
+from cranberryport import outcomes
+from cranberryport.callers import admission, claims, health, requests, retry, routing
 from cranberryport.http import connection
+from cranberryport.observability import metrics_events
 from cranberryport.state import outcomes as fold_outcomes
+from cranberryport.stream import log_writer_events
 
 TICK_S = 0.25
 QUEUE_CAPACITY = 256
--- a/cranberryport/frontend.py
+++ b/cranberryport/callers/frontend.py
@@ -11,7 +11,8 @@
 from circuits import BaseComponent, handler
 from circuits.web import events as web_events
 
-from cranberryport import caller_headers, idempotency, outcomes, requests
+from cranberryport import outcomes
+from cranberryport.callers import caller_headers, idempotency, requests
 from cranberryport.http import caller_messages
 
 DEFAULT_DEADLINE_S = 10.0
--- a/cranberryport/command_line/main.py
+++ b/cranberryport/command_line/main.py
@@ -10,7 +10,8 @@
 
 import typer
 
-from cranberryport import findings, requests, settings
+from cranberryport import findings, settings
+from cranberryport.callers import requests
 from cranberryport.command_line import client, explaining, publishing, rendering
 from cranberryport.sheet import reader
 
--- a/cranberryport/control/questions.py
+++ b/cranberryport/control/questions.py
@@ -4,8 +4,8 @@
 import logging
 import time
 
-from cranberryport import peer_link
 from cranberryport.generated import messages
+from cranberryport.peering import peer_link
 
 ANSWER_TIMEOUT_S = 0.4
 RETRY_DELAY_S = 0.1
--- a/cranberryport/daemon.py
+++ b/cranberryport/daemon.py
@@ -11,26 +11,21 @@
 from circuits import BaseComponent, handler
 from circuits.core import pollers
 
-from cranberryport import (
+from cranberryport import settings, timers
+from cranberryport.callers import backend_pool, dispatcher, frontend
+from cranberryport.fleet import jobs, jobs_api
+from cranberryport.http import connection, server
+from cranberryport.http import limits as http_limits
+from cranberryport.observability import (
     admin,
-    backend_pool,
-    control_plane,
-    dispatcher,
-    frontend,
-    health_exchange,
     histograms,
-    jobs,
-    jobs_api,
-    loan_exchange,
     logs,
     metrics,
     request_recorder,
-    settings,
     status,
-    timers,
 )
-from cranberryport.http import connection, server
-from cranberryport.http import limits as http_limits
+from cranberryport.peering import health_exchange, loan_exchange
+from cranberryport.stream import control_plane
 
 BAD_SETTINGS_EXIT_CODE = 2
 DRAIN_POLL_S = 0.1
--- a/cranberryport/instance_list.py
+++ b/cranberryport/fleet/instance_list.py
@@ -7,9 +7,9 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import log_writer_events
 from cranberryport.generated import messages
 from cranberryport.http import connection
+from cranberryport.stream import log_writer_events
 
 REQUEST_TIMEOUT_S = 2.0
 APPEND_LIFETIME_S = 10.0
@@ -41,9 +41,9 @@
         For the polls.
     settings : object
         ``host``, ``port`` and ``poll_interval_s`` of the list.
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         For the control state.
-    keeper : cranberryport.session_keeper.SessionKeeper
+    keeper : cranberryport.stream.session_keeper.SessionKeeper
         For the own rank.
     """
 
--- a/cranberryport/jobs.py
+++ b/cranberryport/fleet/jobs.py
@@ -9,8 +9,9 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import log_writer_events, placement, worker_client
+from cranberryport.fleet import placement, worker_client
 from cranberryport.generated import messages
+from cranberryport.stream import log_writer_events
 
 # Urgent work starts within 1.5 s; the tick is its largest delay here.
 TICK_S = 0.25
@@ -116,11 +117,11 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         Control state.
-    keeper : cranberryport.session_keeper.SessionKeeper
+    keeper : cranberryport.stream.session_keeper.SessionKeeper
         Own session and rank.
-    instances : cranberryport.instance_list.InstanceList
+    instances : cranberryport.fleet.instance_list.InstanceList
         Latest list of the platform.
     timers : cranberryport.timers.Timers
         For the regular check.
--- a/cranberryport/jobs_api.py
+++ b/cranberryport/fleet/jobs_api.py
@@ -11,17 +11,12 @@
 from circuits import BaseComponent, handler
 from circuits.web import events as web_events
 
-from cranberryport import (
-    caller_headers,
-    findings,
-    idempotency,
-    log_writer_events,
-    outcomes,
-    requests,
-)
+from cranberryport import findings, outcomes
+from cranberryport.callers import caller_headers, idempotency, requests
 from cranberryport.generated import messages
 from cranberryport.http import caller_messages
 from cranberryport.state import jobs as jobs_module
+from cranberryport.stream import log_writer_events
 
 APPEND_LIFETIME_S = 10.0
 RETRY_AFTER_S = 1
@@ -40,11 +35,11 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         Control state.
-    keeper : cranberryport.session_keeper.SessionKeeper
+    keeper : cranberryport.stream.session_keeper.SessionKeeper
         Own session.
-    jobs : cranberryport.jobs.Jobs
+    jobs : cranberryport.fleet.jobs.Jobs
         Tells which jobs can never run.
     """
 
--- a/cranberryport/operations.py
+++ b/cranberryport/fleet/operations.py
@@ -6,9 +6,10 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import log_writer_events, planner
+from cranberryport.fleet import planner
 from cranberryport.generated import messages
 from cranberryport.http import connection
+from cranberryport.stream import log_writer_events
 
 TICK_S = 0.5
 APPEND_LIFETIME_S = 10.0
@@ -31,11 +32,11 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         Control state.
-    keeper : cranberryport.session_keeper.SessionKeeper
+    keeper : cranberryport.stream.session_keeper.SessionKeeper
         Own session and rank.
-    instances : cranberryport.instance_list.InstanceList
+    instances : cranberryport.fleet.instance_list.InstanceList
         Latest list of the platform.
     timers : cranberryport.timers.Timers
         For the regular check.
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -11,7 +11,7 @@
 from circuits import BaseComponent, handler
 from circuits.core import pollers
 
-from cranberryport import node_logs, node_metrics, node_settings, timers
+from cranberryport import node_settings, timers
 from cranberryport.control import (
     controller,
     job_writer,
@@ -20,6 +20,7 @@
     topic_reader,
 )
 from cranberryport.http import connection, connection_pool, limits, server
+from cranberryport.observability import node_logs, node_metrics
 from cranberryport.platform import (
     advice,
     configuration,
--- /dev/null
+++ b/cranberryport/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and pages about what the processes do."""
--- a/cranberryport/request_recorder.py
+++ b/cranberryport/observability/request_recorder.py
@@ -16,9 +16,9 @@
 
     Parameters
     ----------
-    histograms : cranberryport.histograms.Histograms
+    histograms : cranberryport.observability.histograms.Histograms
         Latencies shown by the administration paths.
-    metrics : cranberryport.metrics.Metrics
+    metrics : cranberryport.observability.metrics.Metrics
         Connection to the statsd server.
     """
 
--- a/cranberryport/status.py
+++ b/cranberryport/observability/status.py
@@ -31,15 +31,15 @@
     ----------
     loaded : cranberryport.generated.settings.Settings
         Settings of this instance.
-    control : cranberryport.control_plane.ControlPlane
+    control : cranberryport.stream.control_plane.ControlPlane
         Control state and its components.
-    dispatcher : cranberryport.dispatcher.Dispatcher
+    dispatcher : cranberryport.callers.dispatcher.Dispatcher
         Requests in progress.
-    recorder : cranberryport.request_recorder.RequestRecorder
+    recorder : cranberryport.observability.request_recorder.RequestRecorder
         Finished requests.
-    jobs : cranberryport.jobs.Jobs
+    jobs : cranberryport.fleet.jobs.Jobs
         Placement of jobs.
-    histograms : cranberryport.histograms.Histograms
+    histograms : cranberryport.observability.histograms.Histograms
         Latencies.
     publishers : dict
         Publishers by name.
--- /dev/null
+++ b/cranberryport/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry instances, and what they exchange."""
--- a/cranberryport/health_exchange.py
+++ b/cranberryport/peering/health_exchange.py
@@ -10,9 +10,9 @@
 
     Parameters
     ----------
-    peers : cranberryport.peers.Peers
+    peers : cranberryport.peering.peers.Peers
         Their statuses name the servers that they cannot connect to.
-    dispatcher : cranberryport.dispatcher.Dispatcher
+    dispatcher : cranberryport.callers.dispatcher.Dispatcher
         Weighs a report with its own evidence.
     timers : cranberryport.timers.Timers
         For the regular check.
--- a/cranberryport/loan_exchange.py
+++ b/cranberryport/peering/loan_exchange.py
@@ -11,7 +11,7 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import admission, backend_pool
+from cranberryport.callers import admission, backend_pool
 from cranberryport.generated import messages
 
 TICK_S = 0.1
@@ -47,11 +47,11 @@
 
     Parameters
     ----------
-    peers : cranberryport.peers.Peers
+    peers : cranberryport.peering.peers.Peers
         Carries the messages.
     timers : cranberryport.timers.Timers
         For the regular check.
-    pool : cranberryport.backend_pool.BackendPool
+    pool : cranberryport.callers.backend_pool.BackendPool
         Owns the slots and counts the loans.
     view : object
         Control state: ``dispatch_right``, ``servers(service)``, ``configuration()``.
--- a/cranberryport/peers.py
+++ b/cranberryport/peering/peers.py
@@ -5,8 +5,8 @@
 
 from circuits import BaseComponent, Event, handler
 
-from cranberryport import peer_link
 from cranberryport.generated import messages
+from cranberryport.peering import peer_link
 
 STATUS_INTERVAL_S = 1.0
 SILENT_AFTER_S = 3.0
--- a/cranberryport/relay.py
+++ b/cranberryport/peering/relay.py
@@ -20,9 +20,9 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         Folds relayed records.
-    peers : cranberryport.peers.Peers
+    peers : cranberryport.peering.peers.Peers
         The mesh.
     timers : cranberryport.timers.Timers
         For the regular check.
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -64,7 +64,7 @@
         Asks the controller.
     timers : cranberryport.timers.Timers
         Timers of the process.
-    metrics : cranberryport.node_metrics.NodeMetrics
+    metrics : cranberryport.observability.node_metrics.NodeMetrics
         Counters.
     is_store_lost : callable
         Returns whether reads of the store fail.
--- a/cranberryport/control_plane.py
+++ b/cranberryport/stream/control_plane.py
@@ -1,21 +1,19 @@
 """Puts together the parts that keep an entry instance in agreement with the others."""
 
-from cranberryport import (
-    instance_list,
+from cranberryport import settings
+from cranberryport.fleet import instance_list, operations
+from cranberryport.generated import messages
+from cranberryport.http import connection
+from cranberryport.peering import peers, relay
+from cranberryport.stream import (
     log_client,
     log_follower,
     log_writer,
-    operations,
-    peers,
-    relay,
     retention_keeper,
     session_keeper,
-    settings,
     share_keeper,
     view,
 )
-from cranberryport.generated import messages
-from cranberryport.http import connection
 
 UNKNOWN_AGE_S = 1e9
 
--- a/cranberryport/log_follower.py
+++ b/cranberryport/stream/log_follower.py
@@ -6,8 +6,8 @@
 
 from circuits import BaseComponent, Event, handler
 
-from cranberryport import log_client
 from cranberryport.state import fold, snapshot
+from cranberryport.stream import log_client
 
 DISPATCH_RIGHT_S = 4.0
 READ_WAIT_MS = 1000
@@ -46,7 +46,7 @@
 
     Parameters
     ----------
-    client : cranberryport.log_client.LogClient
+    client : cranberryport.stream.log_client.LogClient
         For reads.
     timers : cranberryport.timers.Timers
         For pauses between failed reads.
--- a/cranberryport/log_writer.py
+++ b/cranberryport/stream/log_writer.py
@@ -5,9 +5,10 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import codec, log_client
+from cranberryport import codec
 from cranberryport.generated import messages
-from cranberryport.log_writer_events import Undecided, decided
+from cranberryport.stream import log_client
+from cranberryport.stream.log_writer_events import Undecided, decided
 
 APPEND_TIMEOUT_S = 2.0
 GROUP_BYTES = 512 * 1024
@@ -37,7 +38,7 @@
 
     Parameters
     ----------
-    client : cranberryport.log_client.LogClient
+    client : cranberryport.stream.log_client.LogClient
         For appends.
     timers : cranberryport.timers.Timers
         For deadlines and pauses.
--- a/cranberryport/retention_keeper.py
+++ b/cranberryport/stream/retention_keeper.py
@@ -6,9 +6,10 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import idempotency, log_writer_events
+from cranberryport.callers import idempotency
 from cranberryport.generated import messages
 from cranberryport.state import snapshot
+from cranberryport.stream import log_writer_events
 
 TICK_S = 1.0
 APPEND_LIFETIME_S = 30.0
@@ -27,9 +28,9 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         For the control state.
-    keeper : cranberryport.session_keeper.SessionKeeper
+    keeper : cranberryport.stream.session_keeper.SessionKeeper
         For the own rank; lower ranks propose first.
     timers : cranberryport.timers.Timers
         For the regular check.
--- a/cranberryport/session_keeper.py
+++ b/cranberryport/stream/session_keeper.py
@@ -6,8 +6,8 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import log_writer_events
 from cranberryport.generated import messages
+from cranberryport.stream import log_writer_events
 
 TICK_S = 0.5
 HEARTBEAT_INTERVAL_S = 2.0
@@ -56,9 +56,9 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         For the control state.
-    writer : cranberryport.log_writer.LogWriter
+    writer : cranberryport.stream.log_writer.LogWriter
         Gets the session id.
     timers : cranberryport.timers.Timers
         For the regular check.
--- a/cranberryport/share_keeper.py
+++ b/cranberryport/stream/share_keeper.py
@@ -2,8 +2,8 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import log_writer_events
 from cranberryport.generated import messages
+from cranberryport.stream import log_writer_events
 
 TICK_S = 0.25
 APPEND_LIFETIME_S = 5.0
@@ -14,9 +14,9 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         Control state.
-    keeper : cranberryport.session_keeper.SessionKeeper
+    keeper : cranberryport.stream.session_keeper.SessionKeeper
         Own session.
     timers : cranberryport.timers.Timers
         For the regular check.
--- a/cranberryport/view.py
+++ b/cranberryport/stream/view.py
@@ -35,13 +35,13 @@
 
     Parameters
     ----------
-    follower : cranberryport.log_follower.LogFollower
+    follower : cranberryport.stream.log_follower.LogFollower
         Folded state and freshness.
-    keeper : cranberryport.session_keeper.SessionKeeper
+    keeper : cranberryport.stream.session_keeper.SessionKeeper
         The own session.
-    instances : cranberryport.instance_list.InstanceList
+    instances : cranberryport.fleet.instance_list.InstanceList
         Tells of leaving instances before the control state does.
-    peers : cranberryport.peers.Peers
+    peers : cranberryport.peering.peers.Peers
         Tell what they know of the log and of leaving instances.
     usable_units : callable
         Takes a resource's name; units of it that this process may use.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,8 +4,8 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import log_writer_events
 from cranberryport.http import connection
+from cranberryport.stream import log_writer_events
 
 MAX_EVENTS = 10_000
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,9 +1,9 @@
-"""Tests of :mod:`cranberryport.admin`."""
+"""Tests of :mod:`cranberryport.observability.admin`."""
 
 import json
 import unittest
 
-from cranberryport import admin
+from cranberryport.observability import admin
 from tests import loopback
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.admission`."""
+"""Tests of :mod:`cranberryport.callers.admission`."""
 
 import collections
 import unittest
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from cranberryport import admission, requests
+from cranberryport.callers import admission, requests
 
 Entry = collections.namedtuple("Entry", "number desk request_class deadline")
 
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -1,11 +1,11 @@
-"""Tests of :mod:`cranberryport.balancing`."""
+"""Tests of :mod:`cranberryport.callers.balancing`."""
 
 import unittest
 
 import hypothesis
 from hypothesis import strategies
 
-from cranberryport import balancing
+from cranberryport.callers import balancing
 
 ROLL_OUT_S = 10.0
 PATIENT = balancing.Weights(roll_out_time=3.0, buffer_cost=1.0)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.claims` with two dispatchers on one key table."""
+"""Tests of :mod:`cranberryport.callers.claims` with two dispatchers on one table."""
 
 import random
 import time
@@ -8,18 +8,13 @@
 from circuits import BaseComponent, Manager, handler
 from hypothesis import strategies
 
-from cranberryport import (
-    claims,
-    dispatcher,
-    lending,
-    log_writer_events,
-    outcomes,
-    requests,
-)
+from cranberryport import outcomes
+from cranberryport.callers import claims, dispatcher, lending, requests
 from cranberryport.generated import messages
 from cranberryport.http import connection
 from cranberryport.state import keys
 from cranberryport.state import outcomes as fold_outcomes
+from cranberryport.stream import log_writer_events
 from tests import fakes, support
 
 KEY = "01930000-0000-7000-8000-000000000001"
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.dispatcher` with :mod:`cranberryport.backend_pool`."""
+"""Tests of :mod:`cranberryport.callers.dispatcher` with its pool of connections."""
 
 import random
 import time
@@ -6,17 +6,12 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import (
-    backend_pool,
-    claims,
-    dispatcher,
-    log_writer_events,
-    outcomes,
-    requests,
-)
+from cranberryport import outcomes
+from cranberryport.callers import backend_pool, claims, dispatcher, requests
 from cranberryport.generated import messages
 from cranberryport.http import connection
 from cranberryport.state import outcomes as fold_outcomes
+from cranberryport.stream import log_writer_events
 from tests import support
 
 KEY = "01930000-0000-7000-8000-000000000001"
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.frontend`."""
+"""Tests of :mod:`cranberryport.callers.frontend`."""
 
 import json
 import queue
@@ -8,7 +8,8 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import frontend, idempotency, outcomes, requests
+from cranberryport import outcomes
+from cranberryport.callers import frontend, idempotency, requests
 from tests import loopback
 
 DESK = "Desk: sulina"
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.health`."""
+"""Tests of :mod:`cranberryport.callers.health`."""
 
 import types
 import unittest
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from cranberryport import health
+from cranberryport.callers import health
 
 POOL = ("a", "b", "c", "d")
 
--- a/tests/test_histograms.py
+++ b/tests/test_histograms.py
@@ -1,8 +1,8 @@
-"""Tests of :mod:`cranberryport.histograms`."""
+"""Tests of :mod:`cranberryport.observability.histograms`."""
 
 import unittest
 
-from cranberryport import histograms
+from cranberryport.observability import histograms
 
 
 class HistogramsTest(unittest.TestCase):
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,9 +1,9 @@
-"""Tests of :mod:`cranberryport.idempotency`."""
+"""Tests of :mod:`cranberryport.callers.idempotency`."""
 
 import unittest
 import uuid
 
-from cranberryport import idempotency
+from cranberryport.callers import idempotency
 
 NOW = 1_800_000_000.0
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.jobs` with a stand-in worker on loopback."""
+"""Tests of :mod:`cranberryport.fleet.jobs` with a stand-in worker on loopback."""
 
 import json
 import time
@@ -9,9 +9,11 @@
 from circuits import BaseComponent, Event, handler
 from circuits.core import pollers
 
-from cranberryport import jobs, log_follower, log_writer_events, timers, worker_client
+from cranberryport import timers
+from cranberryport.fleet import jobs, worker_client
 from cranberryport.generated import messages
 from cranberryport.http import connection
+from cranberryport.stream import log_follower, log_writer_events
 from standins import serving, worker
 from tests import control_stream
 
--- a/tests/test_jobs_api.py
+++ b/tests/test_jobs_api.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.jobs_api` over loopback."""
+"""Tests of :mod:`cranberryport.fleet.jobs_api` over loopback."""
 
 import http.client
 import json
@@ -7,7 +7,8 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import jobs_api, log_writer_events
+from cranberryport.fleet import jobs_api
+from cranberryport.stream import log_writer_events
 from standins import calls
 from tests import control_stream, loopback
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.lending`."""
+"""Tests of :mod:`cranberryport.callers.lending`."""
 
 import collections
 import unittest
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from cranberryport import lending
+from cranberryport.callers import lending
 
 SHARE = 2
 HOLD_S = 5.0
--- a/tests/test_loan_exchange.py
+++ b/tests/test_loan_exchange.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.loan_exchange` with real pools and a fake clock."""
+"""Tests of :mod:`cranberryport.peering.loan_exchange` with pools and a fake clock."""
 
 import collections
 import random
@@ -10,9 +10,10 @@
 from circuits import Component, Event
 from hypothesis import strategies
 
-from cranberryport import backend_pool, loan_exchange, peers
+from cranberryport.callers import backend_pool
 from cranberryport.generated import messages
 from cranberryport.http import connection
+from cranberryport.peering import loan_exchange, peers
 from tests import fakes, support
 
 SERVICE = "sizing"
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.log_client`."""
+"""Tests of :mod:`cranberryport.stream.log_client`."""
 
 import http.client
 import time
@@ -6,8 +6,8 @@
 
 from circuits import BaseComponent, handler
 
-from cranberryport import log_client
 from cranberryport.http import connection
+from cranberryport.stream import log_client
 from standins import log_service, serving
 from tests import support
 
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -1,13 +1,13 @@
-"""Tests of :mod:`cranberryport.log_follower`."""
+"""Tests of :mod:`cranberryport.stream.log_follower`."""
 
 import unittest
 
 import cbor2
 from circuits import Component
 
-from cranberryport import log_follower
 from cranberryport.generated import messages
 from cranberryport.state import snapshot
+from cranberryport.stream import log_follower
 from tests import control_stream, fakes
 
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,12 +1,13 @@
-"""Tests of :mod:`cranberryport.log_writer`."""
+"""Tests of :mod:`cranberryport.stream.log_writer`."""
 
 import unittest
 
 from circuits import Component
 
-from cranberryport import codec, log_follower, log_writer, log_writer_events
+from cranberryport import codec
 from cranberryport.generated import messages
 from cranberryport.state import fold, outcomes
+from cranberryport.stream import log_follower, log_writer, log_writer_events
 from tests import fakes
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,11 +1,11 @@
-"""Tests of :mod:`cranberryport.logs`."""
+"""Tests of :mod:`cranberryport.observability.logs`."""
 
 import io
 import json
 import logging
 import unittest
 
-from cranberryport import logs
+from cranberryport.observability import logs
 
 
 class LogsTest(unittest.TestCase):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,9 +1,9 @@
-"""Tests of :mod:`cranberryport.metrics`."""
+"""Tests of :mod:`cranberryport.observability.metrics`."""
 
 import socket
 import unittest
 
-from cranberryport import metrics
+from cranberryport.observability import metrics
 from tests import loopback
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.operations`."""
+"""Tests of :mod:`cranberryport.fleet.operations`."""
 
 import types
 import unittest
@@ -6,7 +6,8 @@
 
 from circuits import Component
 
-from cranberryport import log_writer_events, operations
+from cranberryport.fleet import operations
+from cranberryport.stream import log_writer_events
 from tests import control_stream, fakes
 
 START = 1_000_000.0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,12 +1,12 @@
-"""Tests of :mod:`cranberryport.peers` and :mod:`cranberryport.peer_link`."""
+"""Tests of :mod:`cranberryport.peering.peers` and of its links."""
 
 import unittest
 
 from circuits import BaseComponent, handler
 
-from cranberryport import peers
 from cranberryport.generated import messages
 from cranberryport.http import connection
+from cranberryport.peering import peers
 from tests import support
 
 
@@ -79,7 +79,7 @@
         unknown = self._add("a")
         del self.addresses["a"]
         self._add("b")
-        with self.assertLogs("cranberryport.peers", "WARNING") as logged:
+        with self.assertLogs("cranberryport.peering.peers", "WARNING") as logged:
             self.loop.run_until(lambda: logged.records)
         self.assertIn("unknown session a", logged.output[0])
         self.assertEqual(self.meshes["b"].statuses(), {})
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,11 +1,11 @@
-"""Tests of :mod:`cranberryport.placement`."""
+"""Tests of :mod:`cranberryport.fleet.placement`."""
 
 import unittest
 
 import hypothesis
 from hypothesis import strategies
 
-from cranberryport import placement
+from cranberryport.fleet import placement
 from cranberryport.state import jobs as jobs_module
 from tests import control_stream
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,8 +1,8 @@
-"""Tests of :mod:`cranberryport.planner`."""
+"""Tests of :mod:`cranberryport.fleet.planner`."""
 
 import unittest
 
-from cranberryport import planner
+from cranberryport.fleet import planner
 from tests import control_stream
 
 NOON = {"now": 0.0, "local_time": "12:00"}
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,12 +1,13 @@
-"""Tests of :mod:`cranberryport.relay`."""
+"""Tests of :mod:`cranberryport.peering.relay`."""
 
 import types
 import unittest
 
 from circuits import Component
 
-from cranberryport import log_follower, peers, relay
 from cranberryport.generated import messages
+from cranberryport.peering import peers, relay
+from cranberryport.stream import log_follower
 from tests import control_stream, fakes
 
 
--- a/tests/test_request_recorder.py
+++ b/tests/test_request_recorder.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.request_recorder`."""
+"""Tests of :mod:`cranberryport.observability.request_recorder`."""
 
 import time
 import types
@@ -6,7 +6,8 @@
 
 from circuits import BaseComponent, Event
 
-from cranberryport import histograms, metrics, outcomes, request_recorder
+from cranberryport import outcomes
+from cranberryport.observability import histograms, metrics, request_recorder
 
 
 class RequestRecorderTest(unittest.TestCase):
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -1,9 +1,9 @@
-"""Tests of :mod:`cranberryport.retry`."""
+"""Tests of :mod:`cranberryport.callers.retry`."""
 
 import random
 import unittest
 
-from cranberryport import retry
+from cranberryport.callers import retry
 
 
 def decide(budget, **changes):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,9 +1,9 @@
-"""Tests of :mod:`cranberryport.routing`."""
+"""Tests of :mod:`cranberryport.callers.routing`."""
 
 import random
 import unittest
 
-from cranberryport import routing
+from cranberryport.callers import routing
 
 
 def choose(*servers, tried=()):
--- a/tests/test_session_keeper.py
+++ b/tests/test_session_keeper.py
@@ -1,12 +1,12 @@
-"""Tests of :mod:`cranberryport.session_keeper`."""
+"""Tests of :mod:`cranberryport.stream.session_keeper`."""
 
 import unittest
 from unittest import mock
 
 from circuits import Component
 
-from cranberryport import log_writer_events, session_keeper
 from cranberryport.generated import messages
+from cranberryport.stream import log_writer_events, session_keeper
 from tests import control_stream, fakes
 
 IDENTITY = {"instance": "e1", "data_centre": "d", "host": "127.0.0.1", "port": 1}
--- a/tests/test_share_keeper.py
+++ b/tests/test_share_keeper.py
@@ -1,11 +1,11 @@
-"""Tests of :mod:`cranberryport.share_keeper`."""
+"""Tests of :mod:`cranberryport.stream.share_keeper`."""
 
 import unittest
 from unittest import mock
 
 from circuits import Component
 
-from cranberryport import log_writer_events, share_keeper
+from cranberryport.stream import log_writer_events, share_keeper
 from tests import control_stream, fakes
 
 RESOURCE = "slots/s-1"
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,9 +1,9 @@
-"""Tests of :mod:`cranberryport.status`."""
+"""Tests of :mod:`cranberryport.observability.status`."""
 
 import types
 import unittest
 
-from cranberryport import status
+from cranberryport.observability import status
 from cranberryport.state import fold
 
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -1,4 +1,4 @@
-"""Tests of :mod:`cranberryport.view`."""
+"""Tests of :mod:`cranberryport.stream.view`."""
 
 import json
 import types
@@ -7,7 +7,8 @@
 
 from circuits import Component
 
-from cranberryport import instance_list, view
+from cranberryport.fleet import instance_list
+from cranberryport.stream import view
 from tests import control_stream, fakes
 
 
