Wait for stops of the previous controller before a lasting task is moved

The one sequence that the rule and the log of the report allow: a task stopped by the previous controller is listed as at work until its stop has taken effect, and the next controller stops another one. Ruled out: two stops by one controller (the first is known as being stopped). Test: test_new_controller_waits_for_stops_of_the_previous_one fails without it.

--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -27,6 +27,8 @@
 # An instance that is still up with the same executor this long after its order was
 # accepted had been moved, or had its upkeep, before.
 UNCHANGED_S = 0.6
+# Timeout of an order to an executor, and the time until the next list shows its effect.
+STOP_ARRIVAL_S = 1.0
 # Clocks of the entry instances differ by less than this on an ordinary day.
 TURN_SLACK_S = 0.5
 
@@ -86,6 +88,7 @@
     __slots__ = (
         "_are_executors_known",
         "_client",
+        "_empties_at",
         "_epoch",
         "_forbidden",
         "_free_at",
@@ -140,6 +143,9 @@
         self._on_stops = on_stops
         self._save_wave = save_wave
         self._save_orders = save_orders
+        # A stop of the previous controller may still be under way, and its task is
+        # listed as at work until then.
+        self._empties_at = time.monotonic() + STOP_ARRIVAL_S + loaded.stop_ms / 1000
         self._free_at = {}
         self._present = set()
         self._ordered_at = {}
@@ -360,6 +366,8 @@
             if executor is not None:
                 reserved.add(instance.executor)
                 executor.is_reserved = True
+                if executor.runs and now < self._empties_at:
+                    continue
             if executor is None or evacuation.empty(self._scheduler, executor, now):
                 self._take_down(wave, instance, now)
         return reserved
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -171,6 +171,27 @@
         self.assertFalse(executor.is_reserved)
         self.assertTrue(self.fleet.waves[1].done)
 
+    def test_new_controller_waits_for_stops_of_the_previous_one(self):
+        """Guards against a second task away while a stop is still under way.
+
+        Seen once on a hunted day of scoica (trouble-2, seed 1082858016383) while
+        controllers changed: AVAIL, the stopped task was still listed as at work.
+        """
+        for name in ("e1", "e2"):
+            self.bench.add_executor(name)
+        step = scheduling.make_step(2, is_lasting=True, max_unavailable=1)
+        self.bench.add_job(scheduling.make_job(step))
+        runs = self.bench.start()
+        for run in runs:
+            run.percent = 100
+        instance = self.listed["m1"]
+        instance.pool, instance.executor = "pool", runs[0].executor
+        del self.listed["m2"]
+        self.fleet.start()
+        self.assertEqual(self.bench.scheduler.take_stops(), [])
+        self.fleet._decide(time.monotonic() + 2.0)
+        self.assertEqual(len(self.bench.scheduler.take_stops()), 1)
+
     def _crash(self, state):
         """Let an executor with a run fall silent; return the run."""
         executor = self.bench.add_executor("e1")
