Read an answer that was awaited before a lease lapsed first

The controller, on a machine of half a core, was busy for seconds and took the lease for lapsed while the answer that listed the runs as done waited unread. Test: test_answer_that_was_not_read_yet_comes_before_the_lapse fails without it.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -203,7 +203,7 @@
         if self._is_stopped or self._is_asking:
             return
         executor = self._executor
-        now = self._asked_at = time.monotonic()
+        now = self._asked_at = executor.asked_at = time.monotonic()
         deadline_ms = None
         if executor.clock_ms is not None and not self._is_silent:
             deadline_ms = executor.deadline_for(now, self._lease_s)
@@ -228,6 +228,7 @@
             return
         now = time.monotonic()
         executor = self._executor
+        executor.asked_at = None
         if isinstance(answer, executors.NoAnswer):
             self._note_silence(answer.reason)
             return
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -36,6 +36,7 @@
         "accelerators",
         "acked",
         "address",
+        "asked_at",
         "born",
         "clock_ms",
         "clock_read_at",
@@ -88,6 +89,8 @@
         self.labels = labels
         self.rack = rack
         self.state = state
+        # When the question for its lists was sent whose answer is still awaited.
+        self.asked_at = None
         self.born = None
         self.clock_ms = None
         self.clock_read_at = None
@@ -163,8 +166,14 @@
         return deadline_ms
 
     def is_lapsed(self, now):
-        """Return whether nothing can run there any more unless it was renewed."""
-        return self.lapses_at is not None and now >= self.lapses_at
+        """Return whether nothing can run there any more unless it was renewed.
+
+        An answer to a question from before the lapse may have arrived without having
+        been read, if this process was busy or stood still; it may list runs as done.
+        """
+        if self.lapses_at is None or now < self.lapses_at:
+            return False
+        return self.asked_at is None or self.asked_at >= self.lapses_at
 
     def used(self):
         """Return processors, memory and accelerators in use or promised.
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -221,6 +221,25 @@
         self.assertEqual(deadline_ms, 9000)
         self.assertFalse(executor.is_lapsed(100.0 + 4.0 * 1.02))
 
+    def test_answer_that_was_not_read_yet_comes_before_the_lapse(self):
+        """Guards against a second run of a task whose end has arrived already.
+
+        Seen on the grown brazos (trouble-1): a busy controller read its answers after
+        the lease, and started two tasks again that were listed as done.
+        """
+        bench = scheduling.Bench(count=2)
+        job = bench.add_job(scheduling.make_job())
+        (run,) = bench.start()
+        executor = bench.scheduler.executors[run.executor]
+        executor.deadline_for(bench.now, 4.0)
+        executor.asked_at = bench.now
+        bench.now += 10.0
+        bench.scheduler.expire(bench.now, scheduling.WALL)
+        self.assertEqual(bench.start(), [])
+        executor.asked_at = None
+        bench.finish(run, 1)
+        self.assertEqual(job.state, model.COMPLETED)
+
     def test_unanswered_start_waits_for_its_deadline(self):
         """Guards against a second run while the first start may be carried out."""
         bench = scheduling.Bench(count=2)
