--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -85,11 +85,6 @@
         """Epoch of this process as controller, None if it is not the controller."""
         return self._epoch
 
-    @property
-    def joined_at(self):
-        """Monotonic time at which the last successful join was sent, or None."""
-        return self._joined_at
-
     @property
     def partitions(self):
         """Partitions that the group has given to this process."""
--- a/cranberryport/control/questions.py
+++ b/cranberryport/control/questions.py
@@ -67,11 +67,6 @@
             watcher=watcher, host=host, port=port, on_accepted=self._on_accepted
         )
 
-    @property
-    def pending_count(self):
-        """Questions without an answer so far."""
-        return len(self._pending)
-
     def start(self):
         """Begin to accept links."""
         self._listener.start()
--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -35,12 +35,6 @@
     free[2] -= step.accelerators
 
 
-def could_ever_fit(step, executor):
-    """Return whether an empty executor could run a task."""
-    whole = [executor.processors, executor.memory, executor.accelerators]
-    return fits(step, executor, whole)
-
-
 def choose(step, candidates, *, used_on, racks, avoid, lasting_on):
     """Choose an executor for one task.
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -31,8 +31,6 @@
 UNKNOWN_ATTEMPTS = 1_000_000
 # A stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
-# Before that much work is left undone, a draining executor is emptied by stops.
-LEAVE_MARGIN_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
