Count an upkeep as done only if its order was accepted

Cause: found by reading. An order that no answer came to for 13 s was dropped, and its instance then counted as done, so a wave could have been told as completed too early. Test: test_upkeep_that_nobody_accepted_is_not_done fails without it.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -121,8 +121,7 @@
         self._on_superseded = on_superseded
         self._lease_s = min(executor_link.LEASE_S, loaded.lease_most_ms / 1000)
         self._started_at = time.monotonic()
-        # The previous controller may have renewed leases until now.
-        lapses_in_s = self._lease_s * 1.02 + 0.5
+        lapses_in_s = scheduler.takeover_lapse_s(self._lease_s)
         self._scheduler = scheduler.Scheduler(
             takeover_lapses_at=self._started_at + lapses_in_s
         )
@@ -197,21 +196,6 @@
         """Whether the state of the previous controller is known."""
         return self._is_ready
 
-    @property
-    def scheduler(self):
-        """State of all jobs."""
-        return self._scheduler
-
-    @property
-    def epoch(self):
-        """Epoch of this controller."""
-        return self._epoch
-
-    @property
-    def links(self):
-        """Links to the executors by id."""
-        return self._links
-
     def start(self):
         """Take over: fence the previous controller, read the state, then decide."""
         self._writer.fence(self._read_progress)
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -346,8 +346,10 @@
             )
             if is_back:
                 del wave.ordered[instance_id]
-                wave.done.add(instance_id)
-                self._save_wave(wave)
+                # An order that nobody accepted within its time is given again.
+                if instance is None or instance_id in wave.accepted:
+                    wave.done.add(instance_id)
+                    self._save_wave(wave)
             elif order is not None and not order.is_answered and previous:
                 reserved.add(previous)
         chosen = upkeep.choose(
@@ -417,6 +419,8 @@
             return
         if answer.is_accepted:
             order.answered_at = time.monotonic()
+            if order.wave is not None:
+                order.wave.accepted.add(instance_id)
             return
         _logger.info(
             "order refused",
--- a/cranberryport/scheduling/instances.py
+++ b/cranberryport/scheduling/instances.py
@@ -51,7 +51,15 @@
         Instances of the wave that may be down for it at once.
     """
 
-    __slots__ = ("done", "ends_at", "instances", "maximum", "number", "ordered")
+    __slots__ = (
+        "accepted",
+        "done",
+        "ends_at",
+        "instances",
+        "maximum",
+        "number",
+        "ordered",
+    )
 
     def __init__(self, *, number, instances, ends_at, maximum):
         self.number = number
@@ -59,7 +67,9 @@
         self.ends_at = ends_at
         self.maximum = maximum
         self.done = set()
+        # Previous executor by instance, while its upkeep is under way.
         self.ordered = {}
+        self.accepted = set()
 
     def copy(self):
         """Return the wave as it was asked for, without progress."""
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 import time
 
 from cranberryport.scheduling import (
+    executors,
     lending,
     model,
     ordering,
@@ -29,12 +30,25 @@
 UNHEALTHY_DELAY_S = 1.0
 # A job whose queue is not known does not fail for the number of its attempts.
 UNKNOWN_ATTEMPTS = 1_000_000
+# Renewals that the previous controller had sent may arrive after the takeover.
+TAKEOVER_SLACK_S = 0.5
 # A stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
 
 _logger = logging.getLogger(__name__)
 
 
+def takeover_lapse_s(lease_s):
+    """Return the seconds after which leases of the previous controller have lapsed.
+
+    Parameters
+    ----------
+    lease_s : float
+        Length of a lease in seconds, which it may have renewed until the takeover.
+    """
+    return lease_s * executors.CLOCK_DRIFT + TAKEOVER_SLACK_S
+
+
 class Batch:
     """Records to store in one append, and what follows once they are stored.
 
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -215,6 +215,17 @@
         run = self._crash(instances.UP)
         self.assertTrue(run.task.runs)
 
+    def test_upkeep_that_nobody_accepted_is_not_done(self):
+        """Guards against a wave that is told as completed without an upkeep."""
+        del self.listed["m2"]
+        self.fleet.start()
+        self.saved[0][1]()
+        wave = self.fleet.waves[1]
+        self.fleet._orders.clear()
+        self.fleet._decide(time.monotonic())
+        self.assertFalse(wave.done)
+        self.assertIn("m1", wave.ordered)
+
     def test_unanswered_order_keeps_the_instance(self):
         """Guards against another order while the first may still be carried out."""
         self.fleet.start()
