Keep the long request of a scenario in flight until its check

Trace: the request lasts 5 s; publishing the sheet took 3.2 s and the scenario waits 3 s, so the request had ended 1.3 s before the check, and the move was due. Ruled out: a move beside a request in flight ("no backend server cut off a request" and "never served sizing after cutting" are checked later in the same scenario and hold). Change: the request lasts 10 s, so the check sees it in flight as it is meant to; no check is changed.

--- a/features/budget.feature
+++ b/features/budget.feature
@@ -43,7 +43,7 @@
   Scenario: A moved instance serves the new pool and never both
     When a caller starts POST "/sizing/sizes" at instance 2 as "long"
       | Desk             | sizing  |
-      | Test-Delay-Ms    | 5000    |
+      | Test-Delay-Ms    | 10000   |
       | Request-Deadline | in 20 s |
     And "it" is the server that executes "long"
     And callers keep sending to "sizing cutting"
