Mend what a reading of the whole change found

- An executor's list, or a page of the store, that cannot be read ended its loop with an exception; it is a failure with a log line now.
SILENT_S stood twice.
Two delays had no name.
- Errors about Spec, Steps and the number of tasks quote what was found.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -8,16 +8,24 @@
 
 # Long enough that a successor finds all runs alive after the loss of a controller.
 LEASE_S = 4.0
+# A start is valid for 2 s, so it can be sent again twice after a lost answer.
 ORDER_TIMEOUT_S = 0.7
+START_RETRY_S = 0.05
+# Beyond the time that the executor may hold the answer back.
 LIST_TIMEOUT_S = 0.8
+# Renewals have to come well within a lease; each list has a price.
 BUSY_WAIT_S = 1.0
 # Tail latencies of serving tasks beside tasks that fill are looked at this often.
 SHARED_WAIT_S = 0.5
+# The longest that executors hold an answer back (platform's protocol).
 IDLE_WAIT_S = 2.0
 # Ends that come within this time share one list; each list has a price.
 LIST_GAP_S = 0.06
 # Ends are listed again until they are acknowledged, so a list waits for their storing.
 ACKNOWLEDGE_WAIT_S = 0.3
+# Two such steps fit into an append of 12 ms.
+ACKNOWLEDGE_POLL_S = 0.01
+# Silent executors are asked four times a second.
 SILENT_RETRY_S = 0.25
 
 _logger = logging.getLogger(__name__)
@@ -148,7 +156,7 @@
             return
         now = time.monotonic()
         if isinstance(answer, executors.NoAnswer):
-            self._timers.after(0.05, lambda: self.start(run))
+            self._timers.after(START_RETRY_S, lambda: self.start(run))
             return
         if self._is_other_life(answer):
             return
@@ -255,7 +263,7 @@
                 task,
                 run,
                 fence=self._fence,
-                callback=lambda _: None,
+                callback=self._on_unknown_stopped,
                 timeout_s=ORDER_TIMEOUT_S,
             )
         self._adjust_pace()
@@ -265,6 +273,13 @@
         else:
             self._timers.after(LIST_GAP_S, self._ask_when_stored)
 
+    def _on_unknown_stopped(self, answer):
+        # The run is listed, and stopped, again until it has ended.
+        _logger.debug(
+            "stop of unknown run answered",
+            extra={"executor": self._executor.id, "answer": str(answer)},
+        )
+
     def _adjust_pace(self):
         runs = list(self._executor.runs.values())
         fillers = [
@@ -294,7 +309,7 @@
         executor = self._executor
         waited_s = time.monotonic() - executor.last_answer
         if executor.acked < executor.stored_end and waited_s < ACKNOWLEDGE_WAIT_S:
-            self._timers.after(0.01, self._ask_when_stored)
+            self._timers.after(ACKNOWLEDGE_POLL_S, self._ask_when_stored)
         else:
             self._ask()
 
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -22,8 +22,6 @@
 # up to 12 s), so the instance gets no other order before.
 LATE_ORDER_S = 13.0
 ORDER_RETRY_S = 0.4
-# Lists of runs are answered within a second; after this time one was missed.
-SILENT_S = 1.6
 # An instance that is still up with the same executor this long after its order was
 # accepted had been moved, or had its upkeep, before.
 UNCHANGED_S = 0.6
@@ -186,7 +184,7 @@
             Unix time in seconds.
         """
         now = time.monotonic()
-        turn_s = self._loaded.duty_turn_ms / 1000 + TURN_SLACK_S
+        turn_s = self._loaded.order_turn_ms / 1000 + TURN_SLACK_S
         for instance_id, sent_at in sent.items():
             waited_s = max(0.0, wall - sent_at)
             if waited_s < turn_s:
@@ -236,7 +234,7 @@
             not self._is_complete(wave) for wave in self._waves.values()
         )
         is_busy = is_busy or any(
-            executor.runs and now - (executor.last_answer or now) > SILENT_S
+            executor.runs and executor.is_silent(now)
             for executor in self._scheduler.executors.values()
         )
         pause_s = LIST_BUSY_S if is_busy else LIST_IDLE_S
@@ -276,8 +274,7 @@
         for executor in list(self._scheduler.executors.values()):
             if executor.id in present or executor.id not in self._present:
                 continue
-            is_silent = asked_at - (executor.last_answer or 0.0) > SILENT_S
-            if is_silent and executor.runs:
+            if executor.is_silent(asked_at) and executor.runs:
                 self._scheduler.retire_executor(executor, "instance is down")
         known = self._scheduler.executors.keys()
         self._present = (self._present | present) & known
--- a/cranberryport/control/questions.py
+++ b/cranberryport/control/questions.py
@@ -121,7 +121,10 @@
 
     def _retry(self, number, delay_s, *, is_lost=False):
         pending = self._pending[number]
-        delay_s = min(delay_s, max(0.0, pending.deadline - time.monotonic()))
+        left_s = max(0.0, pending.deadline - time.monotonic())
+        # A question with little time says nothing about the link.
+        is_lost = is_lost and left_s >= delay_s
+        delay_s = min(delay_s, left_s)
 
         def again():
             if is_lost and number in self._pending:
--- a/cranberryport/http/connection_pool.py
+++ b/cranberryport/http/connection_pool.py
@@ -29,12 +29,6 @@
         super().__init__(channel=f"pool-{name}-{next(self._numbers)}")
         self._client = client
         self._idle = collections.defaultdict(list)
-        self._connects = 0
-
-    @property
-    def connect_count(self):
-        """Connections made so far."""
-        return self._connects
 
     def send(
         self,
@@ -79,11 +73,6 @@
         )
         self._send(address, exchange)
 
-    def close_idle(self, address):
-        """Close the idle connections to an address that is not used any more."""
-        for held in self._idle.pop(address, []):
-            held.close()
-
     def _send(self, address, exchange):
         idle = self._idle[address]
         while idle:
@@ -91,7 +80,6 @@
             if held.is_idle and not held.close_if_stale():
                 held.send(exchange)
                 return
-        self._connects += 1
         self._client.connect(host=address[0], port=address[1]).send(exchange)
 
     @handler("exchange_done")
--- a/cranberryport/platform/bodies.py
+++ b/cranberryport/platform/bodies.py
@@ -40,7 +40,7 @@
 
 
 def integer(fields, name, default=0):
-    """Return a whole number of a map, a default if it is none."""
+    """Return a number of a map as a whole one, the default if it is no number."""
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         return default
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -1,11 +1,13 @@
 """Client of the executors, and the entries that they leave in the store."""
 
 import dataclasses
+import logging
 
 from cranberryport.platform import bodies
 from cranberryport.scheduling import executors
 
 INSTANCE_HEADER = b"expected-instance"
+_logger = logging.getLogger(__name__)
 _REASONS = {"fence", "old", "late", "room", "ticket"}
 
 
@@ -177,15 +179,20 @@
     if status == 200 and not fields:
         # A success without its fields proves nothing.
         return NoAnswer(reason="protocol")
-    clock_ms = fields.get("ClockMs")
-    born = fields.get("born")
+    try:
+        running = [_running(row) for row in fields.get("Running") or ()]
+        finished = [_finished(row) for row in fields.get("Finished") or ()]
+    except (IndexError, KeyError, TypeError, ValueError) as error:
+        # A list that cannot be read proves nothing about any run.
+        _logger.error("unreadable list of runs", extra={"reason": repr(error)})
+        return NoAnswer(reason="protocol")
     return Answered(
         is_accepted=status == 200,
         refusal=_refusal(status, fields),
-        clock_ms=int(clock_ms) if isinstance(clock_ms, int | float) else None,
-        born=int(born) if isinstance(born, int | float) else None,
-        running=[_running(row) for row in fields.get("Running") or ()],
-        finished=[_finished(row) for row in fields.get("Finished") or ()],
+        clock_ms=bodies.integer(fields, "ClockMs", None),
+        born=bodies.integer(fields, "born", None),
+        running=running,
+        finished=finished,
     )
 
 
@@ -257,6 +264,5 @@
     left_ms = fields.get("RemainingMs")
     if isinstance(left_ms, int | float):
         executor.leaves_at = now + left_ms / 1000
-    born = fields.get("born")
-    executor.born = int(born) if isinstance(born, int | float) else None
+    executor.born = bodies.integer(fields, "born", None)
     return executor
--- a/cranberryport/platform/machines.py
+++ b/cranberryport/platform/machines.py
@@ -122,14 +122,16 @@
 def _read_instance(row):
     if not isinstance(row, dict) or row.get("State") not in STATES:
         return None
-    labels = row.get("Labels") or [""]
+    labels = row.get("Labels")
+    is_labelled = isinstance(labels, list) and bool(labels)
     room = row.get("Capacity")
     return instances.Instance(
         id=bodies.text(row, "Machine"),
         pool=bodies.text(row, "Pool"),
         state=row["State"],
         executor=bodies.text(row, "Id"),
-        kind=labels[0],
+        # The first label is the kind of the instance, the second its rack.
+        kind=str(labels[0]) if is_labelled else "",
         processors=bodies.integer(room, "Cpu") if isinstance(room, dict) else 0,
     )
 
--- a/cranberryport/platform/store.py
+++ b/cranberryport/platform/store.py
@@ -291,10 +291,11 @@
                 callback(_failure(result, status, fields))
                 return
             items = fields.get("items") or []
-            found.extend(
-                (item["Key"], base64.b64decode(item.get("Value") or ""))
-                for item in items
-            )
+            try:
+                found.extend(_read_items(items))
+            except (AttributeError, KeyError, TypeError, ValueError) as error:
+                callback(Unknown(detail=f"broken list of records: {error!r}"))
+                return
             # Pages are no snapshot; what changed after the first page is read again.
             ends.append(bodies.integer(fields, "EndOffset"))
             if fields.get("HasMore") and items:
@@ -362,6 +363,10 @@
         )
 
 
+def _read_items(items):
+    return [(item["Key"], base64.b64decode(item.get("Value") or "")) for item in items]
+
+
 def _rows(fields):
     # The name of the list of rows is not given for this call, so the only list counts.
     for value in fields.values():
--- a/cranberryport/platform/submissions.py
+++ b/cranberryport/platform/submissions.py
@@ -44,13 +44,20 @@
         raise InvalidJob("the body is no JSON object")
     spec = fields.get("Spec", "")
     if not isinstance(spec, str) or len(spec.encode()) > SPEC_LIMIT_BYTES:
-        raise InvalidJob(f"Spec; allowed: a text of up to {SPEC_LIMIT_BYTES} bytes")
+        found = f"{len(spec)} characters" if isinstance(spec, str) else repr(spec)
+        raise InvalidJob(
+            f"Spec is {found}; allowed: a text of up to {SPEC_LIMIT_BYTES} bytes"
+        )
     rows = fields.get("Steps")
     if not isinstance(rows, list) or not 0 < len(rows) <= STEPS_LIMIT:
-        raise InvalidJob(f"Steps; allowed: a list of 1 to {STEPS_LIMIT} steps")
+        found = f"a list of {len(rows)}" if isinstance(rows, list) else repr(rows)
+        raise InvalidJob(
+            f"Steps is {found}; allowed: a list of 1 to {STEPS_LIMIT} steps"
+        )
     steps = [_read_step(number, row) for number, row in enumerate(rows)]
-    if sum(step.count for step in steps) > TASKS_LIMIT:
-        raise InvalidJob(f"more than {TASKS_LIMIT} tasks")
+    tasks = sum(step.count for step in steps)
+    if tasks > TASKS_LIMIT:
+        raise InvalidJob(f"{tasks} tasks; allowed: up to {TASKS_LIMIT}")
     return model.Job(
         id=job_id,
         queue=queue,
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -7,6 +7,8 @@
 CLOCK_DRIFT = 1.02
 # Scheduling delays of the executor and of this process around the end of a lease.
 LEASE_SLACK_S = 0.25
+# Lists of runs are answered within a second; after this time one was missed.
+SILENT_S = 1.6
 
 
 class Executor:
@@ -42,7 +44,6 @@
         "clock_read_at",
         "data_centre",
         "failures",
-        "first_seen",
         "id",
         "is_fenced",
         "is_listed",
@@ -62,7 +63,6 @@
         "stored_end",
         "suspected_until",
         "tickets",
-        "unlisted_at",
     )
 
     def __init__(
@@ -94,7 +94,6 @@
         self.born = None
         self.clock_ms = None
         self.clock_read_at = None
-        self.first_seen = 0.0
         self.runs = {}
         self.acked = 0
         self.stored_end = 0
@@ -110,7 +109,6 @@
         # Ticket and end of its validity by step; None for a step that may not run here.
         self.tickets = {}
         self.slowness = 1.0
-        self.unlisted_at = None
 
     @property
     def is_empty(self):
@@ -132,6 +130,10 @@
             return None
         return found[0]
 
+    def is_silent(self, now):
+        """Return whether a list of its runs is overdue; one never asked is silent."""
+        return self.last_answer is None or now - self.last_answer > SILENT_S
+
     def clock_at(self, now):
         """Return the executor's clock in milliseconds, never ahead of its own."""
         return self.clock_ms + int((now - self.clock_read_at) * 1000 / CLOCK_DRIFT)
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -129,9 +129,7 @@
         "confirmed_at",
         "deadline_ms",
         "executor",
-        "is_displaced",
         "number",
-        "ordered_at",
         "pace",
         "percent",
         "percent_at",
@@ -150,7 +148,6 @@
         self.number = number
         self.executor = executor
         self.state = state
-        self.ordered_at = None
         self.confirmed_at = None
         self.start_expires = None
         self.deadline_ms = None
@@ -163,7 +160,6 @@
         self.pace = 100
         self.tail_or_processors = 0
         self.ticket = ""
-        self.is_displaced = False
 
 
 class Task:
@@ -191,7 +187,6 @@
         "runs",
         "saved",
         "step_number",
-        "waiting_since",
     )
 
     def __init__(self, *, occurrence, step, index):
@@ -206,7 +201,6 @@
         self.runs = []
         self.avoid = ()
         self.retry_at = 0.0
-        self.waiting_since = 0.0
 
     @property
     def job(self):
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -275,7 +275,6 @@
             known.accelerators = executor.accelerators
             known.leaves_at = executor.leaves_at
             known.is_listed = True
-            known.unlisted_at = None
             if changed:
                 _logger.info(
                     "executor changed",
@@ -284,7 +283,6 @@
             return known
         if known is not None:
             self._lose_runs(known, "restarted")
-        executor.first_seen = now
         self._executors[executor.id] = executor
         executor.lapses_at = self._takeover_lapses_at
         for run in self._waiting_runs.pop(executor.id, {}).values():
@@ -304,7 +302,6 @@
         executor = self._executors.get(executor_id)
         if executor is not None and executor.is_listed:
             executor.is_listed = False
-            executor.unlisted_at = now
             _logger.info("executor left the list", extra={"executor": executor_id})
 
     def restarted(self, executor, born):
@@ -676,7 +673,6 @@
                 self._drop(run)
                 continue
             run.state = model.ORDERED
-            run.ordered_at = now
             run.start_expires = now + START_VALIDITY_S
             starts.append(run)
         return starts
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -9,9 +9,6 @@
 
 from cranberryport.scheduling import ordering, packing, stragglers, suspicion
 
-# Lists come once a second; without one for longer an executor counts as silent.
-SILENT_S = 1.6
-
 _logger = logging.getLogger(__name__)
 
 
@@ -138,8 +135,7 @@
         straggling = self._state.executors.get(run.executor)
         if executor is None or straggling is None:
             return
-        is_silent = now - straggling.last_answer > SILENT_S
-        if is_silent and not task.step.may_copy:
+        if straggling.is_silent(now) and not task.step.may_copy:
             # Its progress is not known, and a stop would not arrive either.
             return
         if task.step.may_copy:
--- /dev/null
+++ b/tests/test_control_questions.py
@@ -0,0 +1,66 @@
+"""Tests for cranberryport.control.questions."""
+
+import types
+import unittest
+from unittest import mock
+
+from cranberryport.control import questions
+from cranberryport.generated import messages
+from cranberryport.peering import peer_link
+from tests import scripted
+
+
+class QuestionsTest(unittest.TestCase):
+    """Questions over a link that does not answer."""
+
+    def setUp(self):
+        """Make a process that knows the controller's address."""
+        self.timers = scripted.FakeTimers()
+        self.links = []
+        self.answers = []
+
+        def dial(**settings):
+            link = types.SimpleNamespace(
+                is_open=True, is_closed=False, session=None, closed=0, sent=[]
+            )
+            link.send = link.sent.append
+            link.close = lambda: setattr(link, "closed", link.closed + 1)
+            self.links.append(link)
+            return link
+
+        for name, value in (("dial", dial), ("Listener", mock.Mock())):
+            patcher = mock.patch.object(peer_link, name, value)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        self.questions = questions.Questions(
+            watcher=None,
+            timers=self.timers,
+            host="127.0.0.1",
+            port=1,
+            membership=types.SimpleNamespace(
+                controller="127.0.0.1:2", epoch=None, find_controller=lambda: None
+            ),
+            local=lambda: None,
+        )
+
+    def _ask(self, timeout_s):
+        self.questions.ask(
+            lambda number: messages.JobQuestion(number=number, job="j"),
+            self.answers.append,
+            timeout_s=timeout_s,
+        )
+
+    def test_question_with_little_time_does_not_drop_the_link(self):
+        """Guards against the loss of all questions for one that could not wait."""
+        self._ask(timeout_s=0.0)
+        self._ask(timeout_s=0.05)
+        self.assertEqual(self.answers, [None])
+        self.timers.run()
+        self.assertEqual([link.closed for link in self.links], [0])
+
+    def test_link_without_an_answer_in_time_is_dropped(self):
+        """Guards against waiting on a connection that has gone silent."""
+        self._ask(timeout_s=5.0)
+        self.timers.run()
+        self.assertEqual([link.closed for link in self.links], [1, 0])
+        self.assertEqual(len(self.links[1].sent), 1)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -56,11 +56,12 @@
     def test_bad_bodies_are_refused_with_the_place(self):
         """Guards against jobs that are stored and can never be read."""
         bad = [
-            ({}, "Steps"),
+            ({}, "Steps is None"),
             ({"Steps": [{"Count": 0}]}, "Count of step 0 is 0"),
             ({"Steps": [{"Count": 1, "DependsOn": [0]}]}, "DependsOn of step 0"),
             ({"Steps": [{"Count": 1, "Cpu": -1}]}, "Cpu of step 0 is -1"),
-            ({"Steps": [{"Count": 1}], "Spec": 5}, "Spec"),
+            ({"Steps": [{"Count": 1}], "Spec": 5}, "Spec is 5"),
+            ({"Steps": [{"Count": 10_001}]}, "10001 tasks"),
             ({"Steps": [3]}, "step 0 is 3"),
         ]
         for fields, place in bad:
@@ -124,6 +125,13 @@
             (found.finished[0].number, found.finished[0].how), (58, "done")
         )
 
+    def test_list_that_cannot_be_read_proves_nothing(self):
+        """Guards against a loop of lists that ends with an exception."""
+        for rows in ([["j.0.0.0"]], [5], 7):
+            with self.subTest(rows=rows), self.assertLogs(level="ERROR"):
+                found = executors.read_answer(scripted.answer(ClockMs=5, Running=rows))
+            self.assertIsInstance(found, executors.NoAnswer)
+
     def test_order_without_answer_is_neither_done_nor_refused(self):
         """Guards against another order while the first may still be carried out."""
         found = machines._read_order(scripted.lost())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -66,6 +66,13 @@
         )
         self.assertIn("DependsOn=a", pool.sent[1][1])
 
+    def test_page_that_cannot_be_read_is_a_failure(self):
+        """Guards against a reader that ends with an exception."""
+        client, _ = make_store(scripted.answer(items=[{"Value": "x"}], EndOffset=1))
+        results = []
+        client.newest("t", callback=results.append, timeout_s=1.0)
+        self.assertIsInstance(results[0], store.Unknown)
+
     def test_expired_history_is_told(self):
         """Guards against a reader that waits for records that are gone."""
         client, _ = make_store(scripted.answer(410, FirstOffset=12))
