Order nothing for instances before the executors are known

The store answered 75 times slower than usual while the processes were restarted in turn. The list of instances does not come from the store, so it was there first, and an instance whose executor is not known was taken for empty. Both lasting tasks of an executor ended by one order. Change: no order before the list of executors is read, and none for an instance whose executor has runs from the previous controller but was not seen. Tests: the two new ones in test_control_fleet fail without it.

--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -309,7 +309,10 @@
         return asked_at - order.answered_at > UNCHANGED_S
 
     def _decide(self, now):
-        if self._listed_at is None or not self._is_certain():
+        # While the store is slow, the instances are known seconds before the executors,
+        # and an instance with an unknown executor would look empty.
+        is_known = self._listed_at is not None and self._are_executors_known()
+        if not is_known or not self._is_certain():
             return
         reserved = set()
         pressure = self._pressure(now)
@@ -361,6 +364,9 @@
             instance = self._listed[instance_id]
             if not self._is_free(instance_id, now):
                 continue
+            if self._scheduler.has_restored_runs(instance.executor):
+                # Its entry has not been read, or cannot be.
+                continue
             executor = self._scheduler.executors.get(instance.executor)
             if executor is not None:
                 reserved.add(instance.executor)
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -338,6 +338,10 @@
         self._retired[executor.id] = executor.born
         self.remove_executor(executor, reason)
 
+    def has_restored_runs(self, executor_id):
+        """Return whether the previous controller left runs on an unseen executor."""
+        return bool(self._waiting_runs.get(executor_id))
+
     def drop_waiting_runs(self, present):
         """Drop stored runs on executors that no instance has any more.
 
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -7,7 +7,7 @@
 from cranberryport.control import fleet
 from cranberryport.generated import node_settings
 from cranberryport.platform import configuration, machines
-from cranberryport.scheduling import instances
+from cranberryport.scheduling import instances, records
 from tests import scheduling, scripted
 
 SETTINGS = node_settings.NodeSettings(
@@ -62,6 +62,7 @@
         self.client = FakeInstances(self.listed)
         self.saved = []
         self.statuses = []
+        self.are_executors_known = True
         self.fleet = fleet.Fleet(
             scheduler_=self.bench.scheduler,
             client=self.client,
@@ -72,7 +73,7 @@
             epoch=7,
             loaded=SETTINGS,
             is_certain=lambda: True,
-            are_executors_known=lambda: True,
+            are_executors_known=lambda: self.are_executors_known,
             on_superseded=lambda: None,
             on_stops=lambda: None,
             save_wave=lambda wave: None,
@@ -108,6 +109,34 @@
         self.saved[0][1]()
         self.assertEqual([order[1] for order in self.client.orders], ["m2"])
 
+    def test_nothing_is_ordered_before_the_executors_are_known(self):
+        """Guards against an upkeep that ends all lasting tasks of an executor at once.
+
+        Seen on scoica trouble-2: the store answered 75 times slower than usual, so a
+        new controller read the list of instances before that of the executors, and
+        took instances with unknown executors for empty ones.
+        """
+        self.are_executors_known = False
+        self.listed["m1"].executor = "e1"
+        self.fleet.start()
+        self.assertEqual(self.saved, [])
+
+    def test_instance_with_restored_runs_waits_for_its_executor(self):
+        """Guards against the upkeep of an instance whose entry cannot be read.
+
+        The runs on it are known from the previous controller.
+        """
+        self.listed["m1"].executor = "e1"
+        job = scheduling.make_job(scheduling.make_step(is_lasting=True))
+        previous = scheduling.Bench()
+        previous.add_job(job)
+        previous.start()
+        progress = records.store_progress(job)
+        again = scheduling.make_job(scheduling.make_step(is_lasting=True))
+        self.bench.scheduler.restore_job(again, progress, scheduling.WALL)
+        self.fleet.start()
+        self.assertEqual([list(sent) for sent, _ in self.saved], [["m2"]])
+
     def test_spare_instances_are_lent_while_others_are_in_upkeep(self):
         """Guards against a peak that finds no instance during a wave.
 
