Let one controller carry 180 executors

A profile: h11 150 us an exchange, demand and backlog summed up anew for each hand-in, all runs looked through at each decision, log records with source places. Ruled out: several controllers with a pool each (waves and moves would need an agreement across them), relaying orders through other instances (not needed at this load). Changes: client connections read by httptools; the load is summed up once in 50 ms and counts admitted jobs at once; needs that fitted nowhere are not compared again; stragglers are looked for ten times a second; log records without source places; instances with less than a core join the group only once no member is left. Stand-ins of store, executors and instances as a process: standins/platform.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -82,6 +82,7 @@
         "_jobs_readers",
         "_lease_s",
         "_links",
+        "_load",
         "_loaded",
         "_loading",
         "_next_step",
@@ -126,6 +127,7 @@
             takeover_lapses_at=self._started_at + lapses_in_s
         )
         self._planner = task_planner.TaskPlanner(state=self._scheduler)
+        self._load = load.LoadMeter(state=self._scheduler)
         self._links = {}
         self._advice_client = advice_client
         self._advice_asked = set()
@@ -138,6 +140,7 @@
         if instance_client is not None:
             self._fleet = fleet.Fleet(
                 scheduler_=self._scheduler,
+                load_meter=self._load,
                 client=instance_client,
                 store_client=store_client,
                 timers=timers,
@@ -242,9 +245,9 @@
             # A repeated hand-in of an accepted job is not refused.
             return 0
         now, wall = time.monotonic(), time.time()
-        demand = load.demand(self._scheduler, now, wall)
+        demand = self._load.demand(now, wall)
         processors = self._fleet.reachable_processors(question.service, demand)
-        backlog = load.backlog(self._scheduler, question.service, rules, wall)
+        backlog = self._load.backlog(question.service, rules.priority, now, wall)
         retry_after_s = admission.retry_after_s(
             work=question.work,
             chain_s=question.chain_s,
@@ -265,6 +268,8 @@
                     "retry_after_s": retry_after_s,
                 },
             )
+        else:
+            self._load.note_admitted(question.service, rules.priority, question.work)
         return retry_after_s
 
     def _save_wave(self, wave):
--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -8,7 +8,6 @@
     evacuation,
     instances,
     lending,
-    load,
     upkeep,
 )
 
@@ -58,6 +57,8 @@
     ----------
     scheduler_ : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs and executors.
+    load_meter : cranberryport.scheduling.load.LoadMeter
+        What the pools are asked for.
     client : machines.InstanceClient
         Sends the orders.
     store_client : store.Store
@@ -96,6 +97,7 @@
         "_lending",
         "_listed",
         "_listed_at",
+        "_load",
         "_loaded",
         "_logged_at",
         "_on_stops",
@@ -117,6 +119,7 @@
         self,
         *,
         scheduler_,
+        load_meter,
         client,
         store_client,
         timers,
@@ -130,6 +133,7 @@
         save_orders,
     ):
         self._scheduler = scheduler_
+        self._load = load_meter
         self._client = client
         self._store = store_client
         self._timers = timers
@@ -506,13 +510,13 @@
                 sizes[instance.pool] = sizes.get(instance.pool, 0) + instance.processors
         return {
             pool: asked / max(1, sizes.get(pool, 0))
-            for pool, asked in load.demand(self._scheduler, now, time.time()).items()
+            for pool, asked in self._load.demand(now, time.time()).items()
         }
 
     def _decide_moves(self, reserved, now):
         if not any(service.is_standby for service in self._services.values()):
             return
-        demand = load.demand(self._scheduler, now, time.time())
+        demand = self._load.demand(now, time.time())
         # A pool that is off takes instances back also while it has none.
         pools = {
             service.name: lending.PoolLoad(
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 
+from cranberryport.http import connection
 from cranberryport.platform import store
 
 GROUP = "controllers"
@@ -16,6 +17,16 @@
 OWNERS_INTERVAL_S = 0.3
 CONTROL_PARTITION = 0
 LIFE_MARK = "#"
+# Follows the mark in the names of members in reserve.
+RESERVE_MARK = "r"
+# An instance with fewer cores does not keep up with 180 executors at 500 tasks a second
+# (bench.controller: 0.5 cores, and twice that while much waits).
+LEAST_CORES = 1.0
+# A member in reserve looks this often who the controller is; a call to the store costs
+# as much as ten joins.
+RESERVE_INTERVAL_S = 2.5
+# Members that start at the same time are given this long to join first.
+RESERVE_DELAY_S = 2.0
 
 _logger = logging.getLogger(__name__)
 
@@ -39,14 +50,20 @@
         Called with the epoch when this process becomes the controller.
     on_lost : callable
         Called without arguments when it is not the controller any more.
+    is_reserve : bool
+        Whether this process is too weak to be the controller while another one can be;
+        it joins only once no member has been seen for a time.
     """
 
     __slots__ = (
         "_address",
         "_asked_at",
         "_controller",
+        "_empty_since",
         "_epoch",
         "_generation",
+        "_is_joining",
+        "_is_reserve",
         "_is_stopped",
         "_joined_at",
         "_member",
@@ -61,12 +78,25 @@
     )
 
     def __init__(
-        self, *, store_client, timers, address, on_gained, on_lost, ttl_s=TTL_S
+        self,
+        *,
+        store_client,
+        timers,
+        address,
+        on_gained,
+        on_lost,
+        ttl_s=TTL_S,
+        is_reserve=False,
     ):
         self._store = store_client
         self._timers = timers
         self._address = address
-        self._member = f"{address}{LIFE_MARK}{secrets.token_hex(4)}"
+        mark = LIFE_MARK + (RESERVE_MARK if is_reserve else "")
+        self._member = f"{address}{mark}{secrets.token_hex(4)}"
+        self._is_reserve = is_reserve
+        self._is_joining = not is_reserve
+        # Monotonic time since which the store has known no member.
+        self._empty_since = None
         self._ttl_s = ttl_s
         self._on_gained = on_gained
         self._on_lost = on_lost
@@ -103,7 +133,7 @@
         return time.monotonic() - self._joined_at < self._ttl_s
 
     def start(self):
-        """Join the group."""
+        """Join the group, or watch it if this process is in reserve."""
         self._tick()
 
     def stop(self, callback):
@@ -133,11 +163,34 @@
         if self._is_stopped:
             return
         self._timers.after(JOIN_INTERVAL_S, self._tick)
+        if self._is_reserve:
+            self._watch_members()
+        if not self._is_joining:
+            return
         if self._controller is None and self._epoch is None and self._generation:
             self.find_controller()
         if self._pending < JOINS_PENDING_LIMIT:
             self._join()
 
+    def _watch_members(self):
+        now = time.monotonic()
+        if self._controller is None or now - self._asked_at >= RESERVE_INTERVAL_S:
+            self.find_controller()
+        is_empty = self._empty_since is not None
+        is_empty = is_empty and now - self._empty_since > RESERVE_DELAY_S
+        if is_empty and not self._is_joining:
+            _logger.info("joining the group", extra={"reason": "no member seen"})
+            self._is_joining = True
+
+    def _leave_to_others(self):
+        _logger.info("leaving the group", extra={"reason": "stronger member seen"})
+        self._is_joining = False
+        self._lose()
+        self._partitions = frozenset()
+        self._store.leave(
+            GROUP, self._member, callback=_log_leave, timeout_s=JOIN_TIMEOUT_S
+        )
+
     def _join(self):
         self._pending += 1
         sent_at = time.monotonic()
@@ -155,6 +208,9 @@
         self._pending -= 1
         if self._is_stopped or not isinstance(result, store.Membership):
             return
+        if not self._is_joining:
+            # The join arrived after the leave; it lapses by itself.
+            return
         if sent_at < self._newest_join or result.generation < self._generation:
             # A slow answer to an earlier join says nothing about the present.
             return
@@ -183,9 +239,26 @@
 
     def _on_owners(self, result):
         if isinstance(result, store.Owners):
+            self._note_members(result.members.values())
             found = result.members.get(CONTROL_PARTITION, "").partition(LIFE_MARK)[0]
             if not found or found == self._address:
                 found = None
             if found != self._controller:
                 _logger.info("controller found", extra={"controller": found})
             self._controller = found
+
+    def _note_members(self, names):
+        own = self._address + LIFE_MARK
+        others = [name for name in names if not name.startswith(own)]
+        if others:
+            self._empty_since = None
+        elif self._empty_since is None:
+            self._empty_since = time.monotonic()
+        is_stronger_there = any(LIFE_MARK + RESERVE_MARK not in name for name in others)
+        if self._is_reserve and self._is_joining and is_stronger_there:
+            self._leave_to_others()
+
+
+def _log_leave(result):
+    if not isinstance(result, connection.Answer):
+        _logger.warning("leave not confirmed", extra={"reason": str(result)})
--- a/cranberryport/http/connection.py
+++ b/cranberryport/http/connection.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client connections with one request in flight each.
 
-Used for backend servers and for the platform. Framing is done by ``h11``, which
-rejects answers that are cut short. All sockets belong to the :class:`Client`
+Used for backend servers and for the platform. Answers are read by ``httptools``, which
+rejects those that break the framing. All sockets belong to the :class:`Client`
 component; a :class:`Connection` is a plain object.
 """
 
@@ -11,7 +11,7 @@
 import socket
 import time
 
-import h11
+import httptools
 from circuits import BaseComponent, Event, handler
 from circuits.core import pollers
 from circuits.core.utils import findcmp
@@ -145,6 +145,103 @@
         self.started = None
 
 
+class InvalidRequest(ValueError):
+    """A request that cannot be sent as HTTP."""
+
+
+class _AnswerReader:
+    """Collects one answer from the callbacks of the parser.
+
+    Parameters
+    ----------
+    is_head : bool
+        Whether the request was a HEAD, whose answer has no body whatever its length.
+    """
+
+    __slots__ = (
+        "body",
+        "body_size",
+        "head_size",
+        "headers",
+        "is_complete",
+        "is_followed",
+        "is_head_complete",
+        "is_reusable",
+        "status",
+        "_is_head",
+        "_parser",
+    )
+
+    def __init__(self, *, is_head):
+        self._is_head = is_head
+        self._parser = httptools.HttpResponseParser(self)
+        self._forget()
+        self.is_complete = False
+        self.is_followed = False
+        self.is_reusable = False
+
+    def _forget(self):
+        self.status = 0
+        self.headers = []
+        self.head_size = 0
+        self.is_head_complete = False
+        self.body = []
+        self.body_size = 0
+
+    def feed(self, data):
+        """Take bytes.
+
+        Raises
+        ------
+        httptools.HttpParserError
+            If they break the framing before the answer is complete.
+        """
+        if not self.is_head_complete:
+            self.head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if not self.is_complete:
+                raise
+            self.is_followed = True
+
+    def on_message_begin(self):
+        """Note the first byte of an answer."""
+        if self.is_complete:
+            self.is_followed = True
+
+    def on_header(self, name, value):
+        """Take a header."""
+        if not self.is_complete:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        """Take the status."""
+        if self.is_complete:
+            return
+        self.status = self._parser.get_status_code()
+        self.is_head_complete = True
+        if self._is_head and self.status >= 200:
+            # The parser would wait for the body that the headers announce.
+            self.is_complete = True
+
+    def on_body(self, data):
+        """Take a part of the body."""
+        if not self.is_complete:
+            self.body.append(data)
+            self.body_size += len(data)
+
+    def on_message_complete(self):
+        """Note the end of an answer; interim answers are dropped."""
+        if self.is_complete:
+            return
+        if self.status < 200:
+            self._forget()
+            return
+        self.is_complete = True
+        self.is_reusable = self._parser.should_keep_alive()
+
+
 class Connection:
     """A client connection; create it with :meth:`Client.connect`.
 
@@ -161,9 +258,6 @@
     """
 
     __slots__ = (
-        "_answer_body",
-        "_answer_head",
-        "_answer_size",
         "_bytes_sent",
         "_client",
         "_connected_at",
@@ -175,7 +269,7 @@
         "_on_closed",
         "_outgoing",
         "_port",
-        "_protocol",
+        "_reader",
         "_socket",
         "_timer",
     )
@@ -186,7 +280,7 @@
         self._host = host
         self._port = port
         self._socket = None
-        self._protocol = None
+        self._reader = None
         self._exchange = None
         self._timer = None
         self._outgoing = b""
@@ -195,9 +289,6 @@
         self._is_open = True
         self._is_connecting = False
         self._is_reused = False
-        self._answer_head = None
-        self._answer_body = []
-        self._answer_size = 0
 
     @property
     def address(self):
@@ -242,9 +333,7 @@
         self._exchange = exchange
         exchange.connection = self
         exchange.started = time.monotonic()
-        self._answer_head = None
-        self._answer_body = []
-        self._answer_size = 0
+        self._reader = _AnswerReader(is_head=exchange.method == "HEAD")
         self._bytes_sent = 0
         self._is_reused = self._connected_at is not None
         delay_s = exchange.deadline - time.monotonic()
@@ -314,9 +403,6 @@
             return
         self._is_connecting = False
         self._connected_at = time.monotonic()
-        self._protocol = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES
-        )
         self._client.stop_writing(self._socket)
         self._write_request()
 
@@ -338,20 +424,9 @@
             self._fail("refused", "the sender may not send this request any more")
             return
         host = f"{self._host}:{self._port}".encode()
-        headers = [(b"host", host), *exchange.headers]
-        if exchange.request_id is not None:
-            headers.append((REQUEST_ID_HEADER, exchange.request_id))
-        if exchange.body or exchange.method not in ("GET", "HEAD", "OPTIONS"):
-            headers.append((b"content-length", str(len(exchange.body)).encode()))
         try:
-            request = h11.Request(
-                method=exchange.method, target=exchange.target, headers=headers
-            )
-            data = self._protocol.send(request)
-            if exchange.body:
-                data += self._protocol.send(h11.Data(data=exchange.body))
-            data += self._protocol.send(h11.EndOfMessage())
-        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            data = encode_request(exchange, host)
+        except (InvalidRequest, UnicodeEncodeError) as error:
             self._fail("protocol", f"the request is not valid HTTP: {error}")
             return
         self._outgoing = data
@@ -393,12 +468,15 @@
         if self._exchange is None:
             self.close()
             return
+        if not data:
+            self._fail("closed", "the server closed without a whole answer")
+            return
         try:
-            self._protocol.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            reason = "protocol" if data else "closed"
-            self._fail(reason, f"the answer is broken: {error}")
+            self._reader.feed(data)
+        except httptools.HttpParserError as error:
+            self._fail("protocol", f"the answer is broken: {error}")
+            return
+        self._check_answer()
 
     def on_disconnected(self):
         """Handle an error or hang-up told by the poller."""
@@ -407,34 +485,22 @@
             return
         self.on_readable()
 
-    def _read_events(self):
-        while self._exchange is not None:
-            event = self._protocol.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if isinstance(event, h11.Response):
-                self._answer_head = event
-            elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._finish_answer()
-            elif isinstance(event, h11.ConnectionClosed):
-                self._fail("closed", "the server closed without an answer")
-
-    def _add_body(self, data):
-        self._answer_body.append(data)
-        self._answer_size += len(data)
+    def _check_answer(self):
+        reader = self._reader
         limit = self._exchange.answer_limit_bytes
-        if self._answer_size > limit:
+        if not reader.is_head_complete:
+            if reader.head_size > HEADER_LIMIT_BYTES:
+                self._fail("protocol", f"headers exceed {HEADER_LIMIT_BYTES} bytes")
+        elif not self._has_length(reader.headers):
+            self._fail("protocol", "the answer gives no length, so it may be cut short")
+        elif reader.body_size > limit:
             self._fail("protocol", f"the answer is larger than {limit} bytes")
+        elif reader.is_complete:
+            self._finish_answer()
 
     def _finish_answer(self):
-        headers = list(self._answer_head.headers)
-        if not self._has_length(headers):
-            self._fail("protocol", "the answer gives no length, so it may be cut short")
-            return
+        reader = self._reader
+        headers = reader.headers
         echoed = dict(headers).get(REQUEST_ID_HEADER)
         request_id = self._exchange.request_id
         if request_id is not None and echoed not in (None, request_id):
@@ -446,11 +512,11 @@
             self._fail("protocol", "the answer repeats no request id any more")
             return
         result = Answer(
-            status=self._answer_head.status_code,
+            status=reader.status,
             headers=headers,
-            body=b"".join(self._answer_body),
+            body=b"".join(reader.body),
         )
-        is_reusable = self._start_next_cycle()
+        is_reusable = reader.is_reusable and not (reader.is_followed or self._outgoing)
         is_matched = request_id is None or echoed == request_id
         self._finish(result, is_reusable=is_reusable and is_matched)
 
@@ -458,20 +524,10 @@
         names = {name for name, _ in headers}
         if self._exchange.method == "HEAD":
             return True
-        if self._answer_head.status_code in (204, 304):
+        if self._reader.status in (204, 304):
             return True
         return b"content-length" in names or b"transfer-encoding" in names
 
-    def _start_next_cycle(self):
-        if self._protocol.trailing_data[0] or self._outgoing:
-            return False
-        if self._protocol.our_state is not h11.DONE:
-            return False
-        if self._protocol.their_state is not h11.DONE:
-            return False
-        self._protocol.start_next_cycle()
-        return True
-
     def _on_timeout(self):
         self._fail("timeout", "no whole answer before the deadline")
 
@@ -496,6 +552,39 @@
         self._client.fire(exchange_done(exchange), exchange.reply_channel)
 
 
+def encode_request(exchange, host):
+    """Return the bytes of a request.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    host : bytes
+        Value of the Host header.
+
+    Raises
+    ------
+    InvalidRequest
+        If a part of it would break the framing.
+    """
+    if " " in exchange.target or not exchange.target:
+        raise InvalidRequest(f"target {exchange.target!r}")
+    lines = [
+        f"{exchange.method} {exchange.target} HTTP/1.1".encode("ascii"),
+        b"host: " + host,
+        *[name + b": " + value for name, value in exchange.headers],
+    ]
+    if exchange.request_id is not None:
+        lines.append(REQUEST_ID_HEADER + b": " + exchange.request_id)
+    if exchange.body or exchange.method not in ("GET", "HEAD", "OPTIONS"):
+        lines.append(b"content-length: %d" % len(exchange.body))
+    head = b"\r\n".join(lines)
+    ends = len(lines) - 1
+    if head.count(b"\r") != ends or head.count(b"\n") != ends or b"\0" in head:
+        raise InvalidRequest("a header contains a line break or a zero byte")
+    return head + b"\r\n\r\n" + exchange.body
+
+
 class Client(BaseComponent):
     """Owns the sockets of all client connections.
 
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -108,6 +108,8 @@
             ttl_s=max(membership.TTL_S, loaded.membership_ttl_least_ms / 1000),
             on_gained=self._on_gained,
             on_lost=self._on_lost,
+            is_reserve=loaded.processors * loaded.processor_share
+            < membership.LEAST_CORES,
         )
         self._questions = questions.Questions(
             watcher=self._sockets,
--- a/cranberryport/observability/node_logs.py
+++ b/cranberryport/observability/node_logs.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-from pythonjsonlogger import json as json_logger
+from pythonjsonlogger import msgspec as msgspec_logger
 
 # At the worst load a task takes three lines; above this rate lines are counted only.
 LINES_PER_S = 600
@@ -16,7 +16,7 @@
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
-class Formatter(json_logger.JsonFormatter):
+class Formatter(msgspec_logger.MsgspecFormatter):
     """Writes time, level, event, instance and the fields of the call."""
 
     def __init__(self, *, instance):
@@ -28,7 +28,6 @@
                 "message": "event",
             },
             static_fields={"instance": instance},
-            json_ensure_ascii=False,
         )
 
 
@@ -105,6 +104,12 @@
     level : str
         Lowest level that is written.
     """
+    # Source places, threads and processes are not written, so they are not looked
+    # up either; that is a third of the cost of a record.
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     handler = BoundedHandler(descriptor=sys.stdout.fileno())
     handler.setFormatter(Formatter(instance=instance))
     root = logging.getLogger()
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -173,6 +173,11 @@
         Number of the step.
     index : int
         Number within the step.
+
+    Attributes
+    ----------
+    name : str
+        Name for executors.
     """
 
     __slots__ = (
@@ -181,18 +186,22 @@
         "index",
         "is_done",
         "leaves",
+        "name",
         "next_run",
         "occurrence",
         "retry_at",
         "runs",
         "saved",
+        "step",
         "step_number",
     )
 
     def __init__(self, *, occurrence, step, index):
         self.occurrence = occurrence
         self.step_number = step
+        self.step = occurrence.job.steps[step]
         self.index = index
+        self.name = f"{self.step_name}.{index}"
         self.next_run = 1
         self.failures = 0
         self.is_done = False
@@ -207,22 +216,12 @@
         """Job of the task."""
         return self.occurrence.job
 
-    @property
-    def step(self):
-        """Step of the task."""
-        return self.occurrence.job.steps[self.step_number]
-
     @property
     def step_name(self):
         """Name of the step in its occurrence for the advice service."""
         occurrence = self.occurrence
         return f"{occurrence.job.id}.{occurrence.number}.{self.step_number}"
 
-    @property
-    def name(self):
-        """Name for executors."""
-        return f"{self.step_name}.{self.index}"
-
 
 class Occurrence:
     """One execution of all steps of a job.
@@ -237,9 +236,18 @@
         Wall-clock time in seconds before which nothing starts.
     """
 
-    __slots__ = ("due", "job", "number", "open_steps", "remaining", "tasks")
+    __slots__ = (
+        "_left",
+        "due",
+        "job",
+        "number",
+        "open_steps",
+        "remaining",
+        "tasks",
+    )
 
     def __init__(self, *, job, number, due):
+        self._left = None
         self.job = job
         self.number = number
         self.due = due
@@ -255,6 +263,27 @@
         """Whether every task has ended well."""
         return not any(self.remaining)
 
+    @property
+    def left(self):
+        """Declared seconds of the longest chain, and core-seconds, still to be done."""
+        if self._left is None:
+            steps = list(zip(self.job.steps, self.remaining, strict=True))
+            chain_s = _longest_chain_s(
+                (step.depends_on, step.estimate_s if count else 0.0)
+                for step, count in steps
+            )
+            work = sum(
+                count * step.processors * step.estimate_s / 1000
+                for step, count in steps
+            )
+            self._left = chain_s, work
+        return self._left
+
+    def note_done(self, number):
+        """Note that a task of a step is done."""
+        self.remaining[number] -= 1
+        self._left = None
+
     def is_step_ready(self, number):
         """Return whether all steps before one are done."""
         return all(self.remaining[d] == 0 for d in self.job.steps[number].depends_on)
@@ -264,6 +293,7 @@
         self.remaining = [
             sum(not task.is_done for task in tasks) for tasks in self.tasks
         ]
+        self._left = None
 
 
 class Job:
@@ -394,8 +424,13 @@
     float
         Seconds.
     """
+    return _longest_chain_s((step.depends_on, step.estimate_s) for step in steps)
+
+
+def _longest_chain_s(steps):
+    """Return the longest chain of pairs of dependencies and seconds."""
     ends = []
-    for step in steps:
-        begin = max((ends[d] for d in step.depends_on if d < len(ends)), default=0.0)
-        ends.append(begin + step.estimate_s)
+    for depends_on, length_s in steps:
+        begin = max((ends[d] for d in depends_on if d < len(ends)), default=0.0)
+        ends.append(begin + length_s)
     return max(ends, default=0.0)
--- a/cranberryport/scheduling/ordering.py
+++ b/cranberryport/scheduling/ordering.py
@@ -72,24 +72,6 @@
     return rules.stretch * job.chain_s + rules.latency_s
 
 
-def remaining_chain_s(occurrence):
-    """Return the declared time of the longest chain of what is still to be done."""
-    ends = []
-    for number, step in enumerate(occurrence.job.steps):
-        begin = max((ends[d] for d in step.depends_on), default=0.0)
-        length = step.estimate_s if occurrence.remaining[number] else 0.0
-        ends.append(begin + length)
-    return max(ends, default=0.0)
-
-
-def remaining_work(occurrence):
-    """Return the declared work that is still to be done, in core-seconds."""
-    return sum(
-        occurrence.remaining[number] * step.processors * step.estimate_s / 1000
-        for number, step in enumerate(occurrence.job.steps)
-    )
-
-
 def order_key(occurrence, rules, now):
     """Return the sort key of an occurrence of a job; the smallest is served first.
 
@@ -117,9 +99,9 @@
         return (SERVING_FIRST, rules.priority, began)
     objective = objective_s(job, rules)
     left = began + objective - now
-    need = remaining_chain_s(occurrence)
+    need, work = occurrence.left
     if left >= need:
-        return (FEASIBLE, rules.priority, remaining_work(occurrence))
+        return (FEASIBLE, rules.priority, work)
     left += objective * (LATE_FACTOR - 1)
     if left < need:
         return (MISSED, rules.priority, began)
--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -35,6 +35,38 @@
     free[2] -= step.accelerators
 
 
+class RefusedNeeds:
+    """Remembers needs that fitted nowhere while one pool is planned.
+
+    While a pool is full, most waiting steps need as much as one that was refused, and
+    need not be compared with every executor again. Room only shrinks meanwhile.
+    """
+
+    __slots__ = ("_refused",)
+
+    def __init__(self):
+        self._refused = []
+
+    def note(self, step):
+        """Note that a task of a step fits nowhere."""
+        if not step.spread:
+            self._refused.append(_needs(step))
+
+    def covers(self, step):
+        """Return whether a task that needs no more than this step fitted nowhere."""
+        label, *needs = _needs(step)
+        return any(
+            other[0] in ("", label)
+            and all(a >= b for a, b in zip(needs, other[1:], strict=True))
+            for other in self._refused
+        )
+
+
+def _needs(step):
+    processors = 0 if step.is_filling else step.processors
+    return step.label, processors, step.memory, step.accelerators
+
+
 def choose(step, candidates, *, used_on, racks, avoid, lasting_on):
     """Choose an executor for one task.
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 
 import collections
 import logging
+import math
 import time
 
 from cranberryport.scheduling import (
@@ -34,6 +35,8 @@
 TAKEOVER_SLACK_S = 0.5
 # A stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
+# All runs are looked through for such stops, so not at every decision.
+STOP_CHECK_S = 0.1
 
 _logger = logging.getLogger(__name__)
 
@@ -95,6 +98,7 @@
         self._planned = []
         self._ends = {}
         self._stops = collections.deque()
+        self._stops_checked_at = -math.inf
         self._waiting_runs = {}
         self._timed = {}
         self._retired = {}
@@ -405,6 +409,9 @@
         self._repeat_stops(now)
 
     def _repeat_stops(self, now):
+        if now - self._stops_checked_at < STOP_CHECK_S:
+            return
+        self._stops_checked_at = now
         for executor in self._executors.values():
             for run in executor.runs.values():
                 is_due = run.stop_sent_at is None
@@ -595,7 +602,7 @@
         for member in members:
             if not member.is_done:
                 member.is_done = True
-                occurrence.remaining[task.step_number] -= 1
+                occurrence.note_done(task.step_number)
             for run in list(member.runs):
                 self._abandon(run)
         self._mark(job)
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -6,9 +6,13 @@
 
 import collections
 import logging
+import math
 
 from cranberryport.scheduling import ordering, packing, stragglers, suspicion
 
+# Progress is listed about once a second, so looking more often shows nothing new.
+STRAGGLERS_INTERVAL_S = 0.1
+
 _logger = logging.getLogger(__name__)
 
 
@@ -21,10 +25,11 @@
         State of all jobs; the planned runs go there.
     """
 
-    __slots__ = ("_advice_wanted", "_state")
+    __slots__ = ("_advice_wanted", "_checked_at", "_state")
 
     def __init__(self, *, state):
         self._state = state
+        self._checked_at = -math.inf
         self._advice_wanted = {}
 
     def plan(self, now, wall):
@@ -37,40 +42,58 @@
         wall : float
             Unix time in seconds.
         """
-        waiting = {}
+        checks_stragglers = now - self._checked_at >= STRAGGLERS_INTERVAL_S
+        if checks_stragglers:
+            self._checked_at = now
+        opened, waiting = {}, {}
         for job in self._state.open_jobs.values():
             for occurrence in job.occurrences.values():
                 if occurrence.open_steps:
-                    waiting.setdefault(job.service, []).append(occurrence)
-        if not waiting:
-            return
+                    opened.setdefault(job.service, []).append(occurrence)
+                    if self._has_waiting(occurrence, now):
+                        waiting.setdefault(job.service, []).append(occurrence)
+        services = opened if checks_stragglers else waiting
         pools = {}
         for executor in self._state.executors.values():
-            if executor.service in waiting and executor.can_take(now):
+            if executor.service in services and executor.can_take(now):
                 candidate = (executor, executor.free())
                 pools.setdefault(executor.service, []).append(candidate)
-        for service, occurrences in waiting.items():
+        for service in services:
             candidates = pools.get(service)
-            if candidates:
-                self._plan_pool(occurrences, candidates, now, wall)
+            if not candidates:
+                continue
+            slow = stragglers.slow_executors([executor for executor, _ in candidates])
+            trusted = suspicion.trusted(candidates, now, slow)
+            self._plan_pool(waiting.get(service, ()), trusted, now, wall)
+            if checks_stragglers:
+                self._leave_stragglers(opened[service], trusted, slow, now)
+
+    def _has_waiting(self, occurrence, now):
+        return any(
+            not task.runs and not task.is_done and task.retry_at <= now
+            for number in occurrence.open_steps
+            for task in occurrence.tasks[number]
+        )
 
     def _plan_pool(self, occurrences, candidates, now, wall):
-        occurrences.sort(
-            key=lambda o: ordering.order_key(o, self._state.rules(o.job), wall)
+        ordered = sorted(
+            occurrences,
+            key=lambda o: ordering.order_key(o, self._state.rules(o.job), wall),
         )
-        slow = stragglers.slow_executors([executor for executor, _ in candidates])
-        trusted = suspicion.trusted(candidates, now, slow)
         lasting = collections.Counter()
         for executor, _ in candidates:
             lasting[executor.id] = sum(
                 run.task.step.is_lasting for run in executor.runs.values()
             )
-        for occurrence in occurrences:
+        refused = packing.RefusedNeeds()
+        for occurrence in ordered:
             for number in sorted(occurrence.open_steps):
-                self._plan_step(occurrence, number, trusted, lasting, now)
-        self._leave_stragglers(occurrences, trusted, slow, now)
+                if not refused.covers(occurrence.job.steps[number]):
+                    self._plan_step(
+                        occurrence, number, candidates, lasting, refused, now
+                    )
 
-    def _plan_step(self, occurrence, number, candidates, lasting, now):
+    def _plan_step(self, occurrence, number, candidates, lasting, refused, now):
         tasks = occurrence.tasks[number]
         step = occurrence.job.steps[number]
         attempts = self._state.rules(occurrence.job).attempts
@@ -85,23 +108,25 @@
         if not waiting:
             return
         used_on, racks = self._placed(tasks)
-        candidates = self._permitted(occurrence, number, candidates, now)
+        permitted = self._permitted(occurrence, number, candidates, now)
         if step.is_gang:
-            self._plan_gang(tasks, waiting, candidates, used_on, racks, now)
+            self._plan_gang(tasks, waiting, permitted, used_on, racks, now)
             return
         for task in waiting:
             executor = packing.choose(
                 step,
-                candidates,
+                permitted,
                 used_on=used_on,
                 racks=racks,
                 avoid=task.avoid,
                 lasting_on=lasting,
             )
             if executor is None:
+                if permitted is candidates:
+                    refused.note(step)
                 return
             lasting[executor.id] += step.is_lasting
-            self._plan_run(task, executor, task.next_run, candidates, used_on, racks)
+            self._plan_run(task, executor, task.next_run, permitted, used_on, racks)
 
     def _leave_stragglers(self, occurrences, candidates, slow, now):
         """Copy or move runs that stand still or are far too slow."""
--- /dev/null
+++ b/standins/platform/promises.py
@@ -0,0 +1,68 @@
+"""Checks what executors see against what the system promises."""
+
+import collections
+import json
+import time
+
+
+class Promises:
+    """Notes runs and ends of all executors, and what must not have happened.
+
+    A run counts from its start at an executor until its end there, or until the
+    executor is gone.
+    """
+
+    def __init__(self):
+        self.broken = []
+        self.starts = 0
+        self._running = collections.defaultdict(set)
+        self._done = set()
+        self._acknowledged = set()
+
+    def report(self, rule, detail):
+        """Note a broken promise."""
+        self.broken.append({"rule": rule, "detail": detail, "at": time.time()})
+
+    def on_start(self, task, run, executor_id, spec):
+        """Note that a run has begun."""
+        self.starts += 1
+        others = self._running[task] - {(executor_id, run)}
+        if others:
+            self.report("two runs at once", f"{task} {run} beside {sorted(others)}")
+        if task in self._acknowledged:
+            self.report("run after its end was acknowledged", f"{task} {run}")
+        job, occurrence, step, _ = task.split(".")
+        for earlier in spec["steps"][int(step)].get("after", ()):
+            for index in range(spec["steps"][earlier]["count"]):
+                name = f"{job}.{occurrence}.{earlier}.{index}"
+                if name not in self._done:
+                    self.report("run before the step it depends on", f"{task} {name}")
+                    return
+        self._running[task].add((executor_id, run))
+
+    def on_end(self, task, run, executor_id, how):
+        """Note that a run is over."""
+        self._running[task].discard((executor_id, run))
+        if how == "done":
+            self._done.add(task)
+
+    def on_acknowledged(self, task, how):
+        """Note that the system has taken note of an end."""
+        if how == "done":
+            self._acknowledged.add(task)
+
+    def is_done(self, task):
+        """Return whether a run of a task has ended well."""
+        return task in self._done
+
+    def running_count(self, prefix):
+        """Return the number of tasks at work whose names begin like this."""
+        return sum(
+            bool(runs) and task.startswith(prefix)
+            for task, runs in self._running.items()
+        )
+
+
+def read_spec(text):
+    """Return what the stand-in's callers put into the specification of a job."""
+    return json.loads(text)
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -83,9 +83,11 @@
         self.addCleanup(result.close)
         return result
 
-    def exchange(self, link, *, wait_s=LIMIT_S, request_id=b"1", **options):
+    def exchange(
+        self, link, *, wait_s=LIMIT_S, request_id=b"1", method="GET", **options
+    ):
         exchange = connection.Exchange(
-            method="GET",
+            method=method,
             target="/",
             deadline=time.monotonic() + wait_s,
             reply_channel="replies",
@@ -106,6 +108,15 @@
                 "protocol",
             ),
             "not HTTP": (b"\x00\x01\r\n\r\n", "protocol"),
+            "two lengths": (
+                head + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+                "protocol",
+            ),
+            "cut chunks": (
+                head + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                "closed",
+            ),
+            "large head": (head + b"X: " + b"y" * 20_000, "protocol"),
             "nothing": (b"", "closed"),
         }
         for name, (answer, reason) in cases.items():
@@ -116,6 +127,34 @@
                 self.assertGreater(result.bytes_sent, 0)
                 self.assertFalse(link.is_open)
 
+    def test_whole_answers_of_all_forms_are_read(self):
+        """Guards against an answer that is refused, or read wrongly, for its form."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n"
+        cases = {
+            "chunks": (head + chunked, b"ok"),
+            "interim": (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, b"ok"),
+            "garbage after it": (OK + b"\x00\x01", b"ok"),
+            "last one": (head + b"Connection: close\r\nContent-Length: 0\r\n\r\n", b""),
+        }
+        for name, (answer, body) in cases.items():
+            with self.subTest(name=name):
+                link = self.connect(self.serve([answer]))
+                self.assertEqual(self.exchange(link).body, body)
+
+    def test_answer_to_head_has_no_body(self):
+        """Guards against a wait for the body that the headers announce."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+        link = self.connect(self.serve([answer]))
+        result = self.exchange(link, method="HEAD")
+        self.assertEqual((result.status, result.body), (200, b""))
+
+    def test_request_with_a_line_break_in_a_header_is_not_sent(self):
+        """Guards against a second request hidden in a header."""
+        link = self.connect(self.serve([]))
+        result = self.exchange(link, headers=[(b"x", b"1\r\nY: 2")])
+        self.assertEqual((result.reason, result.bytes_sent), ("protocol", 0))
+
     def test_reuse_needs_the_repeated_request_id(self):
         plain = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         for answer, is_reused in ((OK, True), (plain, False)):
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -7,7 +7,7 @@
 from cranberryport.control import fleet
 from cranberryport.generated import node_settings
 from cranberryport.platform import configuration, machines
-from cranberryport.scheduling import instances, records
+from cranberryport.scheduling import instances, load, records
 from tests import scheduling, scripted
 
 SETTINGS = node_settings.NodeSettings(
@@ -65,6 +65,7 @@
         self.are_executors_known = True
         self.fleet = fleet.Fleet(
             scheduler_=self.bench.scheduler,
+            load_meter=load.LoadMeter(state=self.bench.scheduler),
             client=self.client,
             store_client=types.SimpleNamespace(
                 append=lambda *a, **k: self.statuses.append(a)
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -1,6 +1,7 @@
 """Tests for the components that keep state in the store."""
 
 import unittest
+import unittest.mock
 
 from cranberryport.control import (
     job_writer,
@@ -75,6 +76,81 @@
         self.assertEqual(len(names), 2)
 
 
+class ReserveTest(unittest.TestCase):
+    """Members that are too weak to be the controller beside others."""
+
+    def setUp(self):
+        """Make a member in reserve."""
+        self.store = scripted.FakeStore()
+        self.timers = scripted.FakeTimers()
+        self.now = 100.0
+        patcher = unittest.mock.patch("time.monotonic", lambda: self.now)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.events = []
+        self.member = membership.Membership(
+            store_client=self.store,
+            timers=self.timers,
+            address="127.0.0.1:7",
+            on_gained=self.events.append,
+            on_lost=lambda: self.events.append("lost"),
+            is_reserve=True,
+        )
+        self.member.start()
+
+    def _see(self, *names):
+        members = dict(enumerate(names))
+        self.store.take("owners").callback(store.Owners(members=members))
+
+    def _wait(self, wait_s):
+        self.now += wait_s
+        self.timers.run()
+
+    def test_reserve_watches_and_does_not_join(self):
+        """Guards against a weak instance that decides for a large fleet.
+
+        Seen on scoica-ops-grown scale-1: a controller with half a core fell behind.
+        """
+        self._see("127.0.0.1:8#1")
+        self._wait(membership.RESERVE_INTERVAL_S)
+        self._see("127.0.0.1:8#1")
+        self.assertEqual(self.member.controller, "127.0.0.1:8")
+        self.assertNotIn("join", self.store.names())
+
+    def test_reserve_joins_once_no_member_is_left(self):
+        """Guards against a fleet without a controller."""
+        self._see()
+        self._wait(membership.RESERVE_DELAY_S / 2)
+        self._see()
+        self.assertNotIn("join", self.store.names())
+        self._wait(membership.RESERVE_DELAY_S)
+        self.assertIn("join", self.store.names())
+
+    def test_silence_of_the_store_is_not_the_loss_of_all_members(self):
+        """Guards against weak instances that all join as the store comes back."""
+        self._see("127.0.0.1:8#1")
+        for _ in range(4):
+            self._wait(membership.RESERVE_INTERVAL_S)
+            self.store.take("owners").callback(store.Unknown(detail="reset"))
+        self.assertNotIn("join", self.store.names())
+
+    def test_reserve_leaves_when_a_stronger_member_is_there(self):
+        """Guards against a weak controller that stays after the others are back."""
+        self._see()
+        self._wait(membership.RESERVE_DELAY_S + 0.1)
+        self.store.take("join").callback(
+            store.Membership(generation=5, partitions=frozenset({0}))
+        )
+        self.assertEqual(self.events, [5])
+        self._wait(membership.RESERVE_INTERVAL_S)
+        self._see("127.0.0.1:7#r1", "127.0.0.1:9#r2")
+        self.assertEqual(self.events, [5])
+        self._wait(membership.RESERVE_INTERVAL_S)
+        self._see("127.0.0.1:7#r1", "127.0.0.1:8#1")
+        self.assertEqual(self.events, [5, "lost"])
+        self.assertIn("leave", self.store.names())
+
+
 class ProgressWriterTest(unittest.TestCase):
     """Batches under an epoch."""
 
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -103,9 +103,23 @@
                 job=f"{number:016x}", accepted_at=scheduling.WALL - age_s
             )
             bench.add_job(job)
-        found = load.backlog(bench.scheduler, "pool", RULES, scheduling.WALL)
+        meter = load.LoadMeter(state=bench.scheduler)
+        found = meter.backlog("pool", RULES.priority, bench.now, scheduling.WALL)
         self.assertEqual(found, 1.0)
 
+    def test_jobs_admitted_at_once_count_before_they_are_stored(self):
+        """Guards against a burst whose jobs are all admitted to the same room."""
+        meter = load.LoadMeter(state=scheduling.Bench(count=0).scheduler)
+
+        def backlog(now):
+            return meter.backlog("pool", 1, now, scheduling.WALL)
+
+        self.assertEqual(backlog(0.0), 0.0)
+        meter.note_admitted("pool", 0, 5.0)
+        meter.note_admitted("pool", 2, 5.0)
+        self.assertEqual(backlog(0.01), 5.0)
+        self.assertEqual(backlog(2 * load.AGE_S), 0.0)
+
 
 class PackingTest(unittest.TestCase):
     """Choice of an executor."""
@@ -120,6 +134,22 @@
         candidates = [(full, [2000, 9000, 0]), (empty, [16000, 32000, 0])]
         self.assertIs(self._choose(scheduling.make_step(), candidates), full)
 
+    def test_needs_that_were_refused_cover_all_larger_ones(self):
+        """Guards against a full pool that is searched once for each waiting step."""
+        refused = packing.RefusedNeeds()
+        refused.note(scheduling.make_step(processors=2000, memory=100))
+        refused.note(scheduling.make_step(processors=1000, memory=50, label="gpu"))
+        refused.note(scheduling.make_step(processors=100, memory=10, spread=1))
+        larger = scheduling.make_step(processors=2000, memory=200, label="any")
+        self.assertTrue(refused.covers(larger))
+        labelled = scheduling.make_step(processors=1000, memory=100, label="gpu")
+        self.assertTrue(refused.covers(labelled))
+        for step in (
+            scheduling.make_step(processors=1500, memory=100),
+            scheduling.make_step(processors=2000, memory=50),
+        ):
+            self.assertFalse(refused.covers(step))
+
     def test_lasting_tasks_gather(self):
         """Guards against lasting tasks that hold every instance of an idle pool."""
         bench = scheduling.Bench(count=3)
@@ -400,7 +430,9 @@
         for number in range(5):
             bench.add_job(scheduling.make_job(step, job=f"{number:016x}"))
         now = time.monotonic()
-        asked = load.demand(bench.scheduler, now, scheduling.WALL)["pool"]
+        asked = load.LoadMeter(state=bench.scheduler).demand(now, scheduling.WALL)[
+            "pool"
+        ]
         # 20 tasks of one core-second in half a second keep 40 cores busy.
         self.assertGreaterEqual(asked, 40_000)
 
@@ -413,7 +445,9 @@
             )
             bench.add_job(job)
         later = time.monotonic() + 10
-        asked = load.demand(bench.scheduler, later, scheduling.WALL)["pool"]
+        asked = load.LoadMeter(state=bench.scheduler).demand(later, scheduling.WALL)[
+            "pool"
+        ]
         self.assertEqual(asked, 1000 * (1 + lending.LATE_SHARE))
 
     def test_pool_keeps_its_base(self):
