Borrow an instance for a task that has no place in its pool

Ruled out: the wave's maximum (37, at most 3 were down by then) and the bound of tasks away (none of the job was). Change: the planner and the evacuation note a pool in which a task has no place, and lending brings one instance at a time.

--- a/cranberryport/control/fleet.py
+++ b/cranberryport/control/fleet.py
@@ -526,6 +526,7 @@
                 demand=demand.get(service.name, 0),
                 size=0,
                 idle=[],
+                lacks_place=self._scheduler.lacks_place(service.name, now),
             )
             for service in self._services.values()
         }
@@ -550,6 +551,9 @@
                 # An instance in upkeep, or about to be, serves nobody.
                 continue
             asked.size += 1
+            asked.arriving += (
+                instance.state == instances.MOVING or pool != instance.pool
+            )
             executor = self._scheduler.executors.get(instance.executor)
             is_free = service.is_standby or (
                 executor is not None and executor.is_listed and executor.is_empty
--- a/cranberryport/scheduling/evacuation.py
+++ b/cranberryport/scheduling/evacuation.py
@@ -40,6 +40,8 @@
             _log_move(run, executor)
             state.stop_run(run)
             return False
+        if may_stop:
+            state.note_lacking(executor.service, now)
     return executor.is_empty
 
 
@@ -62,6 +64,8 @@
             if has_place(state, run, executor, now):
                 _log_move(run, executor)
                 state.stop_run(run)
+            else:
+                state.note_lacking(executor.service, now)
 
 
 def has_place(state, run, executor, now):
--- a/cranberryport/scheduling/lending.py
+++ b/cranberryport/scheduling/lending.py
@@ -76,12 +76,39 @@
         Instances that are there or on their way.
     idle : list of str
         Instances without any work that may move.
+    arriving : int, default=0
+        Instances of ``size`` that are still on their way.
+    lacks_place : bool, default=False
+        Whether a task has no place although there is room: tasks of a step are spread,
+        and each instance has as many of them as may be.
     """
 
-    __slots__ = ("demand", "idle", "is_off", "name", "processors", "size")
-
-    def __init__(self, *, name, is_off, processors, demand, size, idle):
+    __slots__ = (
+        "arriving",
+        "demand",
+        "idle",
+        "is_off",
+        "lacks_place",
+        "name",
+        "processors",
+        "size",
+    )
+
+    def __init__(
+        self,
+        *,
+        name,
+        is_off,
+        processors,
+        demand,
+        size,
+        idle,
+        arriving=0,
+        lacks_place=False,
+    ):
         self.name = name
+        self.arriving = arriving
+        self.lacks_place = lacks_place
         self.is_off = is_off
         self.processors = processors
         self.demand = demand
@@ -92,8 +119,12 @@
     def needed(self):
         """Instances that the demand needs now."""
         if not self.processors:
-            return 1 if self.demand else 0
-        return math.ceil(self.demand * HEADROOM / self.processors)
+            return 1 if self.demand or self.lacks_place else 0
+        needed = math.ceil(self.demand * HEADROOM / self.processors)
+        if self.lacks_place and not self.arriving:
+            # One by one, as the place that a task leaves may serve the next one.
+            needed = max(needed, self.size + 1)
+        return needed
 
 
 class Lending:
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -33,6 +33,8 @@
 UNKNOWN_ATTEMPTS = 1_000_000
 # Renewals that the previous controller had sent may arrive after the takeover.
 TAKEOVER_SLACK_S = 0.5
+# Longer than the time between two decisions about instances.
+LACKING_S = 0.2
 # A stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
 # All runs are looked through for such stops, so not at every decision.
@@ -103,6 +105,7 @@
         self._timed = {}
         self._retired = {}
         self._arrivals = collections.defaultdict(lending.ArrivalRate)
+        self._lacking = {}
 
     @property
     def jobs(self):
@@ -688,6 +691,23 @@
             starts.append(run)
         return starts
 
+    def note_lacking(self, service, now):
+        """Note that a task of a pool has no place there, whatever room is free.
+
+        Parameters
+        ----------
+        service : str
+            Pool, whose executors all have as many tasks of its step as may be.
+        now : float
+            Monotonic time in seconds.
+        """
+        self._lacking[service] = now
+
+    def lacks_place(self, service, now):
+        """Return whether a task has lately found no place in a pool."""
+        noted_at = self._lacking.get(service)
+        return noted_at is not None and now - noted_at < LACKING_S
+
     # Reports
 
     def state_of(self, job_id):
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -122,6 +122,8 @@
                 lasting_on=lasting,
             )
             if executor is None:
+                if step.is_lasting and step.spread:
+                    self._state.note_lacking(occurrence.job.service, now)
                 if permitted is candidates:
                     refused.note(step)
                 return
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -375,6 +375,20 @@
 class LendingTest(unittest.TestCase):
     """Moves between pools while the queues peak by turns."""
 
+    def test_pool_without_a_place_for_a_task_borrows_one_instance(self):
+        """Guards against a wave that waits for the next peak.
+
+        Seen on scoica-ops-grown scale-1: the tasks of a step were spread over all
+        instances of their pool, so three of 95 instances could not be emptied.
+        """
+        names = ["m1", "m2", "m3"]
+        for arriving, moves in ((0, [("m3", "pool")]), (1, [])):
+            spare = make_pool("spare", size=3, idle=names, is_off=True)
+            pool = make_pool("pool", size=5, demand=1_000)
+            pool.lacks_place, pool.arriving = True, arriving
+            found = lending.Lending().choose([spare, pool], 0.0)
+            self.assertEqual(found, moves)
+
     def test_peak_borrows_from_the_pool_that_is_off(self):
         """Guards against a peak that waits beside instances that are off."""
         pools = [
@@ -538,6 +552,19 @@
                 other.is_reserved = True
         self.assertFalse(evacuation.empty(bench.scheduler, executor, bench.now))
         self.assertEqual([run.state for run in runs], [model.RUNNING] * 2)
+        self.assertTrue(bench.scheduler.lacks_place("pool", bench.now))
+
+    def test_task_that_is_spread_and_has_no_place_is_noted(self):
+        """Guards against a lasting task that waits in a pool with room.
+
+        Its step may have one task on an executor, and there are fewer executors.
+        """
+        bench = scheduling.Bench(count=1)
+        step = scheduling.make_step(2, is_lasting=True, spread=1)
+        bench.add_job(scheduling.make_job(step))
+        self.assertEqual(len(bench.start()), 1)
+        self.assertTrue(bench.scheduler.lacks_place("pool", bench.now))
+        self.assertFalse(bench.scheduler.lacks_place("pool", bench.now + 1.0))
 
     def test_other_tasks_are_left_to_end(self):
         """Guards against losing work that ends before the instance has to go down."""
