--- a/bench/controller.py
+++ b/bench/controller.py
@@ -55,7 +55,6 @@
     found = deployment.Deployment(
         directory=directory,
         pools=pools,
-        settings=[("log_level", "INFO")],
         profile=profile,
     )
     resource.setrlimit(resource.RLIMIT_NOFILE, (4096, 4096))
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -107,6 +107,8 @@
             return 200, {
                 "broken": self._checks.broken,
                 "starts": self._checks.starts,
+                "started_jobs": self._checks.started_jobs(),
+                "running": self._checks.running(),
                 "store_calls": counts,
             }
         if request.path != "/control":
@@ -125,10 +127,8 @@
     def _order_configure(self, version):
         self._configure(version)
 
-    def _order_wave(self, number, instances_, duration_s, maximum):
-        self._instances.add_wave(
-            number, instances_, duration_s=duration_s, maximum=maximum
-        )
+    def _order_wave(self, number, names, duration_s, maximum):
+        self._instances.add_wave(number, names, duration_s=duration_s, maximum=maximum)
 
     def _order_store(self, is_down=False, delay_s=0.0, answers_to_lose=0):
         self._store.is_down = is_down
@@ -151,6 +151,13 @@
         if found.executor is None and found.state == "up":
             self._instances.begin_life(found, id=id)
 
+    def _order_restart(self, instance):
+        found = self._instances.all[instance]
+        if found.executor is not None:
+            executor_id = found.executor.id
+            self._instances.end_life(found, is_listed=True)
+            self._instances.begin_life(found, id=executor_id)
+
     def _order_freeze(self, instance, is_frozen):
         found = self._instances.all[instance].executor
         if found is not None:
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -12,6 +12,7 @@
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
 OPERATOR_TIMEOUT_S = 10.0
+PARTITIONS = 8
 
 
 def free_ports(count):
@@ -57,6 +58,7 @@
             "peer_port": peer,
             "metrics_port": metrics,
             "grace_s": 6.0,
+            "store_partitions": PARTITIONS,
             **settings,
         }
         path = directory / f"{name}.toml"
@@ -67,7 +69,7 @@
         if profile is not None:
             arguments = ["-m", "cProfile", "-o", profile, *arguments]
         self.child = processes.Child(
-            name=name, arguments=arguments, directory=directory
+            name=name, arguments=arguments, directory=directory, keeps_output=True
         )
 
     def is_ready(self):
@@ -89,8 +91,9 @@
         Instances by pool; the pool ``spare`` is off.
     entries : int
         Number of entry instances.
-    settings : dict
-        Further settings of the entry instances.
+    make_settings : callable or None
+        Takes the name of an entry instance and the addresses of the services; returns
+        its further settings.
     options : tuple of str
         Further options of the stand-ins.
     profile : pathlib.Path or None
@@ -98,17 +101,25 @@
     """
 
     def __init__(
-        self, *, directory, pools, entries=1, settings=(), options=(), profile=None
+        self,
+        *,
+        directory,
+        pools,
+        entries=1,
+        make_settings=None,
+        options=(),
+        profile=None,
     ):
         self._directory = pathlib.Path(directory)
-        arguments = ["-m", "standins.platform", *options]
+        arguments = ["-m", "standins.platform", "--partitions", str(PARTITIONS)]
+        arguments += options
         for pool, count in pools.items():
             arguments += ["--pool", f"{pool}={count}"]
         self._platform = processes.Child(
             name="platform", arguments=arguments, directory=self._directory
         )
         self._count = entries
-        self._settings = dict(settings)
+        self._make_settings = make_settings
         self._profile = profile
         self.entries = []
         self.addresses = {}
@@ -118,14 +129,14 @@
         self._platform.start()
         self.addresses = self._platform.read_announcement()
         for number in range(1, self._count + 1):
+            name = f"entry-{number}"
+            settings = {key: self.addresses[key] for key in ("store", "cloud")}
+            if self._make_settings is not None:
+                settings |= self._make_settings(name, self.addresses)
             entry = Entry(
-                name=f"entry-{number}",
+                name=name,
                 directory=self._directory,
-                settings={
-                    "store": self.addresses["store"],
-                    "cloud": self.addresses["cloud"],
-                    **self._settings,
-                },
+                settings=settings,
                 profile=self._profile if number == 1 else None,
             )
             entry.child.start()
--- a/standins/platform/promises.py
+++ b/standins/platform/promises.py
@@ -51,16 +51,13 @@
         if how == "done":
             self._acknowledged.add(task)
 
-    def is_done(self, task):
-        """Return whether a run of a task has ended well."""
-        return task in self._done
+    def running(self):
+        """Return the names of the tasks at work."""
+        return sorted(task for task, runs in self._running.items() if runs)
 
-    def running_count(self, prefix):
-        """Return the number of tasks at work whose names begin like this."""
-        return sum(
-            bool(runs) and task.startswith(prefix)
-            for task, runs in self._running.items()
-        )
+    def started_jobs(self):
+        """Return the ids of the jobs of which a task has begun."""
+        return sorted({task.partition(".")[0] for task in self._running})
 
 
 def read_spec(text):
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -32,10 +32,14 @@
         Arguments of the Python interpreter.
     directory : pathlib.Path
         Directory for its output.
+    keeps_output : bool, default=False
+        Whether the output of earlier starts is kept; a start with an announcement
+        needs a file of its own.
     """
 
-    def __init__(self, *, name, arguments, directory):
+    def __init__(self, *, name, arguments, directory, keeps_output=False):
         self._name = name
+        self._mode = "ab" if keeps_output else "wb"
         self._arguments = [str(argument) for argument in arguments]
         self._output = directory / f"{name}.out"
         self._log = directory / f"{name}.log"
@@ -70,7 +74,7 @@
         """Start the process; logs are appended to those of earlier starts."""
         if self.is_running:
             raise RuntimeError(f"{self._name} is running already")
-        with open(self._output, "wb") as output, open(self._log, "ab") as log:
+        with open(self._output, self._mode) as output, open(self._log, "ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, *self._arguments],
                 cwd=ROOT,
@@ -151,6 +155,10 @@
         """Pause the process by SIGSTOP."""
         self._process.send_signal(signal.SIGSTOP)
 
+    def signal(self, number):
+        """Send a signal."""
+        self._process.send_signal(number)
+
     def resume(self):
         """Let a frozen process go on by SIGCONT."""
         self._process.send_signal(signal.SIGCONT)
