--- a/cranberryport/scheduling/lending.py
+++ b/cranberryport/scheduling/lending.py
@@ -156,7 +156,8 @@
         donors = [p for p in pools if not p.is_off and p.size > p.needed]
         moves = []
         short = [p for p in pools if not p.is_off and p.needed > p.size]
-        for pool in sorted(short, key=lambda p: p.size - p.needed):
+        # A task without a place is served by a single instance, so it goes first.
+        for pool in sorted(short, key=lambda p: (not p.lacks_place, p.size - p.needed)):
             lacking = pool.needed - pool.size
             for source in (*sources, *donors):
                 if source is pool:
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -389,6 +389,15 @@
             found = lending.Lending().choose([spare, pool], 0.0)
             self.assertEqual(found, moves)
 
+    def test_place_for_a_task_goes_before_a_peak(self):
+        """Guards against a wave that waits for one instance while a peak takes all."""
+        spare = make_pool("spare", size=1, idle=["m1"], is_off=True)
+        peak = make_pool("peak", size=3, demand=160_000)
+        pool = make_pool("pool", size=5, demand=1_000)
+        pool.lacks_place = True
+        found = lending.Lending().choose([spare, peak, pool], 0.0)
+        self.assertEqual(found, [("m1", "pool")])
+
     def test_peak_borrows_from_the_pool_that_is_off(self):
         """Guards against a peak that waits beside instances that are off."""
         pools = [
