Stand-in: count the instances that are down for the wave itself

The trace shows one instance at a time for each wave, which is what the platform's rule bounds; the check now counts them for each wave, as strictly.

--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -25,6 +25,7 @@
         self.fence = 0
         self.server = None
         self.waves = set()
+        self.down_for = None
 
 
 class Instances:
@@ -199,10 +200,14 @@
             return 200, {}
         if instance.state != "up":
             return 409, {"Reason": "busy"}
-        down = sum(other.state == "upkeep" for other in self.all.values())
+        down = sum(
+            other.state == "upkeep" and other.down_for == number
+            for other in self.all.values()
+        )
         if down >= wave["Maximum"]:
             self._checks.report("more in upkeep than the wave allows", instance.id)
         instance.waves.add(number)
+        instance.down_for = number
         self.end_life(instance)
         instance.state = "upkeep"
         self._later(self._upkeep_s, lambda: self.begin_life(instance))
