Put tasks where others run longer

Cause: after a peak instances stay in use for one short task after the other (17 % of the instances of pools idle, 25 % more busy than the demand needs). Change: among executors with room, one that is in use for longer by declared run times goes before the fullest; steps of 0.4 s, as declared times are off. Tests: two new ones, the first fails without it.

--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -1,9 +1,15 @@
 """Choice of the executor for a task.
 
 Load pattern: tasks of uneven size on few executors; lasting tasks stay for long, and an
-executor that has one cannot be lent to another pool while its own is idle.
+executor that has one cannot be lent to another pool while its own is idle. After a peak
+an executor that gets a task again and again stays in use for one task at a time.
 """
 
+import math
+
+# Declared run times are off by half, so smaller differences say nothing.
+PROLONGING_STEP_S = 0.4
+
 
 def fits(step, executor, free):
     """Return whether a task fits into what is free.
@@ -67,7 +73,27 @@
     return step.label, processors, step.memory, step.accelerators
 
 
-def choose(step, candidates, *, used_on, racks, avoid, lasting_on):
+def busy_s(executor, now):
+    """Return the time until an executor is empty, by the declared run times.
+
+    Parameters
+    ----------
+    executor : executors.Executor
+        The executor.
+    now : float
+        Monotonic time in seconds.
+    """
+    longest = 0.0
+    for run in executor.runs.values():
+        step = run.task.step
+        if step.is_lasting:
+            return math.inf
+        began = now if run.confirmed_at is None else run.confirmed_at
+        longest = max(longest, began + step.estimate_s - now)
+    return longest
+
+
+def choose(step, candidates, *, used_on, racks, avoid, lasting_on, busy=None):
     """Choose an executor for one task.
 
     Parameters
@@ -84,6 +110,8 @@
         Executors on which the task has failed.
     lasting_on : dict of str to int
         Lasting tasks on each executor, which tasks that fill would disturb.
+    busy : dict of str to float, optional
+        Seconds until each executor is empty; without it they do not count.
 
     Returns
     -------
@@ -104,11 +132,16 @@
         # Lasting tasks gather on few executors. All take the fullest executor that has
         # room, so that wide tasks still find a whole one.
         gathers = -min(1, lasting) if step.is_lasting else 0
+        prolongs = 0
+        if busy is not None and not step.is_lasting:
+            left_s = max(0.0, step.estimate_s - busy.get(executor.id, 0.0))
+            prolongs = round(left_s / PROLONGING_STEP_S)
         key = (
             executor.id in avoid,
             is_remote or splits,
             disturbs,
             gathers,
+            prolongs,
             share,
             executor.id,
         )
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -85,15 +85,18 @@
             lasting[executor.id] = sum(
                 run.task.step.is_lasting for run in executor.runs.values()
             )
+        busy = {
+            executor.id: packing.busy_s(executor, now) for executor, _ in candidates
+        }
         refused = packing.RefusedNeeds()
         for occurrence in ordered:
             for number in sorted(occurrence.open_steps):
                 if not refused.covers(occurrence.job.steps[number]):
                     self._plan_step(
-                        occurrence, number, candidates, lasting, refused, now
+                        occurrence, number, candidates, lasting, busy, refused, now
                     )
 
-    def _plan_step(self, occurrence, number, candidates, lasting, refused, now):
+    def _plan_step(self, occurrence, number, candidates, lasting, busy, refused, now):
         tasks = occurrence.tasks[number]
         step = occurrence.job.steps[number]
         attempts = self._state.rules(occurrence.job).attempts
@@ -120,6 +123,7 @@
                 racks=racks,
                 avoid=task.avoid,
                 lasting_on=lasting,
+                busy=busy,
             )
             if executor is None:
                 if step.is_lasting and step.spread:
@@ -128,6 +132,8 @@
                     refused.note(step)
                 return
             lasting[executor.id] += step.is_lasting
+            lasts_s = math.inf if step.is_lasting else step.estimate_s
+            busy[executor.id] = max(busy[executor.id], lasts_s)
             self._plan_run(task, executor, task.next_run, permitted, used_on, racks)
 
     def _leave_stragglers(self, occurrences, candidates, slow, now):
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -1,5 +1,6 @@
 """Tests for the pure decisions of cranberryport.scheduling."""
 
+import math
 import time
 import unittest
 
@@ -134,6 +135,35 @@
         candidates = [(full, [2000, 9000, 0]), (empty, [16000, 32000, 0])]
         self.assertIs(self._choose(scheduling.make_step(), candidates), full)
 
+    def test_task_goes_where_others_run_longer(self):
+        """Guards against instances that one short task after the other keeps in use."""
+        names = ("a", "b", "c")
+        candidates = [
+            (scheduling.make_executor(name), [room, 9000, 0])
+            for name, room in zip(names, (2000, 8000, 16000), strict=True)
+        ]
+        step = scheduling.make_step(estimate_s=1.0)
+
+        def choose(**busy):
+            return self._choose(step, candidates, busy=busy).id
+
+        self.assertEqual(choose(a=0.2, b=2.0), "b")
+        self.assertEqual(choose(a=0.9, b=2.0), "a")
+        self.assertEqual(choose(), "a")
+
+    def test_executor_is_busy_until_its_longest_task_ends(self):
+        """Guards against run times that are counted from the present anew."""
+        bench = scheduling.Bench()
+        executor = bench.executors[0]
+        self.assertEqual(packing.busy_s(executor, bench.now), 0.0)
+        bench.add_job(scheduling.make_job(scheduling.make_step(estimate_s=3.0)))
+        bench.start()
+        self.assertEqual(packing.busy_s(executor, bench.now + 1.0), 2.0)
+        lasting = scheduling.make_step(is_lasting=True)
+        bench.add_job(scheduling.make_job(lasting, job="b" * 16))
+        bench.start()
+        self.assertEqual(packing.busy_s(executor, bench.now), math.inf)
+
     def test_needs_that_were_refused_cover_all_larger_ones(self):
         """Guards against a full pool that is searched once for each waiting step."""
         refused = packing.RefusedNeeds()
