Serve the job with the least time left first

Change: among jobs that can meet their objective the least time left goes first. Test: test_job_with_the_least_time_left_goes_first fails without it.

--- a/cranberryport/scheduling/ordering.py
+++ b/cranberryport/scheduling/ordering.py
@@ -89,9 +89,9 @@
     tuple
         Jobs that can still meet their objective come before those that cannot, and
         these before those that nobody waits for any more; late jobs about to become
-        useless come first. Among the feasible ones the smallest remaining work comes
-        first, as most callers are served that way when not all can be; among the
-        others the least time left.
+        useless come first. Within each group the least time left comes first: large
+        jobs with a long objective wait for small ones that have to begin now, and are
+        not put off again and again by those that come later.
     """
     job = occurrence.job
     began = max(job.accepted_at, occurrence.due)
@@ -99,9 +99,9 @@
         return (SERVING_FIRST, rules.priority, began)
     objective = objective_s(job, rules)
     left = began + objective - now
-    need, work = occurrence.left
+    need = occurrence.left[0]
     if left >= need:
-        return (FEASIBLE, rules.priority, work)
+        return (FEASIBLE, rules.priority, left - need)
     left += objective * (LATE_FACTOR - 1)
     if left < need:
         return (MISSED, rules.priority, began)
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -45,6 +45,15 @@
         """Guards against serving only jobs that are late already."""
         self.assertLess(self._key(1.0, 0.1), self._key(1.0, 3.0))
 
+    def test_job_with_the_least_time_left_goes_first(self):
+        """Guards against a large job that later small ones put off until it is late.
+
+        Objectives are 1.6 times a job's length and 0.6 s more, so a long one has more
+        time at first.
+        """
+        self.assertLess(self._key(0.5, 0.0), self._key(2.0, 0.0))
+        self.assertLess(self._key(2.0, 1.5), self._key(0.5, 0.0))
+
     def test_late_job_goes_before_one_that_nobody_waits_for(self):
         """Guards against work that is worth nothing to its caller."""
         self.assertLess(self._key(1.0, 3.0), self._key(1.0, 9.0))
