--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -16,6 +16,35 @@
 _logger = logging.getLogger(__name__)
 
 
+class _Pool:
+    """What the executors of a pool have while it is planned.
+
+    Parameters
+    ----------
+    candidates : list of (executors.Executor, list of int)
+        Executors that may be used, with what is free on each.
+    now : float
+        Monotonic time in seconds.
+    """
+
+    __slots__ = ("busy", "candidates", "lasting", "refused")
+
+    def __init__(self, *, candidates, now):
+        self.candidates = candidates
+        self.busy = {e.id: packing.busy_s(e, now) for e, _ in candidates}
+        self.lasting = {
+            executor.id: sum(run.task.step.is_lasting for run in executor.runs.values())
+            for executor, _ in candidates
+        }
+        self.refused = packing.RefusedNeeds()
+
+    def note(self, step, executor):
+        """Note that a task of a step was planned on an executor."""
+        self.lasting[executor.id] += step.is_lasting
+        lasts_s = math.inf if step.is_lasting else step.estimate_s
+        self.busy[executor.id] = max(self.busy[executor.id], lasts_s)
+
+
 class TaskPlanner:
     """Plans runs on the executors of all pools.
 
@@ -80,23 +109,13 @@
             occurrences,
             key=lambda o: ordering.order_key(o, self._state.rules(o.job), wall),
         )
-        lasting = collections.Counter()
-        for executor, _ in candidates:
-            lasting[executor.id] = sum(
-                run.task.step.is_lasting for run in executor.runs.values()
-            )
-        busy = {
-            executor.id: packing.busy_s(executor, now) for executor, _ in candidates
-        }
-        refused = packing.RefusedNeeds()
+        pool = _Pool(candidates=candidates, now=now)
         for occurrence in ordered:
             for number in sorted(occurrence.open_steps):
-                if not refused.covers(occurrence.job.steps[number]):
-                    self._plan_step(
-                        occurrence, number, candidates, lasting, busy, refused, now
-                    )
+                if not pool.refused.covers(occurrence.job.steps[number]):
+                    self._plan_step(occurrence, number, pool, now)
 
-    def _plan_step(self, occurrence, number, candidates, lasting, busy, refused, now):
+    def _plan_step(self, occurrence, number, pool, now):
         tasks = occurrence.tasks[number]
         step = occurrence.job.steps[number]
         attempts = self._state.rules(occurrence.job).attempts
@@ -111,7 +130,7 @@
         if not waiting:
             return
         used_on, racks = self._placed(tasks)
-        permitted = self._permitted(occurrence, number, candidates, now)
+        permitted = self._permitted(occurrence, number, pool.candidates, now)
         if step.is_gang:
             self._plan_gang(tasks, waiting, permitted, used_on, racks, now)
             return
@@ -122,18 +141,16 @@
                 used_on=used_on,
                 racks=racks,
                 avoid=task.avoid,
-                lasting_on=lasting,
-                busy=busy,
+                lasting_on=pool.lasting,
+                busy=pool.busy,
             )
             if executor is None:
                 if step.is_lasting and step.spread:
                     self._state.note_lacking(occurrence.job.service, now)
-                if permitted is candidates:
-                    refused.note(step)
+                if permitted is pool.candidates:
+                    pool.refused.note(step)
                 return
-            lasting[executor.id] += step.is_lasting
-            lasts_s = math.inf if step.is_lasting else step.estimate_s
-            busy[executor.id] = max(busy[executor.id], lasts_s)
+            pool.note(step, executor)
             self._plan_run(task, executor, task.next_run, permitted, used_on, racks)
 
     def _leave_stragglers(self, occurrences, candidates, slow, now):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,6 +47,10 @@
         self._callers = []
         self.broken = []
         self.plan = []
+        # Jobs handed in and accepted, and starts at executors.
+        self.jobs = 0
+        self.accepted = 0
+        self.starts = 0
 
     def _make_settings(self, name, addresses):
         settings = {}
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import collections
-import itertools
 import struct
 import time
 
@@ -55,7 +54,6 @@
     """A member of a group."""
 
     def __init__(self):
-        self.generation = 0
         self.expires_at = 0.0
         self.owned = set()
 
@@ -75,7 +73,7 @@
         self.members = {}
         self.owners = {}
 
-    def join(self, name, *, ttl_s, generation):
+    def join(self, name, *, ttl_s):
         """Take a join; returns the generation and the member's partitions."""
         now = time.monotonic()
         member = self.members.get(name)
@@ -83,7 +81,6 @@
             member = self.members[name] = Member()
             self.deal()
         member.expires_at = now + ttl_s
-        member.generation = generation
         # A partition that was dealt anew is free once its previous owner knows of it.
         member.owned &= self.target(name)
         for number in self.target(name):
@@ -136,7 +133,6 @@
         self.delay_s = 0.0
         # Calls that are done and whose answer is lost, still to come.
         self.answers_to_lose = 0
-        self._call_numbers = itertools.count()
 
     def partition(self, topic, number=0):
         """Return a partition."""
@@ -208,7 +204,6 @@
         generation, owned = group.join(
             fields["Member"],
             ttl_s=fields["TtlMs"] / 1000,
-            generation=fields.get("Generation", 0),
         )
         topic = fields["Topics"][0]
         rows = [[topic, number, 0] for number in owned]
