--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -19,7 +19,7 @@
 LIFE_MARK = "#"
 # Follows the mark in the names of members in reserve.
 RESERVE_MARK = "r"
-# The controller needs 0.54 cores for 180 executors at 500 tasks a second
+# The controller needs 0.62 cores for 180 executors at 500 tasks a second
 # (bench.controller); a core leaves room for peaks.
 LEAST_CORES = 1.0
 # A member in reserve looks this often who the controller is; a call to the store costs
