Keep a start without an answer when its executor begins anew

A start that got no answer is repeated for 2 s; the executor's new life took the repeat, while the controller had dropped the run at the restart and started the task elsewhere. Ruled out: an end that was acknowledged and forgotten (run 1 was at work). Change: at a restart only confirmed runs are dropped; a start without an answer stays until a list of the new life tells, and is repeated with that life's clock. A dropped run is never started again. A late answer of an earlier life is ignored.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -113,6 +113,13 @@
         validity_s = run.start_expires - now
         if self._is_stopped or run.state != model.ORDERED or validity_s <= 0:
             return
+        if run not in run.task.runs:
+            # It was dropped since, and its task may run elsewhere.
+            return
+        if self._executor.clock_ms is None:
+            # It has begun anew, and its clock is not known yet.
+            self._timers.after(START_RETRY_S, lambda: self.start(run))
+            return
         if run.deadline_ms is None:
             run.deadline_ms = self._executor.deadline_for(now, validity_s)
         self._client.start(
@@ -202,6 +209,9 @@
             executor.refused_until = time.monotonic() + SILENT_RETRY_S
             return True
         if answer.born is not None and executor.born != answer.born:
+            if executor.born is not None and answer.born < executor.born:
+                # A late answer of an earlier life.
+                return True
             if executor.born is not None:
                 self._scheduler.restarted(executor, answer.born)
             executor.born = answer.born
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -312,8 +312,15 @@
             _logger.info("executor left the list", extra={"executor": executor_id})
 
     def restarted(self, executor, born):
-        """Note that an executor lives again under its id: nothing runs there now."""
-        self._lose_runs(executor, "restarted")
+        """Note that an executor lives again under its id.
+
+        What it had confirmed is gone. A start without an answer may still arrive, or
+        may have arrived in the new life, so its run stays until a list tells.
+        """
+        self._lose_runs(executor, "restarted", is_kept=_is_unanswered)
+        for run in executor.runs.values():
+            # The new life has another clock.
+            run.deadline_ms = None
         executor.born = born
         executor.acked = 0
         executor.stored_end = 0
@@ -371,8 +378,10 @@
                 )
                 self._drop(run)
 
-    def _lose_runs(self, executor, reason):
+    def _lose_runs(self, executor, reason, is_kept=lambda run: False):
         for run in list(executor.runs.values()):
+            if is_kept(run):
+                continue
             _logger.info(
                 "run lost",
                 extra={
@@ -721,3 +730,7 @@
             job.queue == queue and not job.has_started
             for job in self._open_jobs.values()
         )
+
+
+def _is_unanswered(run):
+    return run.state == model.ORDERED and run.confirmed_at is None
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -262,6 +262,25 @@
         bench.list_runs(bench.executors[0], asked_at=asked_at)
         self.assertIn(run, run.task.runs)
 
+    def test_start_without_an_answer_survives_a_restart_of_its_executor(self):
+        """Guards against a task that runs in the new life and elsewhere.
+
+        The start may arrive after the restart.
+        """
+        bench = scheduling.Bench(count=2)
+        bench.add_job(scheduling.make_job())
+        (run,) = bench.scheduler.commit(bench.plan(), bench.now)
+        executor = bench.scheduler.executors[run.executor]
+        bench.scheduler.restarted(executor, 2)
+        self.assertEqual(bench.start(), [])
+        executor.read_clock(1000, bench.now)
+        bench.list_runs(executor, [(run.task.name, run.number)])
+        self.assertEqual(run.task.runs, [run])
+        later = run.start_expires + 0.1
+        bench.now = later
+        bench.list_runs(executor)
+        self.assertEqual(run.task.runs, [])
+
     def test_restart_under_the_same_id_ends_all_runs(self):
         """Guards against waiting for runs of an earlier life."""
         bench = scheduling.Bench()
