--- a/tests/test_scheduling_interleavings.py
+++ b/tests/test_scheduling_interleavings.py
@@ -7,7 +7,7 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cranberryport.scheduling import ordering, records, scheduler, task_planner
 from tests import scheduling
@@ -46,6 +46,12 @@
         self.noted_done = set()
         self.take_over()
 
+    @initialize(counts=st.lists(st.integers(1, 3), min_size=1, max_size=2))
+    def begin(self, counts):
+        """Begin with a job that is at work."""
+        self.hand_in(counts)
+        self.work(set(EXECUTORS))
+
     @rule()
     def take_over(self):
         """Begin a new controller with what is stored; the previous one is fenced."""
@@ -75,16 +81,25 @@
         self.jobs[job.id] = records.store_job(job)
         self.scheduler.add_job(job, WALL)
 
-    @rule(is_stored=st.booleans(), lost=st.sets(st.integers(0, 3)))
-    def decide(self, is_stored, lost):
+    @rule(names=st.sets(st.sampled_from(EXECUTORS), min_size=1))
+    def work(self, names):
+        """Let some executors list their runs, then decide."""
+        for name in sorted(names):
+            self.list_runs(name)
+        self.decide(lost=set())
+
+    @rule()
+    def be_fenced(self):
+        """Plan, but do not store, as there is a later controller."""
+        self.planner.plan(self.now, WALL)
+        self.take_over()
+
+    @rule(lost=st.sets(st.integers(0, 3)))
+    def decide(self, lost):
         """Plan, store, and send the starts; some are lost on their way."""
         self.scheduler.expire(self.now, WALL)
         self.planner.plan(self.now, WALL)
         batch = self.scheduler.take_batch()
-        if not is_stored:
-            # The append is refused, as there is a later controller.
-            self.take_over()
-            return
         for record in batch.stored:
             self.stored[record.job] = record
         for number, run in enumerate(self.scheduler.commit(batch, self.now)):
@@ -166,5 +181,5 @@
 
 InterleavingsTest = Interleavings.TestCase
 InterleavingsTest.settings = settings(
-    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+    max_examples=150, stateful_step_count=50, deadline=None, derandomize=True
 )
