Skip the duplicate of a previous response on a reused connection

Cause: a backend server that answers twice can send the duplicate after the connection was given to the next request. The duplicate has the id of the previous request, which ended the next exchange as a protocol error, so the caller was told 'unknown' although its request was answered. Change: a response with the id of the previous request on the connection is skipped, and the connection is closed after the next response. A retry with the same id and a duplicate of a response to HEAD are excluded.

--- a/cranberryport/http/connection.py
+++ b/cranberryport/http/connection.py
@@ -167,9 +167,14 @@
     is_head : bool
         Whether the request was a HEAD; its response has no body, even if the headers
         declare a length.
+    previous_request_id : bytes or None
+        Id of the previous request on the connection. A response with this id is a
+        duplicate and is skipped; the response to the present request follows it.
 
     Attributes
     ----------
+    has_skipped_duplicate : bool
+        Whether a duplicate of the previous response was skipped.
     is_complete : bool
         Whether the response has been read to its end.
     has_extra_data : bool
@@ -182,6 +187,7 @@
         "body",
         "body_size",
         "has_extra_data",
+        "has_skipped_duplicate",
         "head_size",
         "headers",
         "is_complete",
@@ -190,14 +196,17 @@
         "status",
         "_is_head",
         "_parser",
+        "_previous_request_id",
     )
 
-    def __init__(self, *, is_head):
+    def __init__(self, *, is_head, previous_request_id):
         self._is_head = is_head
+        self._previous_request_id = previous_request_id
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
         self.is_complete = False
         self.has_extra_data = False
+        self.has_skipped_duplicate = False
         self.is_reusable = False
 
     def _reset(self):
@@ -241,7 +250,7 @@
             return
         self.status = self._parser.get_status_code()
         self.is_head_complete = True
-        if self._is_head and self.status >= 200:
+        if self._is_head and self.status >= 200 and not self._is_duplicate:
             # The parser would wait for the body that the headers declare.
             self.is_complete = True
 
@@ -252,15 +261,24 @@
             self.body_size += len(data)
 
     def on_message_complete(self):
-        """Complete the response; discard an interim response (1xx)."""
+        """Complete the response; discard a duplicate or interim response (1xx)."""
         if self.is_complete:
             return
         if self.status < 200:
             self._reset()
             return
+        if self._is_duplicate:
+            self.has_skipped_duplicate = True
+            self._reset()
+            return
         self.is_complete = True
         self.is_reusable = self._parser.should_keep_alive()
 
+    @property
+    def _is_duplicate(self):
+        request_id = dict(self.headers).get(REQUEST_ID_HEADER)
+        return request_id is not None and request_id == self._previous_request_id
+
 
 class Connection:
     """A client connection, made by :meth:`Client.connect`.
@@ -289,6 +307,7 @@
         "_on_closed",
         "_outgoing",
         "_port",
+        "_previous_request_id",
         "_reader",
         "_socket",
         "_timer",
@@ -306,6 +325,7 @@
         self._outgoing = b""
         self._bytes_sent = 0
         self._connected_at = None
+        self._previous_request_id = None
         self._is_open = True
         self._is_connecting = False
         self._is_reused = False
@@ -353,7 +373,14 @@
         self._exchange = exchange
         exchange.connection = self
         exchange.started_at = time.monotonic()
-        self._reader = _ResponseReader(is_head=exchange.method == "HEAD")
+        previous_request_id = self._previous_request_id
+        if previous_request_id == exchange.request_id:
+            # A retry keeps the id of its request.
+            previous_request_id = None
+        self._reader = _ResponseReader(
+            is_head=exchange.method == "HEAD",
+            previous_request_id=previous_request_id,
+        )
         self._bytes_sent = 0
         self._is_reused = self._connected_at is not None
         delay_s = exchange.deadline - time.monotonic()
@@ -540,9 +567,12 @@
             body=b"".join(reader.body),
         )
         is_reusable = reader.is_reusable and not (
-            reader.has_extra_data or self._outgoing
+            reader.has_extra_data or reader.has_skipped_duplicate or self._outgoing
         )
         is_matched = request_id is None or echoed == request_id
+        # The end of a duplicate response to a HEAD cannot be recognized.
+        is_head = self._exchange.method == "HEAD"
+        self._previous_request_id = None if is_head else request_id
         self._finish(result, is_reusable=is_reusable and is_matched)
 
     def _has_known_length(self, headers):
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -187,6 +187,34 @@
         self.assertEqual(self.exchange(client_connection).status, 200)
         self.assertFalse(client_connection.is_open)
 
+    def test_duplicate_of_the_previous_response_is_skipped(self):
+        """Guards against reporting a request that was answered as unknown."""
+        own = OK.replace(b"Request-Id: 1", b"Request-Id: 2").replace(b"ok", b"no")
+        for method in ("GET", "POST"):
+            for answer in (OK + own, OK + OK + own):
+                with self.subTest(method=method, answer=answer):
+                    client_connection = self.connect(self.serve([OK, answer]))
+                    self.exchange(client_connection)
+                    result = self.exchange(
+                        client_connection, request_id=b"2", method=method
+                    )
+                    self.assertEqual(getattr(result, "body", result), b"no")
+                    self.assertFalse(client_connection.is_open)
+
+    def test_response_to_a_retry_with_the_same_id_is_read(self):
+        """Guards against taking the response to a retry for a duplicate."""
+        client_connection = self.connect(self.serve([OK, OK]))
+        self.exchange(client_connection)
+        self.assertEqual(self.exchange(client_connection).body, b"ok")
+
+    def test_duplicate_response_alone_is_not_an_answer(self):
+        """Guards against taking a duplicate for the answer to the next request."""
+        client_connection = self.connect(self.serve([OK, OK]))
+        self.exchange(client_connection)
+        result = self.exchange(client_connection, request_id=b"2", wait_s=0.1)
+        self.assertEqual(result.reason, "timeout")
+        self.assertFalse(client_connection.is_open)
+
     def test_silent_server_times_out_with_bytes_sent(self):
         client_connection = self.connect(self.serve([b""]))
         result = self.exchange(client_connection, wait_s=0.1)
