--- a/cranberryport/stream/retention_keeper.py
+++ b/cranberryport/stream/retention_keeper.py
@@ -26,6 +26,9 @@
 # A process whose state began without a snapshot waits longer, so that a process with
 # the whole state writes the next snapshot if there is one.
 LOST_STATE_INTERVAL_FACTOR = 2
+# Time between the snapshots of two sessions after an outage of the log; it is enough to
+# append one and read it back, so that usually only one session writes.
+OUTAGE_RANK_DELAY_S = 0.1
 KEY_EXPIRY_INTERVAL_S = 600.0
 LOST_KEYS_RETRY_S = 5.0
 
@@ -62,6 +65,10 @@
         self._lost_keys_expired_at = float("-inf")
         # The follower's gap count at the last snapshot of this process.
         self._handled_gap_count = 0
+        # Monotonic time of the last read that reached the end of the log, or None.
+        self._contact_at = None
+        # Whether every snapshot in the log may have been deleted during an outage.
+        self._may_lack_snapshot = False
 
     @handler("started", channel="*")
     def _on_started(self, *_):
@@ -74,11 +81,39 @@
             is_chunk = isinstance(record, messages.SnapshotChunk)
             if is_chunk and record.index == record.count - 1:
                 self._snapshot_at = time.monotonic()
+                self._may_lack_snapshot = False
+
+    @handler("contact", channel="*")
+    def _on_contact(self):
+        now = time.monotonic()
+        is_after_outage = (
+            self._contact_at is not None and now - self._contact_at >= self._interval_s
+        )
+        self._contact_at = now
+        if is_after_outage:
+            self._may_lack_snapshot = True
+            # Whoever holds the state may be replaced soon, so the periodic check would
+            # come too late.
+            rank = self._session_keeper.rank or 0
+            self._timers.after(
+                rank * OUTAGE_RANK_DELAY_S, self._write_snapshot_after_outage
+            )
+
+    def _write_snapshot_after_outage(self):
+        if self._may_lack_snapshot and self._can_propose:
+            self._may_lack_snapshot = False
+            self._snapshot_at = time.monotonic()
+            self._write_snapshot()
+
+    @property
+    def _can_propose(self):
+        return self._session_keeper.is_open and self._follower.has_dispatch_right
 
     def _check_snapshot_and_keys(self):
         self._timers.after(CHECK_INTERVAL_S, self._check_snapshot_and_keys)
-        if not self._session_keeper.is_open or not self._follower.has_dispatch_right:
+        if not self._can_propose:
             return
+        self._write_snapshot_after_outage()
         now = time.monotonic()
         delay_s = self._session_keeper.rank * min(RANK_DELAY_S, self._interval_s / 16)
         has_new_gap = self._follower.gap_count > self._handled_gap_count
