Keep the orders of two controllers apart without fences and across a suspend

Cause, found by reading the code for a platform that does not fence orders for instances: (1) the validity of the membership was measured on the monotonic clock, which stops while a machine is suspended, so a controller that was suspended past its membership could still send an order; (2) a repeated order did not store its new time, so a successor counted from the first attempt; (3) an order without a response may be carried out 12 s later, after an order of the successor; (4) the successor compared wall-clock times of two instances, which can differ by seconds; (5) a connection can take long after the check of the role; (6) an instance done after the refusals 'wave' and 'invalid' was not saved. Change: the membership uses CLOCK_BOOTTIME; a retry is stored before it is sent; where orders are not fenced (new setting are_orders_fenced) unanswered orders are stored and their instances wait 13 s after a takeover; waits are computed from the stored times alone; the role is checked when the first byte is sent. Tests: six, each failing before.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -46,6 +46,8 @@
 WAVE_KEY_PREFIX = "wave/"
 # The field ``job`` of a wave or orders record holds its key instead of a job id.
 ORDERS_KEY = "orders"
+# Written only where the platform does not fence orders.
+UNANSWERED_ORDERS_KEY = "orders/unanswered"
 # The advice service handles the calls of an entry instance one after another, and it
 # refuses further calls while 32 wait.
 ADVICE_CALLS_LIMIT = 4
@@ -152,7 +154,7 @@
         self._waves_to_add = []
         self._done_instances_by_wave = {}
         self._unsaved_waves = {}
-        self._unsaved_orders = None
+        self._unsaved_orders = []
         self._orders_callbacks = []
         self._instance_manager = None
         if instance_client is not None:
@@ -349,9 +351,15 @@
         if self._is_ready and 0 <= message.partition < len(self._jobs_readers):
             self._jobs_readers[message.partition].catch_up(message.end)
 
-    def _save_orders(self, sent, callback):
-        self._unsaved_orders = messages.OrdersStored(job=ORDERS_KEY, sent=dict(sent))
-        self._orders_callbacks.append(callback)
+    def _save_orders(self, sent, unanswered, callback):
+        records = [messages.OrdersStored(job=ORDERS_KEY, sent=dict(sent))]
+        if not self._settings.are_orders_fenced:
+            records.append(
+                messages.OrdersStored(job=UNANSWERED_ORDERS_KEY, sent=dict(unanswered))
+            )
+        self._unsaved_orders = records
+        if callback is not None:
+            self._orders_callbacks.append(callback)
         self.schedule_decision()
 
     def _are_jobs_current(self):
@@ -386,6 +394,7 @@
                 self._timers.after(READ_RETRY_DELAY_S, self._read_progress)
                 return
             result = store.NewestRecords(records=[], end=0)
+        orders = {}
         for key, value in result.records:
             if key.startswith(WAVE_KEY_PREFIX):
                 record = _decode(key, value, messages.WaveStored)
@@ -393,14 +402,19 @@
                     number = int(key.removeprefix(WAVE_KEY_PREFIX))
                     self._done_instances_by_wave[number] = set(record.done)
                 continue
-            if key == ORDERS_KEY:
+            if key in (ORDERS_KEY, UNANSWERED_ORDERS_KEY):
                 record = _decode(key, value, messages.OrdersStored)
-                if record is not None and self._instance_manager is not None:
-                    self._instance_manager.restore_orders(record.sent, time.time())
+                if record is not None:
+                    orders[key] = record.sent
                 continue
             record = _decode(key, value, messages.ProgressStored)
             if record is not None:
                 self._stored_progress[key] = record
+        if self._instance_manager is not None and ORDERS_KEY in orders:
+            sent = orders[ORDERS_KEY]
+            # Without this record every order counts as unanswered.
+            unanswered = orders.get(UNANSWERED_ORDERS_KEY, sent)
+            self._instance_manager.restore_orders(sent, unanswered)
         for reader in self._jobs_readers:
             reader.start()
 
@@ -643,11 +657,10 @@
     def _store_batch(self):
         batch = self._scheduler.take_batch()
         other_records = list(self._unsaved_waves.values())
-        if self._unsaved_orders is not None:
-            other_records.append(self._unsaved_orders)
+        other_records += self._unsaved_orders
         callbacks, self._orders_callbacks = self._orders_callbacks, []
         self._unsaved_waves = {}
-        self._unsaved_orders = None
+        self._unsaved_orders = []
         new_records = [*batch.progress_records, *other_records]
         if new_records:
             self._writer.write(
--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -35,8 +35,9 @@
 # Timeout of a call to an executor plus the time until the next list of its runs shows
 # the effect.
 STOP_EFFECT_DELAY_S = 1.0
-# Clocks of the entry instances differ by less than this in normal operation.
-CLOCK_SLACK_S = 0.5
+# Added to the time between orders of two controllers, for the time that the last order
+# of the earlier one takes to arrive.
+ORDER_TURN_MARGIN_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -103,8 +104,8 @@
     save_wave : callable
         Called with a wave whose progress is to be stored.
     save_orders : callable
-        Called with the wall-clock times of the last orders by instance, and with a
-        function to call once they are stored.
+        Called with the Unix times of the last orders by instance, those of the orders
+        without a response, and a function to call once they are stored.
     """
 
     __slots__ = (
@@ -203,25 +204,34 @@
         """Give no more orders."""
         self._is_stopped = True
 
-    def restore_orders(self, sent, now_unix_s):
+    def restore_orders(self, sent, unanswered):
         """Delay orders for instances that the previous controller has ordered lately.
 
         The platform sets a minimum time between the orders of two controllers for the
-        same instance.
+        same instance. Where it does not refuse an order after one of a later
+        controller, an order without a response also has to be carried out or expire
+        before a later controller sends one.
+
+        The times are compared with each other only, since the clocks of two entry
+        instances can differ by seconds.
 
         Parameters
         ----------
         sent : dict of str to float
             Unix time of the last order by instance.
-        now_unix_s : float
-            Unix time in seconds.
+        unanswered : collection of str
+            Instances whose last order had no response.
         """
         now = time.monotonic()
-        min_gap_s = self._settings.order_turn_ms / 1000 + CLOCK_SLACK_S
+        turn_s = self._settings.order_turn_ms / 1000 + ORDER_TURN_MARGIN_S
+        latest = max(sent.values(), default=0.0)
         for instance_id, sent_at in sent.items():
-            waited_s = max(0.0, now_unix_s - sent_at)
-            if waited_s < min_gap_s:
-                self._order_not_before[instance_id] = now + min_gap_s - waited_s
+            wait_s = turn_s
+            if instance_id in unanswered and not self._settings.are_orders_fenced:
+                wait_s = max(wait_s, ORDER_LIFETIME_S)
+            wait_s -= latest - sent_at
+            if wait_s > 0:
+                self._order_not_before[instance_id] = now + wait_s
         self._order_times = dict(sent)
 
     def _is_orderable(self, instance_id, now):
@@ -462,17 +472,35 @@
             for key, sent_at in self._order_times.items()
             if now_unix_s - sent_at < ORDER_LIFETIME_S
         }
-        self._save_orders(
-            self._order_times, lambda: self._send_order(instance_id, order)
+        self._save_order_times(lambda: self._send_order(instance_id, order))
+
+    def _save_order_times(self, callback):
+        unanswered = {
+            instance_id: sent_at
+            for instance_id, sent_at in self._order_times.items()
+            if instance_id in self._orders and not self._orders[instance_id].is_accepted
+        }
+        self._save_orders(self._order_times, unanswered, callback)
+
+    def _retry_order(self, instance_id, order):
+        if self._is_stopped or self._orders.get(instance_id) is not order:
+            return
+        if self._is_sole_controller():
+            # Stores the time of this attempt, from which a later controller counts.
+            self._store_and_send(instance_id, order)
+        else:
+            self._retry_order_later(instance_id, order)
+
+    def _retry_order_later(self, instance_id, order):
+        self._timers.after(
+            ORDER_RETRY_DELAY_S, lambda: self._retry_order(instance_id, order)
         )
 
     def _send_order(self, instance_id, order):
         if self._is_stopped or self._orders.get(instance_id) is not order:
             return
         if not self._is_sole_controller():
-            self._timers.after(
-                ORDER_RETRY_DELAY_S, lambda: self._send_order(instance_id, order)
-            )
+            self._retry_order_later(instance_id, order)
             return
         order.sent_at = time.monotonic()
 
@@ -481,11 +509,19 @@
 
         if order.wave is not None:
             self._client.start_maintenance(
-                instance_id, order.wave.number, epoch=self._epoch, callback=finish
+                instance_id,
+                order.wave.number,
+                epoch=self._epoch,
+                may_send=self._is_sole_controller,
+                callback=finish,
             )
         else:
             self._client.move(
-                instance_id, order.target_pool, epoch=self._epoch, callback=finish
+                instance_id,
+                order.target_pool,
+                epoch=self._epoch,
+                may_send=self._is_sole_controller,
+                callback=finish,
             )
 
     def _on_order_result(self, instance_id, order, result):
@@ -495,6 +531,8 @@
             order.accepted_at = time.monotonic()
             if order.wave is not None:
                 order.wave.accepted_instances.add(instance_id)
+            if not self._settings.are_orders_fenced:
+                self._save_order_times(None)
             return
         _logger.info(
             "order not accepted",
@@ -503,15 +541,14 @@
         if result.reason == "fenced":
             self._on_superseded()
         elif result.reason in ("", "limited"):
-            self._timers.after(
-                ORDER_RETRY_DELAY_S, lambda: self._send_order(instance_id, order)
-            )
+            self._retry_order_later(instance_id, order)
         else:
             self._orders.pop(instance_id, None)
             if order.wave is not None:
                 order.wave.previous_executors.pop(instance_id, None)
                 if result.reason in ("wave", "invalid"):
                     order.wave.done_instances.add(instance_id)
+                    self._save_wave(order.wave)
             elif result.reason == "invalid":
                 instance = self._instances.get(instance_id)
                 kind = instance.kind if instance else ""
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -9,6 +9,7 @@
 import secrets
 import time
 
+from cranberryport import boot_clock
 from cranberryport.platform import store
 
 GROUP = "controllers"
@@ -144,7 +145,7 @@
         """
         if self._epoch is None or self._joined_at is None:
             return False
-        return time.monotonic() - self._joined_at < self._ttl_s
+        return boot_clock.now_s() - self._joined_at < self._ttl_s
 
     def start(self):
         """Join the group, or watch its members if this is a fallback member."""
@@ -222,7 +223,7 @@
 
     def _join(self):
         self._pending_joins += 1
-        sent_at = time.monotonic()
+        sent_at = boot_clock.now_s()
         self._store.join(
             GROUP,
             self._member_name,
--- a/cranberryport/http/connection_pool.py
+++ b/cranberryport/http/connection_pool.py
@@ -43,6 +43,7 @@
         timeout_s,
         body=b"",
         headers=(),
+        may_send=None,
         response_limit_bytes=connection.RESPONSE_BODY_LIMIT_BYTES,
     ):
         """Send a request.
@@ -61,6 +62,9 @@
             Complete body.
         headers : list of (bytes, bytes)
             Headers besides ``Host`` and ``Content-Length``.
+        may_send : callable or None
+            Called without arguments immediately before the first byte is sent; False
+            fails the request as ``refused`` before anything is sent.
         response_limit_bytes : int
             Largest body of a response.
         """
@@ -72,6 +76,7 @@
             deadline=time.monotonic() + timeout_s,
             reply_channel=self.channel,
             context=callback,
+            may_send=may_send,
             response_limit_bytes=response_limit_bytes,
         )
         self._send(address, exchange)
--- a/cranberryport/platform/machines.py
+++ b/cranberryport/platform/machines.py
@@ -89,17 +89,17 @@
 
         request_page(None)
 
-    def move(self, instance_id, pool, *, epoch, callback):
+    def move(self, instance_id, pool, *, epoch, may_send, callback):
         """Move an instance to a pool; its executor and all runs on it end at once."""
         body = {"Machine": instance_id, "Pool": pool}
-        self._send_order("/api/machine-move", body, epoch, callback)
+        self._send_order("/api/machine-move", body, epoch, may_send, callback)
 
-    def start_maintenance(self, instance_id, wave, *, epoch, callback):
+    def start_maintenance(self, instance_id, wave, *, epoch, may_send, callback):
         """Start the maintenance of an instance; all runs on it end at once."""
         body = {"Machine": instance_id, "Wave": wave}
-        self._send_order("/api/machine-upkeep", body, epoch, callback)
+        self._send_order("/api/machine-upkeep", body, epoch, may_send, callback)
 
-    def _send_order(self, target, body, epoch, callback):
+    def _send_order(self, target, body, epoch, may_send, callback):
         headers = (
             *bodies.JSON_HEADERS,
             (HOLDER_HEADER, self._holder.encode()),
@@ -113,6 +113,7 @@
             timeout_s=TIMEOUT_S,
             body=bodies.encode(body),
             headers=headers,
+            may_send=may_send,
         )
 
 
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -33,11 +33,11 @@
         """Answer with the list of the test."""
         callback(self.listed)
 
-    def move(self, instance, pool, *, epoch, callback):
+    def move(self, instance, pool, *, epoch, may_send, callback):
         """Record a move."""
         self.orders.append(("move", instance, pool, epoch, callback))
 
-    def start_maintenance(self, instance, wave, *, epoch, callback):
+    def start_maintenance(self, instance, wave, *, epoch, may_send, callback):
         """Record the start of maintenance."""
         self.orders.append(("maintenance", instance, wave, epoch, callback))
 
@@ -62,7 +62,10 @@
         self.client = FakeInstanceClient(self.listed)
         self.saved = []
         self.statuses = []
+        self.unanswered = []
         self.has_read_executors = True
+        self.is_sole_controller = True
+        self.timers = scripted.FakeTimers()
         self.manager = instance_manager.InstanceManager(
             scheduler=self.harness.scheduler,
             load_meter=load.LoadMeter(state=self.harness.scheduler),
@@ -70,15 +73,15 @@
             store_client=types.SimpleNamespace(
                 append=lambda *a, **k: self.statuses.append(a)
             ),
-            timers=scripted.FakeTimers(),
+            timers=self.timers,
             epoch=7,
             settings=SETTINGS,
-            is_sole_controller=lambda: True,
+            is_sole_controller=lambda: self.is_sole_controller,
             has_read_executors=lambda: self.has_read_executors,
             on_superseded=lambda: None,
             on_decided=lambda: None,
             save_wave=lambda wave: None,
-            save_orders=lambda sent, callback: self.saved.append((sent, callback)),
+            save_orders=self._save_orders,
         )
         self.manager.set_services(
             {"spare": configuration.Service(name="spare", is_standby=True)}
@@ -91,6 +94,11 @@
         )
         self.manager.add_wave(wave, ())
 
+    def _save_orders(self, sent, unanswered, callback):
+        self.unanswered.append(set(unanswered))
+        if callback is not None:
+            self.saved.append((dict(sent), callback))
+
     def test_order_is_sent_only_after_it_is_stored(self):
         """Guards against an order that a new controller would not know of."""
         self.manager.start()
@@ -103,13 +111,69 @@
 
     def test_instance_with_a_recent_order_of_another_controller_waits(self):
         """Guards against orders of two controllers for one instance in a short time."""
-        self.manager.restore_orders({"m1": time.time() - 1.0}, time.time())
+        self.manager.restore_orders({"m1": time.time()}, ())
         self.manager.start()
         self.assertEqual([list(sent) for sent, _ in self.saved][-1], ["m1", "m2"])
         self.assertEqual(len(self.saved), 1)
         self.saved[0][1]()
         self.assertEqual([order[1] for order in self.client.orders], ["m2"])
 
+    def test_unanswered_order_of_another_controller_has_to_expire_first(self):
+        """Guards against an early order that is carried out after a later one.
+
+        Without fences the platform carries out an order of an earlier controller that
+        was delayed for some seconds.
+        """
+        sent = {"m1": 100.0, "m2": 90.0, "m3": 100.0}
+        self.manager.restore_orders(sent, {"m1", "m2"})
+        now = time.monotonic()
+        for elapsed_s, orderable in (
+            (3.0, ["m2"]),
+            (4.0, ["m2", "m3"]),
+            (12.0, ["m2", "m3"]),
+            (13.5, ["m1", "m2", "m3"]),
+        ):
+            with self.subTest(elapsed_s=elapsed_s):
+                self.assertEqual(
+                    [m for m in sent if self.manager._is_orderable(m, now + elapsed_s)],
+                    orderable,
+                )
+
+    def test_clock_of_the_previous_controller_does_not_shorten_the_wait(self):
+        """Guards against orders of two controllers while a clock is seconds off."""
+        self.manager.restore_orders({"m1": time.time() - 10.0}, ())
+        self.assertFalse(self.manager._is_orderable("m1", time.monotonic() + 2.9))
+
+    def test_repeated_order_is_stored_with_its_new_time(self):
+        """Guards against a successor that counts from the first attempt only."""
+        del self.listed["m2"]
+        self.manager.start()
+        self.saved.pop()[1]()
+        self.client.orders[0][4](machines.OrderResult(is_accepted=False))
+        self.timers.run()
+        self.assertEqual(len(self.client.orders), 1)
+        self.assertEqual(len(self.saved), 1)
+        self.saved.pop()[1]()
+        self.assertEqual(len(self.client.orders), 2)
+
+    def test_answer_removes_the_order_from_the_unanswered_ones(self):
+        """Guards against a successor that waits for an order that was answered."""
+        del self.listed["m2"]
+        self.manager.start()
+        self.saved.pop()[1]()
+        self.assertEqual(self.unanswered[-1], {"m1"})
+        self.client.orders[0][4](machines.OrderResult(is_accepted=True))
+        self.assertEqual(self.unanswered[-1], set())
+
+    def test_order_is_not_sent_once_the_membership_may_have_expired(self):
+        """Guards against a controller that was paused between decision and sending."""
+        del self.listed["m2"]
+        self.manager.start()
+        self.is_sole_controller = False
+        self.saved.pop()[1]()
+        self.timers.run()
+        self.assertEqual((self.client.orders, self.saved), ([], []))
+
     def test_nothing_is_ordered_before_the_executors_are_known(self):
         """Guards against maintenance that ends all lasting tasks of an executor.
 
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -65,6 +65,20 @@
         self.assertEqual(self.events, [5, "lost"])
         self.assertEqual(self.store.pop_call("join").generation, 6)
 
+    def test_membership_expires_while_the_machine_is_suspended(self):
+        """Guards against orders by a controller that has been replaced meanwhile.
+
+        The monotonic clock stops while a machine is suspended.
+        """
+        with unittest.mock.patch("cranberryport.boot_clock.now_s") as boot_now_s:
+            boot_now_s.return_value = 100.0
+            self.timers.run()
+            self.store.pop_call("join")
+            self._answer(5, 0)
+            self.assertTrue(self.member.is_sole_controller)
+            boot_now_s.return_value += membership.TTL_S
+            self.assertFalse(self.member.is_sole_controller)
+
     def test_late_answer_to_an_earlier_join_is_ignored(self):
         """Guards against a controller role that is regained by an outdated answer."""
         self.timers.run()
