Move all instances that long-running tasks need to their pool at once

Such a job has 24 tasks, each on another executor and of 89 GB in the mean, but the demand of a pool counted processors only, and a pool with an unplaceable task got one instance at a time, each 1.5 to 2 s. One job had no task at work for 14 s. A long-running task without a spread limit was not marked as unplaceable at all, nor one whose needs were covered by an earlier step that found no room. Ruled out: the wave and the peak (standby instances were there all the time). Change: the planner marks steps with the number of unplaceable tasks, the pool needs the empty instances that these fill (by resources and spread limit), less those that are still arriving or settling, and memory counts as demand beside processors. Steps with advice still add one instance at a time, and a label that no instance has adds none. Tests: three new ones, failing before; two adapted to the number in place of the flag, as strict.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -15,10 +15,14 @@
     evacuation,
     instances,
     maintenance,
+    packing,
     rebalancing,
 )
 
 CYCLE_INTERVAL_S = 0.06
+# An instance that arrived in a pool longer ago than this, and whose executor is still
+# not known, is not waited for any more.
+SETTLING_LIMIT_S = 3.0
 BUSY_LIST_INTERVAL_S = 0.3
 IDLE_LIST_INTERVAL_S = 2.0
 STATUS_TIMEOUT_S = 1.5
@@ -136,6 +140,7 @@
         "_settings",
         "_store",
         "_timers",
+        "_unsettled_since",
         "_waves",
     )
 
@@ -186,6 +191,8 @@
         self._pools_logged_at = 0.0
         self._orders = {}
         self._refused_moves = set()
+        # By instance: its executor, and the time since which that takes no runs.
+        self._unsettled_since = {}
         self._services = {}
         self._waves = {}
         self._reported_completions = {}
@@ -624,18 +631,31 @@
     def _decide_moves(self, reserved, now):
         if not any(service.is_standby for service in self._services.values()):
             return
-        demand = self._load_meter.demand(now, time.time())
+        now_unix_s = time.time()
+        demand = self._load_meter.demand(now, now_unix_s)
+        memory_demand = self._load_meter.memory_demand(now, now_unix_s)
+        capacities = self._instance_capacities()
+        kinds = {instance.kind for instance in self._instances.values()}
         # Standby pools without instances are included, since instances return to them.
         pools = {
             service.name: rebalancing.PoolLoad(
                 name=service.name,
                 is_standby=service.is_standby,
-                processors=0,
+                processors=capacities[service.name][0],
                 demand=demand.get(service.name, 0),
                 size=0,
                 idle=[],
-                has_unplaceable_task=self._scheduler.has_unplaceable_task(
-                    service.name, now
+                memory=capacities[service.name][1],
+                memory_demand=memory_demand.get(service.name, 0),
+                unplaced_instances=packing.count_needed_instances(
+                    [
+                        (step, count)
+                        for step, count in self._scheduler.unplaceable_tasks(
+                            service.name, now
+                        )
+                        if not step.label or step.label in kinds
+                    ],
+                    capacities[service.name],
                 ),
             )
             for service in self._services.values()
@@ -654,17 +674,21 @@
             if service is None:
                 continue
             pool_load = pools[pool]
-            pool_load.processors = max(pool_load.processors, instance.processors)
             is_usable = instance.state in (instances.UP, instances.MOVING)
             is_usable = is_usable and (order is None or order.wave is None)
             if not is_usable or instance.executor in reserved:
                 # An instance that is in maintenance or about to leave adds nothing.
                 continue
             pool_load.size += 1
+            executor = self._scheduler.executors.get(instance.executor)
             pool_load.arriving += (
-                instance.state == instances.MOVING or pool != instance.pool
+                instance.state == instances.MOVING
+                or pool != instance.pool
+                or (
+                    not service.is_standby
+                    and self._is_settling(instance, executor, now)
+                )
             )
-            executor = self._scheduler.executors.get(instance.executor)
             is_movable = service.is_standby or (
                 executor is not None and executor.has_store_entry and executor.is_empty
             )
@@ -702,6 +726,31 @@
             if order.previous_executor:
                 reserved.add(order.previous_executor)
 
+    def _instance_capacities(self):
+        """Return the largest capacity of an instance of each pool.
+
+        A pool without instances gets that of all pools, since instances move to it.
+        """
+        largest = [0, 0, 0]
+        by_pool = {}
+        for instance in self._instances.values():
+            for capacity in (largest, by_pool.setdefault(instance.pool, [0, 0, 0])):
+                capacity[:] = map(max, capacity, instance.capacity)
+        return {name: by_pool.get(name, largest) for name in self._services}
+
+    def _is_settling(self, instance, executor, now):
+        """Return whether the new executor of an instance takes no runs yet."""
+        if executor is not None and (
+            executor.has_accepted_epoch or executor.is_silent(now)
+        ):
+            self._unsettled_since.pop(instance.id, None)
+            return False
+        name, since = self._unsettled_since.get(instance.id, ("", now))
+        if name != instance.executor:
+            since = now
+        self._unsettled_since[instance.id] = (instance.executor, since)
+        return now - since < SETTLING_LIMIT_S
+
     def _log_pools(self, pools, now):
         if now - self._pools_logged_at < POOLS_LOG_INTERVAL_S:
             return
--- a/cranberryport/platform/machines.py
+++ b/cranberryport/platform/machines.py
@@ -139,6 +139,8 @@
     labels = row.get("Labels")
     has_labels = isinstance(labels, list) and bool(labels)
     capacity = row.get("Capacity")
+    if not isinstance(capacity, dict):
+        capacity = {}
     return instances.Instance(
         id=bodies.get_text(row, "Machine"),
         pool=bodies.get_text(row, "Pool"),
@@ -146,9 +148,9 @@
         executor=bodies.get_text(row, "Id"),
         # The first label is the kind of the instance, the second its rack.
         kind=str(labels[0]) if has_labels else "",
-        processors=bodies.get_integer(capacity, "Cpu")
-        if isinstance(capacity, dict)
-        else 0,
+        processors=bodies.get_integer(capacity, "Cpu"),
+        memory=bodies.get_integer(capacity, "MemMb"),
+        accelerators=bodies.get_integer(capacity, "Gpu"),
     )
 
 
--- a/cranberryport/scheduling/evacuation.py
+++ b/cranberryport/scheduling/evacuation.py
@@ -48,7 +48,7 @@
             return False
         if may_stop:
             # Lets the rebalancer move another instance to the pool.
-            state.mark_task_unplaceable(executor.service, now)
+            state.mark_unplaceable([run.task], now)
     return executor.is_empty
 
 
@@ -75,7 +75,7 @@
                 _log_move(run, executor)
                 state.stop_run(run)
             else:
-                state.mark_task_unplaceable(executor.service, now)
+                state.mark_unplaceable([run.task], now)
 
 
 def has_alternative_executor(state, run, executor, now):
--- a/cranberryport/scheduling/instances.py
+++ b/cranberryport/scheduling/instances.py
@@ -23,17 +23,48 @@
         Kind of the instance, the first label that the platform lists.
     processors : int
         Capacity in thousandths of a core.
+    memory : int, default=0
+        Capacity in MB; 0 if not known.
+    accelerators : int, default=0
+        Number of accelerators.
     """
 
-    __slots__ = ("executor", "id", "kind", "pool", "processors", "state")
+    __slots__ = (
+        "accelerators",
+        "executor",
+        "id",
+        "kind",
+        "memory",
+        "pool",
+        "processors",
+        "state",
+    )
 
-    def __init__(self, *, id, pool, state, executor, kind, processors):
+    def __init__(
+        self,
+        *,
+        id,
+        pool,
+        state,
+        executor,
+        kind,
+        processors,
+        memory=0,
+        accelerators=0,
+    ):
         self.id = id
         self.pool = pool
         self.state = state
         self.executor = executor
         self.kind = kind
         self.processors = processors
+        self.memory = memory
+        self.accelerators = accelerators
+
+    @property
+    def capacity(self):
+        """Processors, memory and accelerators."""
+        return [self.processors, self.memory, self.accelerators]
 
 
 class Wave:
--- a/cranberryport/scheduling/load.py
+++ b/cranberryport/scheduling/load.py
@@ -21,12 +21,13 @@
         State of all jobs.
     """
 
-    __slots__ = ("_backlogs", "_demand", "_refreshed_at", "_state")
+    __slots__ = ("_backlogs", "_demand", "_memory_demand", "_refreshed_at", "_state")
 
     def __init__(self, *, state):
         self._state = state
         self._refreshed_at = None
         self._demand = {}
+        self._memory_demand = {}
         self._backlogs = {}
 
     def demand(self, now, now_unix_s):
@@ -49,6 +50,24 @@
         self._refresh(now, now_unix_s)
         return self._demand
 
+    def memory_demand(self, now, now_unix_s):
+        """Return the memory that each pool needs now.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        now_unix_s : float
+            Unix time in seconds.
+
+        Returns
+        -------
+        dict of str to float
+            Megabytes of the running and waiting tasks.
+        """
+        self._refresh(now, now_unix_s)
+        return self._memory_demand
+
     def backlog_core_s(self, service, priority, now, now_unix_s):
         """Return the core-seconds in a pool that are served before a new job.
 
@@ -97,22 +116,24 @@
         if self._refreshed_at is not None and now - self._refreshed_at < MAX_AGE_S:
             return
         self._refreshed_at = now
-        long_running, running = self._running_processors()
+        long_running, running, memory = self._running_needs()
         waiting = collections.Counter()
         backlogs = collections.Counter()
         for job in self._state.open_jobs.values():
             rules = self._state.queue_rules(job)
             for occurrence in job.occurrences.values():
                 urgency = ordering.sort_key(occurrence, rules, now_unix_s)[0]
-                needed_processors = _waiting_processors(occurrence)
+                needed_processors, needed_memory = _waiting_needs(occurrence)
                 if needed_processors:
                     is_late = urgency in (ordering.LATE, ordering.ABANDONED)
                     weight = rebalancing.LATE_TASK_WEIGHT if is_late else 1.0
                     waiting[job.service] += needed_processors * weight
+                    memory[job.service] += needed_memory * weight
                 if urgency in (ordering.LAST_CHANCE, ordering.IN_TIME, ordering.LATE):
                     backlogs[job.service, rules.priority] += occurrence.remaining_core_s
         arrival_rates = self._state.arrival_rates
         self._backlogs = backlogs
+        self._memory_demand = memory
         self._demand = {
             service: long_running[service]
             + waiting[service]
@@ -120,24 +141,29 @@
             for service in {*long_running, *running, *waiting, *arrival_rates}
         }
 
-    def _running_processors(self):
+    def _running_needs(self):
+        """Return processors of long-running and other runs, and memory, by pool."""
         long_running, running = collections.Counter(), collections.Counter()
+        memory = collections.Counter()
         for executor in self._state.executors.values():
             for run in executor.runs.values():
                 step = run.task.step
                 if not step.is_filling:
                     counts = long_running if step.is_lasting else running
                     counts[executor.service] += step.processors
-        return long_running, running
+                memory[executor.service] += step.memory
+        return long_running, running, memory
 
 
-def _waiting_processors(occurrence):
-    """Return the thousandths of a core that an occurrence's waiting tasks need."""
-    needed_processors = 0
+def _waiting_needs(occurrence):
+    """Return the processors and the memory that an occurrence's waiting tasks need."""
+    needed_processors = needed_memory = 0
     for number in occurrence.ready_steps:
         step = occurrence.job.steps[number]
         if not step.is_filling:
-            needed_processors += step.processors * sum(
+            waiting_count = sum(
                 not task.is_done and not task.runs for task in occurrence.tasks[number]
             )
-    return needed_processors
+            needed_processors += step.processors * waiting_count
+            needed_memory += step.memory * waiting_count
+    return needed_processors, needed_memory
--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -44,6 +44,65 @@
     free[2] -= step.accelerators
 
 
+def tasks_per_instance(step, capacity):
+    """Return how many tasks of a step an empty instance takes.
+
+    Parameters
+    ----------
+    step : model.Step
+        Step of the tasks.
+    capacity : list of int
+        Processors, memory and accelerators of the instance.
+
+    Returns
+    -------
+    int
+        0 if not even one task fits.
+    """
+    counts = [
+        available // needed
+        for needed, available in zip(_needs(step)[1:], capacity, strict=True)
+        if needed
+    ]
+    if step.spread:
+        counts.append(step.spread)
+    return min(counts, default=step.count)
+
+
+def count_needed_instances(waiting, capacity):
+    """Return how many empty instances waiting tasks need, at least.
+
+    Tasks of different steps share instances where their needs allow.
+
+    Parameters
+    ----------
+    waiting : list of (model.Step, int)
+        Steps, and the number of waiting tasks of each.
+    capacity : list of int
+        Processors, memory and accelerators of an instance.
+
+    Returns
+    -------
+    int
+        Number of instances. Tasks that do not fit into an empty instance do not count.
+    """
+    totals = [0, 0, 0]
+    needed_count = 0
+    for step, count in waiting:
+        tasks_each = tasks_per_instance(step, capacity)
+        if not tasks_each:
+            continue
+        needed_count = max(needed_count, math.ceil(count / tasks_each))
+        for number, needed in enumerate(_needs(step)[1:]):
+            totals[number] += needed * count
+    shares = [
+        math.ceil(total / available)
+        for total, available in zip(totals, capacity, strict=True)
+        if total and available
+    ]
+    return max(needed_count, *shares) if shares else needed_count
+
+
 class UnplaceableNeeds:
     """Needs for which no executor had room, while the runs of one pool are planned.
 
--- a/cranberryport/scheduling/rebalancing.py
+++ b/cranberryport/scheduling/rebalancing.py
@@ -94,20 +94,27 @@
         Instances without work that may be moved.
     arriving : int, default=0
         Number of instances in ``size`` that are still moving to the pool.
-    has_unplaceable_task : bool, default=False
-        Whether a task finds no executor in the pool although processors are free, for
-        example because of the spread limit of its step.
+    unplaced_instances : int, default=0
+        Number of empty instances for the tasks that find no executor in the pool
+        although processors are free, for example because of the spread limit of their
+        step.
+    memory : int, default=0
+        Megabytes of one instance; 0 if not known.
+    memory_demand : float, default=0
+        Megabytes that the pool needs now.
     """
 
     __slots__ = (
         "arriving",
         "demand",
-        "has_unplaceable_task",
         "idle",
         "is_standby",
+        "memory",
+        "memory_demand",
         "name",
         "processors",
         "size",
+        "unplaced_instances",
     )
 
     def __init__(
@@ -120,11 +127,15 @@
         size,
         idle,
         arriving=0,
-        has_unplaceable_task=False,
+        unplaced_instances=0,
+        memory=0,
+        memory_demand=0,
     ):
         self.name = name
         self.arriving = arriving
-        self.has_unplaceable_task = has_unplaceable_task
+        self.unplaced_instances = unplaced_instances
+        self.memory = memory
+        self.memory_demand = memory_demand
         self.is_standby = is_standby
         self.processors = processors
         self.demand = demand
@@ -135,12 +146,17 @@
     def needed_instances(self):
         """Number of instances that the pool needs now."""
         if not self.processors:
-            return 1 if self.demand or self.has_unplaceable_task else 0
-        needed_instances = math.ceil(self.demand * HEADROOM_FACTOR / self.processors)
-        if self.has_unplaceable_task and not self.arriving:
-            # One instance at a time: the executor that a moved task leaves has room for
-            # the next one.
-            needed_instances = max(needed_instances, self.size + 1)
+            return 1 if self.demand or self.unplaced_instances else 0
+        load = self.demand / self.processors
+        if self.memory:
+            load = max(load, self.memory_demand / self.memory)
+        needed_instances = math.ceil(load * HEADROOM_FACTOR)
+        if self.unplaced_instances:
+            # Instances that are still moving will take some of these tasks.
+            settled_count = self.size - self.arriving
+            needed_instances = max(
+                needed_instances, settled_count + self.unplaced_instances
+            )
         return needed_instances
 
 
@@ -179,10 +195,10 @@
         short_pools = [
             p for p in pools if not p.is_standby and p.needed_instances > p.size
         ]
-        # An unplaceable task needs only a single instance, so its pool comes first.
+        # Unplaceable tasks need few instances, so their pools come first.
         for pool in sorted(
             short_pools,
-            key=lambda p: (not p.has_unplaceable_task, p.size - p.needed_instances),
+            key=lambda p: (not p.unplaced_instances, p.size - p.needed_instances),
         ):
             missing_count = pool.needed_instances - pool.size
             for source in (*standby_pools, *pools_with_surplus):
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -109,7 +109,8 @@
         self._jobs_due_later = {}
         self._retired_executors = {}
         self._arrival_rates = collections.defaultdict(rebalancing.ArrivalRate)
-        self._unplaceable_marked_at = {}
+        # By pool and by task or step: time of the mark, step, and number of tasks.
+        self._unplaceable = {}
 
     @property
     def jobs(self):
@@ -761,23 +762,45 @@
             starts.append(run)
         return starts
 
-    def mark_task_unplaceable(self, service, now):
-        """Mark a pool in which a task that has to start or move finds no executor.
+    def mark_unplaceable(self, tasks, now):
+        """Mark tasks of one step that have to start or move and find no executor.
+
+        Processors may be free in their pool, but not usable for them, for example
+        because of their memory or the spread limit of the step.
 
         Parameters
         ----------
-        service : str
-            Name of the pool. Processors may be free there, but not usable for the task,
-            for example because of the spread limit of its step.
+        tasks : list of model.Task
+            The tasks.
         now : float
             Monotonic time in seconds.
         """
-        self._unplaceable_marked_at[service] = now
+        first = tasks[0]
+        marks = self._unplaceable.setdefault(first.job.service, {})
+        marks[first.name] = (now, first.step, len(tasks))
+
+    def unplaceable_tasks(self, service, now):
+        """Return the steps and numbers of the tasks found unplaceable lately.
+
+        Parameters
+        ----------
+        service : str
+            Name of the pool.
+        now : float
+            Monotonic time in seconds.
 
-    def has_unplaceable_task(self, service, now):
-        """Return whether a task of a pool was found unplaceable lately."""
-        marked_at = self._unplaceable_marked_at.get(service)
-        return marked_at is not None and now - marked_at < UNPLACEABLE_VALIDITY_S
+        Returns
+        -------
+        list of (model.Step, int)
+            Step and number of its tasks.
+        """
+        marks = {
+            name: mark
+            for name, mark in self._unplaceable.get(service, {}).items()
+            if now - mark[0] < UNPLACEABLE_VALIDITY_S
+        }
+        self._unplaceable[service] = marks
+        return [(step, count) for _, step, count in marks.values()]
 
     # Reports
 
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -129,12 +129,14 @@
         pool = _PoolState(candidates=candidates, now=now)
         for occurrence in occurrences_in_order:
             for number in sorted(occurrence.ready_steps):
-                if not pool.unplaceable.covers(occurrence.job.steps[number]):
-                    self._plan_step(occurrence, number, pool, now)
+                self._plan_step(occurrence, number, pool, now)
 
     def _plan_step(self, occurrence, number, pool, now):
         tasks = occurrence.tasks[number]
         step = occurrence.job.steps[number]
+        is_covered = pool.unplaceable.covers(step)
+        if is_covered and not step.is_lasting:
+            return
         failed_runs_limit = self._state.queue_rules(occurrence.job).failed_runs_limit
         waiting = [
             task
@@ -146,12 +148,15 @@
         ]
         if not waiting:
             return
+        if is_covered:
+            self._state.mark_unplaceable(waiting, now)
+            return
         task_counts, used_racks = self._count_placements(tasks)
         permitted = self._permitted_candidates(occurrence, number, pool.candidates, now)
         if step.is_gang:
             self._plan_gang(tasks, waiting, permitted, task_counts, used_racks, now)
             return
-        for task in waiting:
+        for position, task in enumerate(waiting):
             executor = packing.choose_executor(
                 step,
                 permitted,
@@ -162,8 +167,11 @@
                 busy_s=pool.busy_s,
             )
             if executor is None:
-                if step.is_lasting and step.spread:
-                    self._state.mark_task_unplaceable(occurrence.job.service, now)
+                if step.is_lasting:
+                    has_advice = permitted is not pool.candidates
+                    # The advice service may not permit the instances that are added.
+                    unplaced = [task] if has_advice else waiting[position:]
+                    self._state.mark_unplaceable(unplaced, now)
                 if permitted is pool.candidates:
                     pool.unplaceable.add(step)
                 return
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -437,7 +437,7 @@
         for arriving, moves in ((0, [("m3", "pool")]), (1, [])):
             spare = make_pool("spare", size=3, idle=names, is_standby=True)
             pool = make_pool("pool", size=5, demand=1_000)
-            pool.has_unplaceable_task, pool.arriving = True, arriving
+            pool.unplaced_instances, pool.arriving = 1, arriving
             found = rebalancing.PoolRebalancer().choose_moves([spare, pool], 0.0)
             self.assertEqual(found, moves)
 
@@ -446,7 +446,7 @@
         spare = make_pool("spare", size=1, idle=["m1"], is_standby=True)
         peak = make_pool("peak", size=3, demand=160_000)
         pool = make_pool("pool", size=5, demand=1_000)
-        pool.has_unplaceable_task = True
+        pool.unplaced_instances = 1
         found = rebalancing.PoolRebalancer().choose_moves([spare, peak, pool], 0.0)
         self.assertEqual(found, [("m1", "pool")])
 
@@ -618,7 +618,7 @@
                 other.is_being_vacated = True
         self.assertFalse(evacuation.evacuate(harness.scheduler, executor, harness.now))
         self.assertEqual([run.state for run in runs], [model.RUNNING] * 2)
-        self.assertTrue(harness.scheduler.has_unplaceable_task("pool", harness.now))
+        self.assertTrue(harness.scheduler.unplaceable_tasks("pool", harness.now))
 
     def test_task_beyond_the_spread_limit_is_unplaceable(self):
         """Guards against a long-running task that waits in a pool with free processors.
@@ -630,10 +630,50 @@
         step = scheduling.make_step(2, is_lasting=True, spread=1)
         harness.add_job(scheduling.make_job(step))
         self.assertEqual(len(harness.start()), 1)
-        self.assertTrue(harness.scheduler.has_unplaceable_task("pool", harness.now))
-        self.assertFalse(
-            harness.scheduler.has_unplaceable_task("pool", harness.now + 1.0)
+        self.assertTrue(harness.scheduler.unplaceable_tasks("pool", harness.now))
+        self.assertFalse(harness.scheduler.unplaceable_tasks("pool", harness.now + 1.0))
+
+    def test_pool_gets_all_instances_of_a_spread_step_at_once(self):
+        """Guards against long-running tasks that wait for one instance after another.
+
+        Seen on day quiet-1 of scoica-ops-large: a job of 24 tasks, each on another
+        executor, was at work only 20 s after it was accepted.
+        """
+        harness = scheduling.SchedulerHarness(count=2)
+        step = scheduling.make_step(24, is_lasting=True, spread=1)
+        harness.add_job(scheduling.make_job(step))
+        self.assertEqual(len(harness.start()), 2)
+        waiting = harness.scheduler.unplaceable_tasks("pool", harness.now)
+        needed = packing.count_needed_instances(waiting, [16_000, 32_000, 0])
+        pool = make_pool("pool", size=2, demand=24_000)
+        pool.unplaced_instances = needed
+        self.assertEqual(pool.needed_instances, 24)
+        pool.size, pool.arriving = 24, 22
+        self.assertEqual(pool.needed_instances, 24)
+
+    def test_long_running_tasks_with_much_memory_need_more_instances(self):
+        """Guards against a pool that is sized by processors alone."""
+        harness = scheduling.SchedulerHarness(count=1)
+        step = scheduling.make_step(6, memory=15_000, is_lasting=True)
+        harness.add_job(scheduling.make_job(step))
+        self.assertEqual(len(harness.start()), 2)
+        waiting = harness.scheduler.unplaceable_tasks("pool", harness.now)
+        capacity = [16_000, 32_000, 0]
+        self.assertEqual(packing.count_needed_instances(waiting, capacity), 2)
+        demand_mb = load.LoadMeter(state=harness.scheduler).memory_demand(
+            harness.now, scheduling.NOW_UNIX_S
+        )
+        self.assertEqual(demand_mb, {"pool": 90_000})
+
+    def test_waiting_tasks_of_several_steps_share_instances(self):
+        """Guards against paying for one instance a task where two fit."""
+        step = scheduling.make_step(3, is_lasting=True, spread=1)
+        other = scheduling.make_step(3, is_lasting=True, spread=1, memory=31_000)
+        too_large = scheduling.make_step(3, is_lasting=True, memory=33_000)
+        needed = packing.count_needed_instances(
+            [(step, 3), (other, 2), (too_large, 3)], [16_000, 32_000, 0]
         )
+        self.assertEqual(needed, 3)
 
     def test_tasks_that_are_not_long_running_are_left_to_end(self):
         """Guards against stopping tasks that end before the instance is taken down."""
