--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -357,7 +357,10 @@
     def _on_no_response(self, reason):
         if not self._has_list_call_failed:
             self._has_list_call_failed = True
-            _logger.warning(
+            # The executor of an instance that is moved or taken down ends at once.
+            is_expected = self._executor.is_being_vacated
+            _logger.log(
+                logging.DEBUG if is_expected else logging.WARNING,
                 "executor does not answer",
                 extra={"executor": self._executor.id, "reason": reason},
             )
--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -698,20 +698,15 @@
             if is_movable and not (service.is_standby and instance.id in in_wave):
                 pool_load.idle.append(instance.id)
         self._log_pools(pools, now)
+        moves = {}
         for instance_id, pool in self._rebalancer.choose_moves(
             list(pools.values()), now
         ):
             instance = self._instances[instance_id]
             if (instance.kind, pool) in self._refused_moves:
                 continue
-            _logger.info(
-                "move ordered",
-                extra={
-                    "instance_id": instance_id,
-                    "from": instance.pool,
-                    "pool": pool,
-                },
-            )
+            moved = moves.setdefault(f"{instance.pool} to {pool}", [])
+            moved.append(instance_id)
             if instance.executor:
                 reserved.add(instance.executor)
             order = _Order(
@@ -722,6 +717,8 @@
             )
             self._orders[instance_id] = order
             self._store_and_send(instance_id, order)
+        if moves:
+            _logger.info("moves ordered", extra={"moves": moves})
         for order in self._orders.values():
             if order.previous_executor:
                 reserved.add(order.previous_executor)
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -151,6 +151,9 @@
     confirmed_at : float or None
         Monotonic time at which the executor first confirmed the start. The confirmation
         of a stop replaces it.
+    ordered_at : float or None
+        Monotonic time at which the start was stored and could be sent; None for a run
+        that a previous controller started.
     start_expires_at : float or None
         Monotonic time after which an unanswered start is not carried out any more;
         None for a run that a previous controller started.
@@ -182,6 +185,7 @@
         "deadline_ms",
         "executor",
         "number",
+        "ordered_at",
         "pace",
         "percent_per_s",
         "progress_percent",
@@ -200,6 +204,7 @@
         self.executor = executor
         self.state = state
         self.confirmed_at = None
+        self.ordered_at = None
         self.start_expires_at = None
         self.deadline_ms = None
         self.stop_sent_at = None
@@ -241,6 +246,9 @@
         run the task elsewhere.
     checkpoint : str
         Newest checkpoint of the runs that have ended; empty for none.
+    last_run_s : float or None
+        Seconds from the order to the listed end of the run that completed the task;
+        None if not known.
     runs : list of Run
         Runs that are planned or may be in progress.
     avoided_executors : tuple of str
@@ -255,6 +263,7 @@
         "failed_run_count",
         "index",
         "is_done",
+        "last_run_s",
         "name",
         "next_run_number",
         "occurrence",
@@ -277,6 +286,7 @@
         self.is_done = False
         self.replacements = 0
         self.checkpoint = ""
+        self.last_run_s = None
         self.runs = []
         self.avoided_executors = ()
         self.retry_at = 0.0
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -615,16 +615,20 @@
 
     def _end_run(self, run, end, executor, now, now_unix_s):
         task, job = run.task, run.task.job
-        _logger.info(
-            "run ended",
-            extra={
-                "request": job.id,
-                "task": task.name,
-                "run": run.number,
-                "executor": executor.id,
-                "how": end.how,
-            },
-        )
+        if end.how != "done" or run.number > 1:
+            # The first runs of tasks that end well are summed up by step.
+            _logger.info(
+                "run ended",
+                extra={
+                    "request": job.id,
+                    "task": task.name,
+                    "run": run.number,
+                    "executor": executor.id,
+                    "how": end.how,
+                },
+            )
+        if run.ordered_at is not None:
+            task.last_run_s = now - run.ordered_at
         run.checkpoint = max(run.checkpoint, end.checkpoint)
         was_stopping = run.state == model.STOPPING
         self._remove_run(run)
@@ -669,6 +673,7 @@
                 self._stop_or_remove_run(run)
         self._mark_changed(job)
         if occurrence.remaining_counts[task.step_number] == 0:
+            _log_step_end(occurrence.tasks[task.step_number])
             self._update_ready_steps(occurrence)
         if occurrence.is_done:
             job.done_occurrences.add(occurrence.number)
@@ -758,6 +763,7 @@
                 self._remove_run(run)
                 continue
             run.state = model.ORDERED
+            run.ordered_at = now
             run.start_expires_at = now + START_VALIDITY_S
             starts.append(run)
         return starts
@@ -817,5 +823,19 @@
         )
 
 
+def _log_step_end(tasks):
+    """Log the end of a step, with its slowest task."""
+    slowest = max(tasks, key=lambda task: task.last_run_s or 0.0)
+    fields = {
+        "request": slowest.job.id,
+        "step": slowest.step_name,
+        "tasks": len(tasks),
+        "slowest": slowest.name,
+    }
+    if slowest.last_run_s is not None:
+        fields["slowest_s"] = round(slowest.last_run_s, 3)
+    _logger.info("step ended", extra=fields)
+
+
 def _is_unanswered(run):
     return run.state == model.ORDERED and run.confirmed_at is None
