Relay again instead of appending while the store is slow

Change: an instance with slow own appends relays only; partition 0 is left to the controller's instance; the limit of a relay is 1.2 s; an instance without a link is isolated only if its own way fails.

--- a/cranberryport/control/append_policy.py
+++ b/cranberryport/control/append_policy.py
@@ -19,13 +19,14 @@
 OWN_TIMEOUT_S = 0.8
 # Timeout of a relayed append. It may have to wait until the previous append of the
 # controller's instance is stored.
-RELAYED_TIMEOUT_S = 1.0
+RELAYED_TIMEOUT_S = 1.2
 # An own append that takes longer than this shows that the store is slow. A partition
 # handles one append at a time, so the records of all entry instances are then stored
 # sooner if a single instance appends them together.
 SLOW_APPEND_S = 0.15
-# For this time after a failed or slow own append, records are relayed first.
-DOUBT_S = 1.0
+# For these times after a failed and after a slow own append, records are relayed.
+FAILURE_MEMORY_S = 1.0
+SLOWNESS_MEMORY_S = 3.0
 
 
 def choose_way(
@@ -33,7 +34,8 @@
     now,
     arrived,
     deadline,
-    is_own_way_doubtful,
+    is_own_way_failing,
+    is_own_way_slow,
     is_controller_connected,
     is_possibly_stored,
     previous_way,
@@ -49,8 +51,10 @@
     now, arrived, deadline : float
         Monotonic times in seconds: present, arrival of the request, and the time until
         which its caller waits for the response.
-    is_own_way_doubtful : bool
-        Whether own reads or appends have failed, or were slow, lately.
+    is_own_way_failing : bool
+        Whether own reads or appends have failed lately.
+    is_own_way_slow : bool
+        Whether an own append took longer than ``SLOW_APPEND_S`` lately, or timed out.
     is_controller_connected : bool
         Whether the link to the controller's instance is open.
     is_possibly_stored : bool
@@ -64,7 +68,7 @@
         ``OWN`` or ``RELAYED`` and the timeout in seconds; None to give up.
     """
     limit_s = NOT_STORED_LIMIT_S
-    if is_own_way_doubtful and not is_controller_connected:
+    if is_own_way_failing and not is_controller_connected:
         limit_s = ISOLATED_LIMIT_S
     elif is_possibly_stored:
         limit_s = deadline - arrived
@@ -73,6 +77,11 @@
         return None
     if not is_controller_connected:
         return OWN, left_s
-    if previous_way == OWN or (previous_way is None and is_own_way_doubtful):
+    # Further own appends would make a slow store slower for all.
+    if (
+        previous_way == OWN
+        or is_own_way_slow
+        or (previous_way is None and is_own_way_failing)
+    ):
         return RELAYED, min(left_s, RELAYED_TIMEOUT_S)
     return OWN, min(left_s, OWN_TIMEOUT_S)
--- a/cranberryport/control/job_writer.py
+++ b/cranberryport/control/job_writer.py
@@ -60,11 +60,15 @@
         """Partition for the next append.
 
         Before the group has assigned one, a hash of the instance's name selects it.
+        Partition 0 is left to the controller's instance, which owns it: while the store
+        is slow, that instance appends the records of all others.
         """
         owned_partitions = self._owned_partitions()
         if owned_partitions:
             return min(owned_partitions)
-        return zlib.crc32(self._instance.encode()) % self._partition_count
+        if self._partition_count == 1:
+            return 0
+        return 1 + zlib.crc32(self._instance.encode()) % (self._partition_count - 1)
 
     def write(self, record, *, timeout_s, callback):
         """Add a record to the next append.
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -99,8 +99,9 @@
     ):
         super().__init__()
         self._is_store_unreadable = is_store_unreadable
-        # Monotonic time of the last failed or slow append by this process, or None.
-        self._own_way_doubted_at = None
+        # Monotonic times until which own appends count as failing or slow.
+        self._own_way_failing_until = 0.0
+        self._own_way_slow_until = 0.0
         self._configuration = configuration
         self._writer = writer
         self._controller_client = controller_client
@@ -219,7 +220,9 @@
             now=now,
             arrived=pending.arrived,
             deadline=pending.deadline,
-            is_own_way_doubtful=self._is_own_way_doubtful(now),
+            is_own_way_failing=now < self._own_way_failing_until
+            or self._is_store_unreadable(),
+            is_own_way_slow=now < self._own_way_slow_until,
             is_controller_connected=self._controller_client.is_connected,
             is_possibly_stored=pending.is_possibly_stored,
             previous_way=pending.previous_way,
@@ -231,12 +234,7 @@
 
         def on_result(result):
             if way == append_policy.OWN:
-                ended_at = time.monotonic()
-                is_good = (
-                    isinstance(result, store.Appended)
-                    and ended_at - now < append_policy.SLOW_APPEND_S
-                )
-                self._own_way_doubted_at = None if is_good else ended_at
+                self._update_own_way(result, now)
             if isinstance(result, store.Appended):
                 on_stored()
                 return
@@ -267,12 +265,14 @@
         else:
             self._writer.write(record, callback=on_result, timeout_s=timeout_s)
 
-    def _is_own_way_doubtful(self, now):
-        doubted_at = self._own_way_doubted_at
-        is_in_doubt = (
-            doubted_at is not None and now - doubted_at < append_policy.DOUBT_S
-        )
-        return is_in_doubt or self._is_store_unreadable()
+    def _update_own_way(self, result, started_at):
+        now = time.monotonic()
+        if now - started_at > append_policy.SLOW_APPEND_S:
+            self._own_way_slow_until = now + append_policy.SLOWNESS_MEMORY_S
+        elif isinstance(result, store.Appended):
+            self._own_way_failing_until = self._own_way_slow_until = 0.0
+        else:
+            self._own_way_failing_until = now + append_policy.FAILURE_MEMORY_S
 
     def _respond_store_failure(self, pending):
         if pending.is_possibly_stored:
