Pace a maintenance wave while a pool lacks instances

The peak from second 8 to 12 got 29 to 93 instances of the 37 to 124 that it needed, with no idle ones anywhere; 120 of its 211 jobs were late. Change: while some pool lacks instances and none can be spared, only as many are down at once as the wave needs to end 8 s before its deadline; evacuations that have begun go on. Otherwise the wave takes down all that it may, as before.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -118,6 +118,7 @@
         "_evacuation_not_before",
         "_has_read_executors",
         "_instances",
+        "_is_fleet_short",
         "_is_list_pending",
         "_is_sole_controller",
         "_is_stopped",
@@ -188,6 +189,8 @@
         self._instances = {}
         self._list_sent_at = None
         self._is_list_pending = False
+        # Whether some pool lacked instances after the last choice of moves.
+        self._is_fleet_short = False
         self._pools_logged_at = 0.0
         self._orders = {}
         self._refused_moves = set()
@@ -437,6 +440,7 @@
             demand_ratios=demand_ratios,
             maintenance_s=self._settings.upkeep_s,
             now=now,
+            is_fleet_short=self._is_fleet_short,
         )
         for instance_id in chosen:
             instance = self._instances[instance_id]
@@ -717,6 +721,11 @@
             )
             self._orders[instance_id] = order
             self._store_and_send(instance_id, order)
+        self._is_fleet_short = any(
+            pool.needed_instances > pool.size
+            for pool in pools.values()
+            if not pool.is_standby
+        )
         if moves:
             _logger.info("moves ordered", extra={"moves": moves})
         for order in self._orders.values():
--- a/cranberryport/scheduling/maintenance.py
+++ b/cranberryport/scheduling/maintenance.py
@@ -3,7 +3,8 @@
 Load pattern: a maintenance wave names about half of the fleet and allows half a minute,
 while the queues peak in turn. Instances without an executor go first. Next come those
 that are being evacuated, so that no serving task is disturbed twice. Those of the
-busiest pool go last.
+busiest pool go last. While a pool lacks instances, only as many are down at once as the
+wave needs to end in time.
 """
 
 import math
@@ -16,6 +17,9 @@
 # If less time than this remains beyond the needed time, instances of busy pools are
 # taken down as well.
 DEADLINE_MARGIN_S = 4.0
+# A wave that is paced ends this long before its deadline. That covers a store that is
+# away for some seconds, or a change of the controller.
+PACE_MARGIN_S = 8.0
 
 
 def instances_down(wave, listed):
@@ -60,7 +64,42 @@
     ]
 
 
-def choose_instances(wave, listed, executors, *, demand_ratios, maintenance_s, now):
+def paced_limit(wave, pending_count, *, maintenance_s, now):
+    """Return how many instances have to be down at once so that a wave ends in time.
+
+    Parameters
+    ----------
+    wave : instances.Wave
+        The wave.
+    pending_count : int
+        Number of instances whose maintenance is not ordered yet.
+    maintenance_s : float
+        Seconds for which an instance is down for maintenance.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    int
+        At most ``wave.max_down``.
+    """
+    remaining_s = wave.deadline - now - PACE_MARGIN_S
+    if remaining_s <= 0:
+        return wave.max_down
+    needed_s = pending_count * (maintenance_s + EVACUATION_S)
+    return min(wave.max_down, math.ceil(needed_s / remaining_s))
+
+
+def choose_instances(
+    wave,
+    listed,
+    executors,
+    *,
+    demand_ratios,
+    maintenance_s,
+    now,
+    is_fleet_short=False,
+):
     """Choose the instances to evacuate and take down next.
 
     Parameters
@@ -77,14 +116,26 @@
         Seconds for which an instance is down for maintenance.
     now : float
         Monotonic time in seconds.
+    is_fleet_short : bool, default=False
+        Whether some pool lacks instances and no other pool has any to spare.
 
     Returns
     -------
     list of str
         Instances, at most as many as may go down beside those that are down already.
     """
-    allowed = wave.max_down - len(instances_down(wave, listed))
     pending = pending_instances(wave, listed)
+    down_count = len(instances_down(wave, listed))
+    allowed = wave.max_down - down_count
+    if is_fleet_short:
+        limit = paced_limit(wave, len(pending), maintenance_s=maintenance_s, now=now)
+        # An evacuation that has begun goes on.
+        begun_count = sum(
+            listed[instance_id].executor in executors
+            and executors[listed[instance_id].executor].is_being_vacated
+            for instance_id in pending
+        )
+        allowed = min(allowed, max(limit - down_count, begun_count))
     if allowed <= 0 or not pending:
         return []
     rounds = math.ceil(len(pending) / max(1, wave.max_down))
--- a/tests/test_control_append_policy.py
+++ b/tests/test_control_append_policy.py
@@ -39,11 +39,18 @@
         self.assertEqual(way, append_policy.OWN)
 
     def test_slow_store_gets_no_further_own_appends(self):
-        """Guards against instances that keep a slow store busy with repeated appends."""
+        """Guards against instances that keep a slow store busy with their appends."""
         for previous_way in (None, append_policy.OWN, append_policy.RELAYED):
             way, _ = self._choose(is_own_way_slow=True, previous_way=previous_way)
             self.assertEqual(way, append_policy.RELAYED)
 
+    def test_controller_itself_waits_for_a_slow_store(self):
+        """Guards against the controller's instance, which has no link, as isolated."""
+        choice = self._choose(
+            elapsed_s=1.0, is_own_way_slow=True, is_controller_connected=False
+        )
+        self.assertEqual(choice[0], append_policy.OWN)
+
     def test_isolated_instance_gives_up_soon(self):
         """Guards against a caller that another entry instance could serve."""
         changes = {
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -548,11 +548,51 @@
             for number in range(1, count + 1)
         }
 
-    def _choose(self, wave, listed, executors=None):
+    def _choose(self, wave, listed, executors=None, **values):
+        settings = {"demand_ratios": {}, "maintenance_s": 2.0, "now": 0.0}
         return maintenance.choose_instances(
-            wave, listed, executors or {}, demand_ratios={}, maintenance_s=2.0, now=0.0
+            wave, listed, executors or {}, **(settings | values)
         )
 
+    def test_wave_leaves_a_peak_the_instances_that_it_does_not_need(self):
+        """Guards against a wave that takes the most instances down during a peak.
+
+        Seen on day trouble-2 of vhs-klagenfurt-grown: 32 of 179 instances were down at
+        once from second 3 on, the wave ended at second 19 of 29, and 120 of 211 jobs of
+        the peak from second 8 to 12 were late.
+        """
+        listed = self._make_instances(81)
+        wave = instances.Wave(
+            number=1, instances=list(listed), deadline=26.0, max_down=32
+        )
+        self.assertEqual(len(self._choose(wave, listed)), 32)
+        chosen = self._choose(wave, listed, is_fleet_short=True)
+        # 18 instances every 4 s: all 81 within 18 s.
+        self.assertEqual(len(chosen), 18)
+
+    def test_paced_wave_catches_up_before_its_deadline(self):
+        """Guards against a wave that ends late because the peak goes on."""
+        listed = self._make_instances(81)
+        wave = instances.Wave(
+            number=1, instances=list(listed), deadline=26.0, max_down=32
+        )
+        for now in (15.0, 20.0):
+            chosen = self._choose(wave, listed, is_fleet_short=True, now=now)
+            self.assertEqual(len(chosen), 32)
+
+    def test_paced_wave_goes_on_with_evacuations_that_have_begun(self):
+        """Guards against tasks that are moved away for nothing."""
+        listed = self._make_instances(20)
+        known = {}
+        for number in range(1, 16):
+            known[f"e{number}"] = scheduling.make_executor(f"e{number}")
+            known[f"e{number}"].is_being_vacated = True
+        wave = instances.Wave(
+            number=1, instances=list(listed), deadline=100.0, max_down=15
+        )
+        chosen = self._choose(wave, listed, known, is_fleet_short=True)
+        self.assertEqual(len(chosen), 15)
+
     def test_no_more_instances_go_down_than_allowed(self):
         """Guards against taking down an instance while as many as allowed are down."""
         listed = self._make_instances(4)
