--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -22,6 +22,9 @@
 # Subtracted from the caller's deadline, so that the response reaches it in time.
 DEADLINE_MARGIN_S = 0.3
 STORE_RETRY_DELAY_S = 0.06
+# The same delay once the own and the relayed append have failed; then the store is
+# probably away for all.
+BOTH_WAYS_RETRY_DELAY_S = 0.15
 # A job is accepted if the controller does not answer the admission question in this
 # time: once it is stored, the controller reads it from the store later.
 ADMISSION_TIMEOUT_S = 0.08
@@ -248,13 +251,14 @@
                     "reason": str(result),
                 },
             )
-            # The next append goes the other way if there is one.
-            is_other_way_open = (
-                way == append_policy.OWN and self._controller_client.is_connected
-            )
+            delay_s = STORE_RETRY_DELAY_S
+            if way == append_policy.RELAYED:
+                delay_s = BOTH_WAYS_RETRY_DELAY_S
+            elif self._controller_client.is_connected:
+                # The next append goes the other way.
+                delay_s = 0.0
             self._timers.after(
-                0.0 if is_other_way_open else STORE_RETRY_DELAY_S,
-                lambda: self._store_record(pending, record, on_stored),
+                delay_s, lambda: self._store_record(pending, record, on_stored)
             )
 
         pending.previous_way = way
