Do not count the work of restored and waiting jobs as arriving

A pool that needed 38 instances seemed to need 422 and got all 58 free ones; the pool whose peak went on got its own 2 s later. Change: only the work of jobs accepted less than a second ago counts as arriving; the waiting tasks of the others are part of the demand anyway. Tests: three, two failing before.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -38,6 +38,9 @@
 # For this time after a task found no executor, its pool counts as having an unplaceable
 # task. This is longer than the time between two decisions about instances.
 UNPLACEABLE_VALIDITY_S = 0.2
+# Work of a job that was accepted longer ago than this has waited for the controller
+# and says nothing about the rate at which work arrives now.
+ARRIVAL_AGE_LIMIT_S = 1.0
 # Interval at which a stop is repeated until the end of the run is listed.
 STOP_REPEAT_S = 0.6
 # Looking for such stops reads all runs, so it is not done at every decision.
@@ -194,8 +197,8 @@
                     key = (task.name, run.number)
                     self._restored_runs.setdefault(run.executor, {})[key] = run
             for occurrence in job.occurrences.values():
-                self._update_ready_steps(occurrence)
-            self._activate_due_occurrences(job, now_unix_s)
+                self._update_ready_steps(occurrence, is_arrival=False)
+            self._activate_due_occurrences(job, now_unix_s, is_restored=True)
 
     def cancel_job(self, job_id, now_unix_s):
         """Cancel a job and stop its runs.
@@ -217,7 +220,7 @@
         """Remove an ended job from memory; callers do not need its state any more."""
         self._jobs.pop(job_id, None)
 
-    def _activate_due_occurrences(self, job, now_unix_s):
+    def _activate_due_occurrences(self, job, now_unix_s, *, is_restored=False):
         for number in range(job.occurrence_count):
             if number in job.occurrences or number in job.done_occurrences:
                 continue
@@ -227,10 +230,12 @@
                 return
             occurrence = model.Occurrence(job=job, number=number, due_at=due_at)
             job.occurrences[number] = occurrence
-            self._update_ready_steps(occurrence)
+            age_s = now_unix_s - max(due_at, job.accepted_at)
+            is_arrival = not is_restored and age_s < ARRIVAL_AGE_LIMIT_S
+            self._update_ready_steps(occurrence, is_arrival=is_arrival)
         self._jobs_due_later.pop(job.id, None)
 
-    def _update_ready_steps(self, occurrence, now=None):
+    def _update_ready_steps(self, occurrence, *, is_arrival=True):
         for number, step in enumerate(occurrence.job.steps):
             if not occurrence.remaining_counts[number]:
                 occurrence.ready_steps.discard(number)
@@ -239,12 +244,10 @@
                 and occurrence.are_dependencies_done(number)
             ):
                 occurrence.ready_steps.add(number)
-                if not step.is_lasting and not step.is_filling:
+                if is_arrival and not step.is_lasting and not step.is_filling:
                     work_millicore_s = step.processors * step.count * step.estimate_s
                     arrival_rate = self._arrival_rates[occurrence.job.service]
-                    arrival_rate.add_work(
-                        work_millicore_s, time.monotonic() if now is None else now
-                    )
+                    arrival_rate.add_work(work_millicore_s, time.monotonic())
 
     def _mark_changed(self, job):
         self._changed_jobs[job.id] = job
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -1,11 +1,50 @@
 """Tests for the scheduler: storing, progress, gangs, leases and takeovers."""
 
+import time
 import unittest
 
 from cranberryport.scheduling import model, records
 from tests import scheduling
 
 
+class ArrivalTest(unittest.TestCase):
+    """Work that counts as arriving, after a controller has taken over at a peak.
+
+    Guards against instances for a pool that does not need them. Seen on day trouble-3
+    of vhs-klagenfurt-grown: after the restart of all instances the work of all open
+    jobs counted as having arrived at once, so a pool that needed 38 instances seemed to
+    need 422 and got all that were free, and another one waited 2 s for its own.
+    """
+
+    def setUp(self):
+        """Make a scheduler without executors."""
+        self.harness = scheduling.SchedulerHarness(count=0)
+
+    def _has_arrivals(self):
+        rate = self.harness.scheduler.arrival_rates["pool"]
+        return rate.sustained_demand(time.monotonic()) > 0
+
+    def test_work_of_a_restored_job_does_not_count_as_arriving(self):
+        job = scheduling.make_job()
+        progress = records.progress_to_record(self.harness.add_job(job))
+        successor = scheduling.SchedulerHarness(count=0)
+        successor.scheduler.restore_job(
+            scheduling.make_job(), progress, scheduling.NOW_UNIX_S
+        )
+        self.harness = successor
+        self.assertFalse(self._has_arrivals())
+
+    def test_work_of_a_job_that_has_waited_does_not_count_as_arriving(self):
+        self.harness.add_job(
+            scheduling.make_job(accepted_at=scheduling.NOW_UNIX_S - 3.0)
+        )
+        self.assertFalse(self._has_arrivals())
+
+    def test_work_of_a_new_job_counts_as_arriving(self):
+        self.harness.add_job(scheduling.make_job())
+        self.assertTrue(self._has_arrivals())
+
+
 class StoringTest(unittest.TestCase):
     """Starts, acknowledgements and ends of jobs wait until they are stored."""
 
