Tell all instances that the store is slow, and use the last part of a deadline

Change: the reply to an admission question says whether the controller's appends are slow; the margin before a deadline is at most a quarter of it; an append is tried for 1.2 s at most, whether its outcome is known or not.

--- a/cranberryport/control/append_policy.py
+++ b/cranberryport/control/append_policy.py
@@ -8,10 +8,10 @@
 
 # An append by this process, or by the controller's instance on its behalf.
 OWN = "own"
-RELAYED = "relayed"
-# Longest time for which a request is tried before its caller is told that it was not
-# stored; the caller can then try another entry instance.
-NOT_STORED_LIMIT_S = 1.2
+RELAYED = "relay"
+# Longest time for which a request is tried before its caller is told so; the caller can
+# then try another entry instance.
+LIMIT_S = 1.2
 # The same limit if neither the store nor the controller's instance can be reached.
 ISOLATED_LIMIT_S = 0.3
 # Timeout of an own append if the other way is open; twice the time of an append of a
@@ -37,15 +37,10 @@
     is_own_way_failing,
     is_own_way_slow,
     is_controller_connected,
-    is_possibly_stored,
     previous_way,
 ):
     """Choose how to append a record next.
 
-    While it is not known whether an earlier append has stored the record, trying goes
-    on until the caller's deadline: only another append can tell, and an answer that the
-    outcome is unknown is of no use to the caller.
-
     Parameters
     ----------
     now, arrived, deadline : float
@@ -57,8 +52,6 @@
         Whether an own append took longer than ``SLOW_APPEND_S`` lately, or timed out.
     is_controller_connected : bool
         Whether the link to the controller's instance is open.
-    is_possibly_stored : bool
-        Whether an earlier append of the record had no response.
     previous_way : str or None
         Way of the last append of the record, which has failed.
 
@@ -67,11 +60,8 @@
     tuple of (str, float) or None
         ``OWN`` or ``RELAYED`` and the timeout in seconds; None to give up.
     """
-    limit_s = NOT_STORED_LIMIT_S
-    if is_own_way_failing and not is_controller_connected:
-        limit_s = ISOLATED_LIMIT_S
-    elif is_possibly_stored:
-        limit_s = deadline - arrived
+    is_isolated = is_own_way_failing and not is_controller_connected
+    limit_s = ISOLATED_LIMIT_S if is_isolated else LIMIT_S
     left_s = min(deadline, arrived + limit_s) - now
     if left_s <= 0:
         return None
--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -11,6 +11,7 @@
 
 from cranberryport import codec
 from cranberryport.control import (
+    append_policy,
     executor_link,
     instance_manager,
     progress_writer,
@@ -334,6 +335,7 @@
         if isinstance(question, messages.AdmissionQuestion):
             reply.is_leading = True
             reply.retry_after_s = self._retry_after_s(question)
+            reply.state = append_policy.RELAYED if self._writer.is_slow else ""
             return reply
         state = self._scheduler.job_state(question.job)
         reply.is_leading = state is not None or self._are_jobs_current()
--- a/cranberryport/control/progress_writer.py
+++ b/cranberryport/control/progress_writer.py
@@ -5,8 +5,10 @@
 """
 
 import logging
+import time
 
 from cranberryport import codec
+from cranberryport.control import append_policy
 from cranberryport.platform import store
 
 APPEND_TIMEOUT_S = 1.5
@@ -39,7 +41,9 @@
         "_epoch",
         "_is_stopped",
         "_on_superseded",
+        "_last_append_s",
         "_records",
+        "_sent_at",
         "_sequence",
         "_store",
         "_timers",
@@ -51,6 +55,8 @@
         self._epoch = epoch
         self._on_superseded = on_superseded
         self._sequence = 0
+        self._last_append_s = 0.0
+        self._sent_at = 0.0
         self._records = []
         self._callback = None
         self._is_stopped = False
@@ -60,6 +66,14 @@
         """Whether an append is in progress."""
         return self._callback is not None
 
+    @property
+    def is_slow(self):
+        """Whether the append in progress, or else the last one, takes too long."""
+        append_s = self._last_append_s
+        if self.is_busy:
+            append_s = max(append_s, time.monotonic() - self._sent_at)
+        return append_s > append_policy.SLOW_APPEND_S
+
     def stop(self):
         """Stop writing; responses to pending appends are ignored."""
         self._is_stopped = True
@@ -92,6 +106,7 @@
     def _send_append(self):
         if self._is_stopped:
             return
+        self._sent_at = time.monotonic()
         self._store.append(
             store.PROGRESS_TOPIC,
             self._records,
@@ -103,6 +118,7 @@
     def _on_result(self, result):
         if self._is_stopped:
             return
+        self._last_append_s = time.monotonic() - self._sent_at
         if isinstance(result, store.Appended):
             self._sequence += 1
             callback, self._callback = self._callback, None
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -19,8 +19,10 @@
 
 DEADLINE_HEADER = b"deadline-ms"
 DEFAULT_DEADLINE_S = 3.0
-# Subtracted from the caller's deadline, so that the response reaches it in time.
+# Subtracted from the caller's deadline, so that the response reaches it in time: at
+# most this, and at most this share. The last try of a caller has little time left.
 DEADLINE_MARGIN_S = 0.3
+DEADLINE_MARGIN_SHARE = 0.25
 STORE_RETRY_DELAY_S = 0.06
 # The same delay once the own and the relayed append have failed; then the store is
 # probably away for all.
@@ -122,11 +124,13 @@
         arrived = time.monotonic()
         headers = dict(request.raw_headers)
         configuration = self._configuration()
+        wait_s = _read_deadline_s(headers)
+        margin_s = min(DEADLINE_MARGIN_S, DEADLINE_MARGIN_SHARE * wait_s)
         pending = _PendingRequest(
             response=response,
             job_id="",
             arrived=arrived,
-            deadline=arrived + _read_deadline_s(headers) - DEADLINE_MARGIN_S,
+            deadline=arrived + wait_s - margin_s,
         )
         self._pending_requests.add(pending)
         if configuration is None:
@@ -190,6 +194,10 @@
             self._respond(pending, 200, {})
 
         def on_admission_reply(reply):
+            if reply is not None and reply.state == append_policy.RELAYED:
+                self._own_way_slow_until = (
+                    time.monotonic() + append_policy.SLOWNESS_MEMORY_S
+                )
             if reply is not None and reply.retry_after_s > 0:
                 reason = f"the pool of {queue.name!r} cannot serve the job in time"
                 self._respond_refused(
@@ -227,7 +235,6 @@
             or self._is_store_unreadable(),
             is_own_way_slow=now < self._own_way_slow_until,
             is_controller_connected=self._controller_client.is_connected,
-            is_possibly_stored=pending.is_possibly_stored,
             previous_way=pending.previous_way,
         )
         if choice is None:
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -297,6 +297,36 @@
         self.assertEqual(self.store.pop_call("read").arguments, ("t", 4))
 
 
+class SlowStoreTest(unittest.TestCase):
+    """Recognition of a slow store by the controller's own appends."""
+
+    def test_append_in_progress_or_the_last_one_shows_a_slow_store(self):
+        """Guards against 43 instances that each find out by a late append.
+
+        Seen on day trouble-2 of vhs-klagenfurt-grown, with appends of 0.4 s.
+        """
+        fake_store = scripted.FakeStore()
+        writer = progress_writer.ProgressWriter(
+            store_client=fake_store,
+            timers=scripted.FakeTimers(),
+            epoch=1,
+            on_superseded=self.fail,
+        )
+        done = store.Appended(offset=0, end=1)
+        with unittest.mock.patch("time.monotonic") as monotonic:
+            monotonic.return_value = 10.0
+            writer.write([], lambda: None)
+            self.assertFalse(writer.is_slow)
+            monotonic.return_value = 10.4
+            self.assertTrue(writer.is_slow)
+            fake_store.pop_call("append").callback(done)
+            self.assertTrue(writer.is_slow)
+            writer.write([], lambda: None)
+            monotonic.return_value = 10.41
+            fake_store.pop_call("append").callback(done)
+            self.assertFalse(writer.is_slow)
+
+
 class JobWriterTest(unittest.TestCase):
     """Appends of submissions while the store is slow."""
 
