Keep one malformed row of the platform from ending a component

Cause, found by reading: a malformed row in a membership, in the owners of a group, in permits or in a configuration raised in the callback, after which a member no longer joined, or a reader no longer read. And of a pool with more than 100 executors only the first 100 are named in a question for permits, but all others were recorded as refused. Change: such rows are left out with a warning that shows them, or the response counts as none; only the executors that were asked about are recorded.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -18,7 +18,7 @@
     topic_reader,
 )
 from cranberryport.generated import messages
-from cranberryport.platform import executors, store
+from cranberryport.platform import advice, executors, store
 from cranberryport.scheduling import (
     admission,
     load,
@@ -636,6 +636,8 @@
             if len(self._advice_pending) >= ADVICE_CALLS_LIMIT:
                 return
             self._advice_pending.add(step_name)
+            # The others are asked about later; without an answer they are not refused.
+            executor_ids = executor_ids[: advice.EXECUTORS_PER_CALL_LIMIT]
             answer_s, per_executor_s, _ = durations
             expected_s = answer_s + per_executor_s * len(executor_ids)
             requested_at = time.monotonic()
--- a/cranberryport/platform/advice.py
+++ b/cranberryport/platform/advice.py
@@ -5,12 +5,15 @@
 """
 
 import dataclasses
+import logging
 
 from cranberryport.platform import bodies
 
 # The service accepts this many executors in one call.
 EXECUTORS_PER_CALL_LIMIT = 100
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
 class Permits:
@@ -69,9 +72,19 @@
             if status != 200 or not isinstance(rows, list):
                 callback(None)
                 return
+            tickets = {
+                row[0]: row[1]
+                for row in rows
+                if isinstance(row, list)
+                and len(row) > 1
+                and isinstance(row[0], str)
+                and isinstance(row[1], str)
+            }
+            if len(tickets) < len(rows):
+                _logger.warning("malformed rows of permits", extra={"rows": str(rows)})
             callback(
                 Permits(
-                    tickets={row[0]: row[1] for row in rows},
+                    tickets=tickets,
                     valid_s=bodies.get_integer(fields, "ValidMs") / 1000,
                 )
             )
--- a/cranberryport/platform/bodies.py
+++ b/cranberryport/platform/bodies.py
@@ -48,6 +48,14 @@
     return int(value)
 
 
+def get_number(fields, name, default=0.0):
+    """Return a field as a float, the default if it is missing or not a number."""
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return default
+    return float(value)
+
+
 def get_text(fields, name, default=""):
     """Return a field of type str, the default if it is missing or of another type."""
     value = fields.get(name, default)
--- a/cranberryport/platform/configuration.py
+++ b/cranberryport/platform/configuration.py
@@ -92,10 +92,13 @@
     if fields is None or not isinstance(fields.get("Routes"), list):
         return None
     routes = [_parse_route(row) for row in fields["Routes"] if isinstance(row, dict)]
+    rows = fields.get("Services")
+    rows = rows if isinstance(rows, list) else []
+    names = {bodies.get_text(row, "Name"): row for row in rows if isinstance(row, dict)}
     services = {
-        row["Name"]: Service(name=row["Name"], is_standby=row.get("Standby") is True)
-        for row in fields.get("Services") or ()
-        if isinstance(row, dict) and row.get("Name")
+        name: Service(name=name, is_standby=row.get("Standby") is True)
+        for name, row in names.items()
+        if name
     }
     return Configuration(
         version=bodies.get_integer(fields, "Version"), routes=routes, services=services
@@ -109,7 +112,7 @@
         service=bodies.get_text(row, "Service"),
         priority=bodies.get_integer(row, "Priority"),
         failed_runs_limit=max(1, bodies.get_integer(row, "MaxAttempts", 1)),
-        stretch=float(row.get("StretchFactor") or 1.0),
+        stretch=bodies.get_number(row, "StretchFactor") or 1.0,
         latency_s=bodies.get_integer(row, "TargetLatencyMs") / 1000,
         advice_times=_parse_advice_times(advice_row)
         if isinstance(advice_row, dict)
--- a/cranberryport/platform/store.py
+++ b/cranberryport/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 import dataclasses
+import logging
 import struct
 import urllib.parse
 
@@ -28,6 +29,8 @@
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
 class Appended:
@@ -380,7 +383,11 @@
                 callback(_parse_failure(result, status, fields))
                 return
             rows = fields.get("parts") or []
-            owned = frozenset(row[1] for row in rows if row[0] == topic)
+            try:
+                owned = frozenset(row[1] for row in rows if row[0] == topic)
+            except (IndexError, KeyError, TypeError) as error:
+                callback(NoResponse(reason=f"malformed partitions {rows!r}: {error!r}"))
+                return
             number = bodies.get_integer(fields, "Generation")
             callback(GroupMembership(generation=number, partitions=owned))
 
@@ -409,7 +416,17 @@
             if status != 200 or rows is None:
                 callback(_parse_failure(result, status, fields))
                 return
-            callback(PartitionOwners(members={row[1]: row[2] for row in rows}))
+            members = {
+                row[1]: row[2]
+                for row in rows
+                if isinstance(row, list)
+                and len(row) > 2
+                and isinstance(row[1], int)
+                and isinstance(row[2], str)
+            }
+            if len(members) < len(rows):
+                _logger.warning("malformed rows of owners", extra={"rows": str(rows)})
+            callback(PartitionOwners(members=members))
 
         self._send("GET", target, b"", timeout_s, on_result)
 
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -1,8 +1,10 @@
 """Tests for cranberryport.control.controller."""
 
+import types
 import unittest
 
 from cranberryport.control import controller
+from cranberryport.platform import advice
 from tests import scheduling
 
 
@@ -69,3 +71,27 @@
             [(event, fields["how"]) for event, fields in lines],
             [("run ended", "failed")],
         )
+
+
+class AdviceTest(unittest.TestCase):
+    """Questions about the executors of a pool with more than a call may name."""
+
+    def test_executors_that_were_not_asked_about_are_not_refused(self):
+        """Guards against a large pool of which only 100 executors are ever used."""
+        names = [f"e{number}" for number in range(150)]
+        asked = []
+        planner = types.SimpleNamespace(
+            take_advice_requests=lambda: {"j.0.0": (names, (0.1, 0.0, 3.0))},
+            on_advice=lambda step, executor_ids, *rest: asked.append(executor_ids),
+        )
+
+        def request_permits(step_name, executor_ids, *, callback, timeout_s):
+            callback(advice.Permits(tickets={}, valid_s=3.0))
+
+        subject = controller.Controller.__new__(controller.Controller)
+        subject._planner = planner
+        subject._advice_client = types.SimpleNamespace(request_permits=request_permits)
+        subject._advice_pending = set()
+        subject._decision_timer = object()
+        subject._request_advice()
+        self.assertEqual(asked, [names[: advice.EXECUTORS_PER_CALL_LIMIT]])
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -7,7 +7,13 @@
 import json
 import unittest
 
-from cranberryport.platform import configuration, executors, machines, submissions
+from cranberryport.platform import (
+    advice,
+    configuration,
+    executors,
+    machines,
+    submissions,
+)
 from cranberryport.scheduling import records
 from tests import scripted
 
@@ -147,6 +153,26 @@
         self.assertEqual((found.is_accepted, found.reason), (False, ""))
 
 
+class PermitsTest(unittest.TestCase):
+    """Parsing of the responses of the advice service."""
+
+    def test_malformed_rows_of_permits_are_left_out(self):
+        """Guards against a step that never starts because of one malformed row."""
+        rows = [["e1", "t1"], ["e2"], 4, [["e3"], "t3"]]
+        client = advice.AdviceClient(
+            connections=scripted.FakePool(
+                scripted.answer(Permitted=rows, ValidMs=3000)
+            ),
+            address=("127.0.0.1", 1),
+        )
+        results = []
+        with self.assertLogs(level="WARNING"):
+            client.request_permits(
+                "j.0.0", ["e1"], callback=results.append, timeout_s=1.0
+            )
+        self.assertEqual(results[0].tickets, {"e1": "t1"})
+
+
 class ConfigurationTest(unittest.TestCase):
     """Parsing of the operator's configuration, and its routes."""
 
@@ -167,3 +193,13 @@
     def test_malformed_configuration_is_none(self):
         """Guards against replacing the configuration in force by a malformed one."""
         self.assertIsNone(configuration.parse(b"{"))
+
+    def test_malformed_fields_of_a_configuration_are_left_out(self):
+        """Guards against an exception that ends the reading of configurations."""
+        route = {"Name": "q", "Host": "h", "PathPrefix": "/a/", "Service": "s"}
+        routes = [{**route, "StretchFactor": [], "Recommendation": 3}, 5]
+        for services in (7, ["s", {"Name": ["s"]}, {"Name": "s", "Standby": True}]):
+            value = {"Version": 3, "Routes": routes, "Services": services}
+            found = configuration.parse(json.dumps(value).encode())
+            self.assertEqual(found.find_route("h", "/a/1").queue.stretch, 1.0)
+        self.assertEqual(list(found.services), ["s"])
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -46,6 +46,36 @@
         self.assertTrue(self._append(scripted.no_answer()).was_sent)
         self.assertFalse(self._append(scripted.no_answer(bytes_sent=0)).was_sent)
 
+    def test_append_with_an_unexpected_error_may_be_stored(self):
+        """Guards against a promise that a job does not run, although it may."""
+        self.assertIsInstance(self._append(scripted.answer(500)), store.NoResponse)
+        self.assertIsInstance(self._append(scripted.answer(503)), store.Refused)
+
+    def test_malformed_membership_is_no_response(self):
+        """Guards against a member that stops joining after one malformed response."""
+        for rows in ([5], [["control"]], 7):
+            client, _ = make_client(scripted.answer(parts=rows, Generation=1))
+            results = []
+            client.join(
+                "g",
+                "m",
+                "control",
+                ttl_s=1.5,
+                generation=0,
+                callback=results.append,
+                timeout_s=1.0,
+            )
+            self.assertIsInstance(results[0], store.NoResponse)
+
+    def test_malformed_rows_of_owners_are_left_out(self):
+        """Guards against an instance that finds no controller for one malformed row."""
+        rows = [["control", 0, "a:1#x", 5], ["control"], 3, ["control", {}, "b", 1]]
+        client, _ = make_client(scripted.answer(rows=rows))
+        results = []
+        with self.assertLogs(level="WARNING"):
+            client.list_owners("g", callback=results.append, timeout_s=1.0)
+        self.assertEqual(results, [store.PartitionOwners(members={0: "a:1#x"})])
+
     def test_refused_appends_have_a_reason(self):
         """Guards against a controller that does not notice that it is fenced."""
         fenced = self._append(scripted.answer(409, Reason="fenced"))
