Do not count steps that became ready before a takeover as arriving

Change: what the first list of an executor shows does not count as arriving. Test: one, failing before.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -114,6 +114,8 @@
         self._arrival_rates = collections.defaultdict(rebalancing.ArrivalRate)
         # By pool and by task or step: time of the mark, step, and number of tasks.
         self._unplaceable = {}
+        # Whether the ends that are being handled may be older than this controller.
+        self._is_first_list = False
 
     @property
     def jobs(self):
@@ -244,7 +246,8 @@
                 and occurrence.are_dependencies_done(number)
             ):
                 occurrence.ready_steps.add(number)
-                if is_arrival and not step.is_lasting and not step.is_filling:
+                is_counted = is_arrival and not self._is_first_list
+                if is_counted and not step.is_lasting and not step.is_filling:
                     work_millicore_s = step.processors * step.count * step.estimate_s
                     arrival_rate = self._arrival_rates[occurrence.job.service]
                     arrival_rate.add_work(work_millicore_s, time.monotonic())
@@ -569,6 +572,7 @@
             Name of the task and number of each running run that is not known and must
             be stopped.
         """
+        self._is_first_list = executor.last_listed_at is None
         executor.last_listed_at = now
         for end in report.finished:
             if end.number <= executor.received_end_number:
@@ -578,6 +582,7 @@
             run = executor.runs.get((end.task, end.run))
             if run is not None:
                 self._end_run(run, end, executor, now, now_unix_s)
+        self._is_first_list = False
         unknown = []
         listed = set()
         for entry in report.running:
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -40,6 +40,23 @@
         )
         self.assertFalse(self._has_arrivals())
 
+    def test_step_whose_dependency_ended_before_the_takeover_does_not_count(self):
+        step = scheduling.make_step()
+        job = scheduling.make_job(step, scheduling.make_step(depends_on=(0,)))
+        self.harness = scheduling.SchedulerHarness(count=1)
+        self.harness.add_job(job)
+        (run,) = self.harness.start()
+        progress = records.progress_to_record(job)
+        self.harness = scheduling.SchedulerHarness(count=0)
+        copy = scheduling.make_job(step, scheduling.make_step(depends_on=(0,)))
+        self.harness.scheduler.restore_job(copy, progress, scheduling.NOW_UNIX_S)
+        executor = self.harness.scheduler.add_or_update_executor(
+            scheduling.make_executor("e1"), self.harness.now
+        )
+        self.harness.list_runs(executor, (), [(1, run.task.name, 1, "done")])
+        self.assertEqual(copy.occurrences[0].ready_steps, {1})
+        self.assertFalse(self._has_arrivals())
+
     def test_work_of_a_new_job_counts_as_arriving(self):
         self.harness.add_job(scheduling.make_job())
         self.assertTrue(self._has_arrivals())
