Keep unanswered orders through two takeovers

Cause, found by reading the diff: a controller that took over stored only its own unanswered orders, so the next one did not wait for those of the first. Test: one, failing before.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -117,6 +117,7 @@
         "_epoch",
         "_evacuation_not_before",
         "_has_read_executors",
+        "_inherited_unanswered",
         "_instances",
         "_is_fleet_short",
         "_is_list_pending",
@@ -185,6 +186,8 @@
         self._order_not_before = {}
         self._seen_executors = set()
         self._order_times = {}
+        # Unix times of earlier controllers' orders that had no response.
+        self._inherited_unanswered = {}
         self._rebalancer = rebalancing.PoolRebalancer(moves_per_s=settings.orders_per_s)
         self._instances = {}
         self._list_sent_at = None
@@ -243,6 +246,11 @@
             if wait_s > 0:
                 self._order_not_before[instance_id] = now + wait_s
         self._order_times = dict(sent)
+        self._inherited_unanswered = {
+            instance_id: sent[instance_id]
+            for instance_id in unanswered
+            if instance_id in sent
+        }
 
     def _is_orderable(self, instance_id, now):
         """Return whether this controller may give an order for an instance now."""
@@ -489,7 +497,11 @@
         unanswered = {
             instance_id: sent_at
             for instance_id, sent_at in self._order_times.items()
-            if instance_id in self._orders and not self._orders[instance_id].is_accepted
+            if self._inherited_unanswered.get(instance_id) == sent_at
+            or (
+                instance_id in self._orders
+                and not self._orders[instance_id].is_accepted
+            )
         }
         self._save_orders(self._order_times, unanswered, callback)
 
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -139,6 +139,14 @@
                     orderable,
                 )
 
+    def test_unanswered_order_is_known_to_the_controller_after_the_next(self):
+        """Guards against two takeovers within the life of one delayed order."""
+        sent = {"m1": time.time()}
+        self.manager.restore_orders(sent, {"m1"})
+        self.manager.start()
+        self.assertEqual(list(self.saved[-1][0]), ["m1", "m2"])
+        self.assertEqual(self.unanswered[-1], {"m1", "m2"})
+
     def test_clock_of_the_previous_controller_does_not_shorten_the_wait(self):
         """Guards against orders of two controllers while a clock is seconds off."""
         self.manager.restore_orders({"m1": time.time() - 10.0}, ())
