Count the time since an order by the wall clock unless it was stepped

Change: the time since the stored order counts again, unless the wall clock of this process has been stepped; a process with a stepped clock stores times in the future.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -84,6 +84,8 @@
         Asks which executors may run a step; None where there is no such service.
     is_sole_controller : callable
         Returns whether this process is the controller and no other process can be.
+    has_clock_stepped : callable
+        Returns whether the wall clock of this process has been stepped.
     on_superseded : callable
         Called without arguments if a write or order is refused because there is a later
         controller.
@@ -133,6 +135,7 @@
         instance_client,
         advice_client,
         is_sole_controller,
+        has_clock_stepped,
         on_superseded,
     ):
         self._store = store_client
@@ -168,6 +171,7 @@
                 epoch=epoch,
                 settings=settings,
                 is_sole_controller=is_sole_controller,
+                has_clock_stepped=has_clock_stepped,
                 has_read_executors=self._has_read_executors,
                 on_superseded=on_superseded,
                 on_decided=self.schedule_decision,
@@ -424,7 +428,7 @@
             sent = orders[ORDERS_KEY]
             # Without this record every order counts as unanswered.
             unanswered = orders.get(UNANSWERED_ORDERS_KEY, sent)
-            self._instance_manager.restore_orders(sent, unanswered)
+            self._instance_manager.restore_orders(sent, unanswered, time.time())
         for reader in self._jobs_readers:
             reader.start()
 
--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -40,7 +40,7 @@
 # the effect.
 STOP_EFFECT_DELAY_S = 1.0
 # Added to the time between orders of two controllers, for the time that the last order
-# of the earlier one takes to arrive.
+# of the earlier one takes to arrive, and for clocks that differ.
 ORDER_TURN_MARGIN_S = 0.5
 
 _logger = logging.getLogger(__name__)
@@ -97,6 +97,8 @@
         Settings.
     is_sole_controller : callable
         Returns whether this process is the controller and no other process can be.
+    has_clock_stepped : callable
+        Returns whether the wall clock of this process has been stepped.
     has_read_executors : callable
         Returns whether the list of executors has been read.
     on_superseded : callable
@@ -116,6 +118,7 @@
         "_client",
         "_epoch",
         "_evacuation_not_before",
+        "_has_clock_stepped",
         "_has_read_executors",
         "_inherited_unanswered",
         "_instances",
@@ -157,6 +160,7 @@
         epoch,
         settings,
         is_sole_controller,
+        has_clock_stepped,
         has_read_executors,
         on_superseded,
         on_decided,
@@ -172,6 +176,7 @@
         self._settings = settings
         self._is_sole_controller = is_sole_controller
         self._has_read_executors = has_read_executors
+        self._has_clock_stepped = has_clock_stepped
         self._on_superseded = on_superseded
         self._on_decided = on_decided
         self._save_wave = save_wave
@@ -217,7 +222,7 @@
         """Give no more orders."""
         self._is_stopped = True
 
-    def restore_orders(self, sent, unanswered):
+    def restore_orders(self, sent, unanswered, now_unix_s):
         """Delay orders for instances that the previous controller has ordered lately.
 
         The platform sets a minimum time between the orders of two controllers for the
@@ -225,8 +230,8 @@
         controller, an order without a response also has to be carried out or expire
         before a later controller sends one.
 
-        The times are compared with each other only, since the clocks of two entry
-        instances can differ by seconds.
+        While the own clock is stepped, no time counts as waited already. A process
+        whose clock is stepped stores times in the future to the same effect.
 
         Parameters
         ----------
@@ -234,15 +239,17 @@
             Unix time of the last order by instance.
         unanswered : collection of str
             Instances whose last order had no response.
+        now_unix_s : float
+            Unix time in seconds.
         """
         now = time.monotonic()
         turn_s = self._settings.order_turn_ms / 1000 + ORDER_TURN_MARGIN_S
-        latest = max(sent.values(), default=0.0)
         for instance_id, sent_at in sent.items():
             wait_s = turn_s
             if instance_id in unanswered and not self._settings.are_orders_fenced:
                 wait_s = max(wait_s, ORDER_LIFETIME_S)
-            wait_s -= latest - sent_at
+            if not self._has_clock_stepped():
+                wait_s -= max(0.0, now_unix_s - sent_at)
             if wait_s > 0:
                 self._order_not_before[instance_id] = now + wait_s
         self._order_times = dict(sent)
@@ -485,7 +492,8 @@
     def _store_and_send(self, instance_id, order):
         """Send an order once its time is stored for the next controller."""
         now_unix_s = time.time()
-        self._order_times[instance_id] = now_unix_s
+        offset_s = ORDER_LIFETIME_S if self._has_clock_stepped() else 0.0
+        self._order_times[instance_id] = now_unix_s + offset_s
         self._order_times = {
             key: sent_at
             for key, sent_at in self._order_times.items()
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -16,7 +16,7 @@
 from circuits import BaseComponent, handler
 from circuits.core import pollers
 
-from cranberryport import node_settings, timers
+from cranberryport import boot_clock, node_settings, timers
 from cranberryport.control import (
     controller,
     controller_client,
@@ -81,6 +81,7 @@
         super().__init__()
         self._settings = settings
         self._settings_path = settings_path
+        self._clock_watch = boot_clock.WallClockWatch()
         self._configuration = None
         self._controller = None
         # Maintenance waves by number, for a controller in this process.
@@ -244,6 +245,7 @@
             instance_client=self._instance_client,
             advice_client=self._advice_client,
             is_sole_controller=lambda: self._membership.is_sole_controller,
+            has_clock_stepped=lambda: self._clock_watch.has_stepped,
             on_superseded=self._membership.step_down,
         )
         if self._configuration is not None:
