--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -171,6 +171,11 @@
             and self.acknowledged_end_number >= self.received_end_number
         )
 
+    @property
+    def is_draining(self):
+        """Whether it has announced that it will terminate."""
+        return self.state == DRAINING
+
     def valid_ticket(self, step_name, now):
         """Return a ticket for a step that is still valid, None if there is none."""
         found = self.tickets.get(step_name)
--- a/cranberryport/scheduling/maintenance.py
+++ b/cranberryport/scheduling/maintenance.py
@@ -201,10 +201,14 @@
 
 
 def is_available(task, executors):
-    """Return whether a run of a long-running task is known to serve."""
+    """Return whether a run of a long-running task is known to serve, and goes on.
+
+    A run on an executor that drains is about to be moved.
+    """
     return any(
         run.state == model.RUNNING
         and run.progress_percent >= 100
         and run.executor in executors
+        and not executors[run.executor].is_draining
         for run in task.runs
     )
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -701,6 +701,24 @@
         states = [run.state for run in runs]
         self.assertEqual(states.count(model.STOPPING), 1)
 
+    def test_tasks_on_draining_executors_count_as_unavailable(self):
+        """Guards against more unavailable tasks of a step than allowed.
+
+        Seen on a hunted day of scoica-ops-large: a wave stopped two tasks of a step, of
+        which three may be away, and at the same time two others were moved away from
+        executors that were taken away at short notice.
+        """
+        harness = scheduling.SchedulerHarness(count=4)
+        step = scheduling.make_step(3, is_lasting=True, max_unavailable=1, spread=1)
+        harness.add_job(scheduling.make_job(step))
+        runs = harness.start()
+        for run in runs:
+            run.progress_percent = 100
+        known = harness.scheduler.executors
+        self.assertTrue(maintenance.may_stop(runs[0], known))
+        known[runs[1].executor].state = executors.DRAINING
+        self.assertFalse(maintenance.may_stop(runs[0], known))
+
     def test_long_running_task_stays_without_an_alternative_executor(self):
         """Guards against stopping a task that cannot run anywhere else."""
         harness, executor, runs = self._make_harness(is_lasting=True, max_unavailable=1)
