Keep a run whose start was refused after an attempt without a response

Any refusal but 'old' was taken as proof that the run had not started. Change: after an attempt without a response, a refusal proves nothing; the run is kept until a list that was requested after the start expired lacks it. A failed connect does not count as an attempt.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -172,6 +172,8 @@
             return
         now = time.monotonic()
         if isinstance(response, executors.NoResponse):
+            # Until the connection is made nothing is sent.
+            run.has_unanswered_start |= response.reason != "connect"
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
             return
         if self._is_unusable(response):
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -157,6 +157,9 @@
     start_expires_at : float or None
         Monotonic time after which an unanswered start is not carried out any more;
         None for a run that a previous controller started.
+    has_unanswered_start : bool
+        Whether an attempt to send the start had no response, and may have been carried
+        out.
     deadline_ms : int or None
         Deadline sent with the start, on the executor's clock.
     stop_sent_at : float or None
@@ -184,6 +187,7 @@
         "confirmed_at",
         "deadline_ms",
         "executor",
+        "has_unanswered_start",
         "number",
         "ordered_at",
         "pace",
@@ -206,6 +210,7 @@
         self.confirmed_at = None
         self.ordered_at = None
         self.start_expires_at = None
+        self.has_unanswered_start = False
         self.deadline_ms = None
         self.stop_sent_at = None
         self.checkpoint = ""
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -528,7 +528,8 @@
         reason : {'room', 'late', 'ticket', 'unhealthy', 'invalid', 'old'}
             Reason of the refusal. After ``'old'`` the run may have started already, so
             it is kept until a list of runs shows whether it exists. For the other
-            reasons it has not started and is removed.
+            reasons it has not started and is removed, unless an earlier attempt had no
+            response: that one may have started it, and it may even have ended.
         now : float
             Monotonic time in seconds.
         """
@@ -542,6 +543,9 @@
             executor.backoff_until = now + UNHEALTHY_DELAY_S
         if executor is not None and reason == "ticket":
             executor.tickets = {}
+        if run.has_unanswered_start:
+            # A list of runs that is requested after the start has expired decides.
+            return
         delay = UNHEALTHY_DELAY_S if reason == "invalid" else 0.0
         run.task.retry_at = now + delay
         self._remove_run(run)
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -62,6 +62,41 @@
         self.assertEqual(number, self.run_.number)
         self.assertNotEqual(deadline_ms, 9000)
 
+    def test_refusal_after_an_unanswered_start_does_not_prove_that_it_did_not_run(self):
+        """Guards against a second run of a task that was done.
+
+        Seen in the sweep of scoica-ops-large with 298 instances: the response to a
+        start came too late, the run ended meanwhile, and its repetition was refused.
+        """
+        now = self.harness.now
+        self.run_.start_expires_at = now + 2.0
+        self.client.starts.pop()[2](executors.NoResponse(reason="timeout"))
+        refusal = executors.ExecutorResponse(is_accepted=False, reason="room")
+        self.link._on_start(self.run_, refusal)
+        self.assertEqual(self.run_.task.runs, [self.run_])
+        done = [(1, self.run_.task.name, self.run_.number, "done")]
+        self.harness.list_runs(self.executor, (), done)
+        self.assertTrue(self.run_.task.is_done)
+
+    def test_refused_start_that_was_never_carried_out_is_given_up_in_time(self):
+        """Guards against a task that waits for a run that does not exist."""
+        now = self.harness.now
+        self.run_.start_expires_at = now + 2.0
+        self.client.starts.pop()[2](executors.NoResponse(reason="timeout"))
+        refusal = executors.ExecutorResponse(is_accepted=False, reason="room")
+        self.link._on_start(self.run_, refusal)
+        self.harness.list_runs(self.executor, requested_at=now + 1.9)
+        self.assertTrue(self.run_.task.runs)
+        self.harness.list_runs(self.executor, requested_at=now + 2.1)
+        self.assertFalse(self.run_.task.runs)
+
+    def test_refusal_after_a_failed_connect_frees_the_task_at_once(self):
+        """Guards against a delay where nothing can have been carried out."""
+        self.client.starts.pop()[2](executors.NoResponse(reason="connect"))
+        refusal = executors.ExecutorResponse(is_accepted=False, reason="room")
+        self.link._on_start(self.run_, refusal)
+        self.assertFalse(self.run_.task.runs)
+
     def test_dropped_run_is_not_started_again(self):
         """Guards against a task that runs on two executors.
 
