Log what ran on a lost executor, and for how long

The logs could not tell a crash from a departure, nor how long a run had lasted and what ran beside it, so they did not distinguish the hypotheses. Change: one line for each executor that is lost with runs (reason, address, seconds without an answer, age of each run when the executor was last alive); a line for each run that is missing in a list or not found after a takeover, which had none; counters of both on the metrics page. No decision changes. Test: one, for the line and the counters.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -225,6 +225,11 @@
         """Whether the stored jobs and their progress are loaded."""
         return self._is_ready
 
+    @property
+    def event_counts(self):
+        """Numbers of events since the takeover, by name; for the metrics."""
+        return self._scheduler.event_counts
+
     def start(self):
         """Fence earlier controllers, load the stored state and then start deciding."""
         self._writer.fence(self._read_progress)
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -179,6 +179,7 @@
         if self._is_unusable(response):
             return
         if response.is_accepted:
+            self._executor.last_alive_at = now
             self._scheduler.on_run_started(run, now)
         else:
             _logger.info(
@@ -270,9 +271,15 @@
         executor = self._executor
         executor.list_requested_at = None
         if isinstance(response, executors.NoResponse):
+            executor.record_failed_call(
+                now, is_connection_closed=response.reason == "closed"
+            )
             self._on_no_response(response.reason)
             return
-        if self._is_unusable(response) or not response.is_accepted:
+        is_unusable = self._is_unusable(response)
+        if not is_unusable:
+            executor.record_answer(now)
+        if is_unusable or not response.is_accepted:
             self._timers.after(LIST_RETRY_DELAY_S, self._list_runs)
             return
         if self._has_list_call_failed:
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -270,6 +270,9 @@
         self._metrics.gauge("store.calls", self._store.call_count)
         self._metrics.gauge("front.in_progress", self._job_api.in_progress_count)
         self._metrics.gauge("controller.is_leading", int(self._controller is not None))
+        if self._controller is not None:
+            for name, number in self._controller.event_counts.items():
+                self._metrics.gauge(f"controller.{name}", number)
         response.headers["Content-Type"] = "text/plain"
         response.body = self._metrics.render()
         return response
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -69,6 +69,12 @@
         Monotonic time at which its lease has certainly expired; None if it has none.
     last_listed_at : float or None
         Monotonic time at which it last answered a request for its runs.
+    last_alive_at : float or None
+        Monotonic time at which its process last certainly ran: when it last answered,
+        or closed the connection of a pending request.
+    unreachable_since : float or None
+        Monotonic time at which a request for its runs first failed after the last
+        answer; None while it answers.
     terminates_at : float or None
         Monotonic time at which a draining executor terminates.
     backoff_until : float
@@ -97,6 +103,7 @@
         "has_store_entry",
         "is_being_vacated",
         "labels",
+        "last_alive_at",
         "last_listed_at",
         "lease_expires_at",
         "list_requested_at",
@@ -113,6 +120,7 @@
         "suspected_until",
         "terminates_at",
         "tickets",
+        "unreachable_since",
     )
 
     def __init__(
@@ -151,6 +159,8 @@
         self.is_being_vacated = False
         self.lease_expires_at = None
         self.last_listed_at = None
+        self.last_alive_at = None
+        self.unreachable_since = None
         self.terminates_at = None
         self.backoff_until = 0.0
         self.suspected_until = 0.0
@@ -224,6 +234,46 @@
         self.lease_expires_at = max(self.lease_expires_at or 0.0, lease_expires_at)
         return deadline_ms
 
+    def record_answer(self, now):
+        """Record that its process has answered a request for its runs."""
+        self.last_alive_at = now
+        self.unreachable_since = None
+
+    def record_failed_call(self, now, *, is_connection_closed):
+        """Record that a request for its runs has failed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        is_connection_closed : bool
+            Whether the executor closed the connection while the request was pending,
+            so that its process ran until now.
+        """
+        if self.unreachable_since is not None:
+            return
+        self.unreachable_since = now
+        if is_connection_closed:
+            self.last_alive_at = now
+
+    def run_age_s(self, run):
+        """Return for how long a run has certainly lasted.
+
+        Parameters
+        ----------
+        run : model.Run
+            A run on this executor.
+
+        Returns
+        -------
+        float or None
+            Seconds from the confirmation of its start until this executor was last
+            known to run; None if the start was not confirmed.
+        """
+        if run.confirmed_at is None or self.last_alive_at is None:
+            return None
+        return max(0.0, self.last_alive_at - run.confirmed_at)
+
     def is_lease_expired(self, now):
         """Return whether the lease has expired and all earlier requests are answered.
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -114,6 +114,7 @@
         self._arrival_rates = collections.defaultdict(rebalancing.ArrivalRate)
         # By pool and by task or step: time of the mark, step, and number of tasks.
         self._unplaceable = {}
+        self._event_counts = collections.Counter()
         # Whether the ends that are being handled may be older than this controller.
         self._is_first_list = False
 
@@ -132,6 +133,11 @@
         """Executors by id."""
         return self._executors
 
+    @property
+    def event_counts(self):
+        """Numbers of events since this controller took over, by name."""
+        return self._event_counts
+
     @property
     def arrival_rates(self):
         """Rate at which work becomes ready, by pool."""
@@ -401,33 +407,31 @@
         """
         for executor_id in set(self._restored_runs) - present:
             for run in list(self._restored_runs.pop(executor_id).values()):
-                _logger.info(
-                    "run lost",
-                    extra={
-                        "request": run.task.job.id,
-                        "task": run.task.name,
-                        "run": run.number,
-                        "executor": executor_id,
-                        "reason": "no instance has the executor",
-                    },
-                )
-                self._remove_run(run)
+                self._remove_lost_run(run, "no instance has the executor")
 
     def _remove_runs_on(self, executor, reason, is_kept=lambda run: False):
-        for run in list(executor.runs.values()):
-            if is_kept(run):
-                continue
-            _logger.info(
-                "run lost",
-                extra={
-                    "request": run.task.job.id,
-                    "task": run.task.name,
-                    "run": run.number,
-                    "executor": executor.id,
-                    "reason": reason,
-                },
-            )
-            self._remove_run(run)
+        runs = list(executor.runs.values())
+        if runs:
+            _log_lost_runs(executor, runs, reason)
+            self._event_counts["executors_lost_with_runs"] += 1
+        for run in runs:
+            if not is_kept(run):
+                self._remove_lost_run(run, reason)
+
+    def _remove_lost_run(self, run, reason):
+        """Remove a run whose end no executor will list."""
+        self._event_counts["runs_lost"] += 1
+        _logger.info(
+            "run lost",
+            extra={
+                "request": run.task.job.id,
+                "task": run.task.name,
+                "run": run.number,
+                "executor": run.executor,
+                "reason": reason,
+            },
+        )
+        self._remove_run(run)
 
     def process_due_events(self, now, now_unix_s):
         """Handle expired leases, occurrences that are due, and stops to be repeated.
@@ -454,7 +458,7 @@
         if self._restored_runs and now >= self._previous_leases_expire_at:
             for runs in self._restored_runs.values():
                 for run in list(runs.values()):
-                    self._remove_run(run)
+                    self._remove_lost_run(run, "executor not found after a takeover")
             self._restored_runs = {}
         for job in list(self._jobs_due_later.values()):
             self._activate_due_occurrences(job, now_unix_s)
@@ -609,7 +613,7 @@
                 run.start_expires_at is None or requested_at > run.start_expires_at
             )
             if was_confirmed or (run.state != model.STOPPING and has_start_expired):
-                self._remove_run(run)
+                self._remove_lost_run(run, "not in the executor's list")
         return unknown
 
     def _update_run(self, run, entry, now):
@@ -835,6 +839,36 @@
         )
 
 
+def _log_lost_runs(executor, runs, reason):
+    """Log what ran on an executor that is lost, with the runs' ages in seconds.
+
+    A run without a known age is logged with its state.
+    """
+    unreachable_s = None
+    if executor.unreachable_since is not None:
+        unreachable_s = round(time.monotonic() - executor.unreachable_since, 3)
+    ages = {}
+    for run in runs:
+        age_s = executor.run_age_s(run)
+        ages[f"{run.task.name} {run.number}"] = (
+            run.state if age_s is None else round(age_s, 3)
+        )
+    _logger.info(
+        "executor lost with runs",
+        extra={
+            "executor": executor.id,
+            "pool": executor.service,
+            "state": executor.state,
+            "address": ":".join(map(str, executor.address)),
+            "reason": reason,
+            "is_listed": executor.has_store_entry,
+            "is_being_vacated": executor.is_being_vacated,
+            "unreachable_s": unreachable_s,
+            "age_s_by_run": ages,
+        },
+    )
+
+
 def _log_step_end(tasks):
     """Log the end of a step, with its slowest task."""
     slowest = max(tasks, key=lambda task: task.last_run_s or 0.0)
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -417,3 +417,39 @@
         self.assertEqual(second.start(), [])
         second.scheduler.remove_restored_runs({"e2"})
         self.assertEqual([run.number for run in second.start()], [2])
+
+
+class LostExecutorLogTest(unittest.TestCase):
+    """The log line about an executor that is lost with its runs."""
+
+    def test_line_has_the_ages_of_the_runs_when_the_executor_was_last_alive(self):
+        """Guards against crashes that the logs do not tell from planned ends."""
+        harness = scheduling.SchedulerHarness()
+        (executor,) = harness.executors
+        harness.add_job(scheduling.make_job())
+        (old,) = harness.start()
+        harness.now += 2.0
+        harness.add_job(scheduling.make_job(job="b" * 16))
+        (new,) = harness.start()
+        harness.now += 0.01
+        executor.record_failed_call(harness.now, is_connection_closed=True)
+        harness.add_job(scheduling.make_job(job="c" * 16))
+        (unanswered,) = harness.scheduler.commit(harness.plan(), harness.now)
+        harness.now += 0.5
+        executor.record_failed_call(harness.now, is_connection_closed=True)
+        with self.assertLogs("cranberryport") as logs:
+            harness.scheduler.retire_executor(executor, "no running instance has it")
+        fields = vars(logs.records[0])
+        self.assertEqual(fields["reason"], "no running instance has it")
+        self.assertEqual(
+            fields["age_s_by_run"],
+            {
+                f"{old.task.name} 1": 2.01,
+                f"{new.task.name} 1": 0.01,
+                f"{unanswered.task.name} 1": "ordered",
+            },
+        )
+        self.assertEqual(
+            harness.scheduler.event_counts,
+            {"executors_lost_with_runs": 1, "runs_lost": 3},
+        )
