Reproduce tasks that are started again after every crash of their executors

The stand-in executors can crash under chosen tasks of a job and come back after 3 s; the checker reports a task that is started three times after three crashes.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -160,9 +160,7 @@
 
     def _order_revive(self, instance):
         """Start a new executor on an instance whose executor was killed."""
-        target = self._instances.by_id[instance]
-        if target.executor is None and target.state == "up":
-            self._instances.start_executor(target)
+        self._instances.revive(self._instances.by_id[instance])
 
     def _order_restart(self, instance):
         """End the executor of an instance and start one with the same id at once."""
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -2,8 +2,9 @@
 
 Runs of tasks are simulated. The specification of a job says how they behave: ``steps``
 with ``count`` (tasks of the step), ``ms`` (run time of a task), ``processors``,
-``memory``, ``lasts`` (whether tasks run until they are stopped) and ``after`` (steps
-that have to be completed before).
+``memory``, ``lasts`` (whether tasks run until they are stopped), ``after`` (steps
+that have to be completed before), and ``crashing`` (indices of the tasks that crash
+each executor that starts them).
 """
 
 import asyncio
@@ -16,6 +17,8 @@
 # Interval at which ends of runs are checked; short compared to the run time of tasks,
 # which is at least 0.1 s.
 CHECK_INTERVAL_S = 0.02
+# Time from the start of a crashing task until its executor crashes.
+CRASH_DELAY_S = 0.01
 # Progress reported for a running lasting task. Others report less until they end.
 FULL_PROGRESS_PERCENT = 100
 # Value of an executor's clock at its start, so that the clock is never 0.
@@ -37,6 +40,7 @@
 
     __slots__ = (
         "duration_s",
+        "is_crashing",
         "is_lasting",
         "memory",
         "number",
@@ -51,6 +55,7 @@
         self.started_at = time.monotonic()
         self.duration_s = step["ms"] / 1000
         self.is_lasting = step.get("lasts", False)
+        self.is_crashing = int(task.rpartition(".")[2]) in step.get("crashing", ())
         self.processors = step["processors"]
         self.memory = step["memory"]
 
@@ -115,6 +120,14 @@
             run = self._runs.pop(key)
             self._checker.on_run_ended(run.task, run.number, self.id, "gone")
 
+    def find_crashing_run(self):
+        """Return the run that crashes this executor now, None if there is none."""
+        crashed_before = time.monotonic() - CRASH_DELAY_S
+        for run in self._runs.values():
+            if run.is_crashing and run.started_at <= crashed_before:
+                return run
+        return None
+
     def end_due_runs(self):
         """End the runs that are finished, or all runs if the lease is over."""
         now = time.monotonic()
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -15,6 +15,8 @@
 HOST_PATTERN = "127.1.{}.{}"
 # Longest lease that executors grant (HoldMaxMs of the deployments).
 LEASE_LIMIT_S = 10.0
+# Time after which an executor that its task has crashed is replaced.
+CRASH_RECOVERY_S = 3.0
 # Number of addresses used in each network with a prefix of 24 bits.
 HOSTS_PER_NETWORK = 250
 
@@ -177,8 +179,22 @@
         while True:
             await asyncio.sleep(executors.CHECK_INTERVAL_S)
             for instance in self.by_id.values():
-                if instance.executor is not None and not instance.executor.is_frozen:
+                if instance.executor is None or instance.executor.is_frozen:
+                    continue
+                crashing_run = instance.executor.find_crashing_run()
+                if crashing_run is None:
                     instance.executor.end_due_runs()
+                else:
+                    self._checker.on_executor_crashed(crashing_run.task)
+                    self.end_executor(instance, is_listed=True)
+                    self._call_later(
+                        CRASH_RECOVERY_S, lambda i=instance: self.revive(i)
+                    )
+
+    def revive(self, instance):
+        """Start a new executor on an instance that is up and has none."""
+        if instance.executor is None and instance.state == "up":
+            self.start_executor(instance)
 
     def _call_later(self, delay_s, function):
         async def run():
--- a/standins/platform/invariants.py
+++ b/standins/platform/invariants.py
@@ -8,6 +8,10 @@
 import json
 import time
 
+# A task may be started fewer times than this after this number of executors have
+# crashed under it (platform's rules).
+CRASH_LIMIT = 3
+
 
 class InvariantChecker:
     """Records the runs of all executors and the violations of invariants.
@@ -29,6 +33,8 @@
         self._running = collections.defaultdict(set)
         self._completed_tasks = set()
         self._acknowledged_tasks = set()
+        self._crash_counts = collections.Counter()
+        self._starts_after_crashes = collections.Counter()
 
     def report_violation(self, invariant, detail):
         """Record a violation."""
@@ -46,6 +52,10 @@
             )
         if task in self._acknowledged_tasks:
             self.report_violation("run after its end was acknowledged", f"{task} {run}")
+        if self._crash_counts[task] >= CRASH_LIMIT:
+            self._starts_after_crashes[task] += 1
+            if self._starts_after_crashes[task] == CRASH_LIMIT:
+                self.report_violation("crashing task is started again", f"{task} {run}")
         job, occurrence, step, _ = task.split(".")
         for earlier in spec["steps"][int(step)].get("after", ()):
             for index in range(spec["steps"][earlier]["count"]):
@@ -68,6 +78,10 @@
         if outcome == "done":
             self._acknowledged_tasks.add(task)
 
+    def on_executor_crashed(self, task):
+        """Record that a task has crashed its executor."""
+        self._crash_counts[task] += 1
+
     def running_tasks(self):
         """Return the names of the tasks that have a run."""
         return sorted(task for task, runs in self._running.items() if runs)
