Count crashes of executors under each task, and isolate suspects

A run that is lost with its executor counted against no limit, and was planned again at once with new neighbours. Class of fault: a retry without a budget on a path that ends without a report. Change: a module of its own, scheduling/crashes. Each crash is counted for the tasks that ran there for less than 2 s. Those without a proven run are suspects: they are restarted in groups of four, then alone, apart from other starts, until they have outlived their age at the crash. A task is given up when it was the only suspect on two hosts, or after five crashes; a run that outlives its crashes clears them. A lapsed lease counts once it shows that the executor has crashed. Ruled out: to fail all tasks under which two executors crashed; neighbours would fail.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -116,6 +116,7 @@
         "_settings",
         "_started_at",
         "_store",
+        "_stored_crashes",
         "_stored_progress",
         "_timers",
         "_unsaved_orders",
@@ -179,6 +180,7 @@
                 save_orders=self._save_orders,
             )
         self._stored_progress = {}
+        self._stored_crashes = {}
         self._cancelled_jobs = set()
         self._has_configuration = False
         self._is_ready = False
@@ -426,6 +428,12 @@
                 if record is not None:
                     orders[key] = record.sent
                 continue
+            if key.startswith(records.CRASHES_KEY_PREFIX):
+                record = _decode(key, value, messages.CrashesStored)
+                if record is not None:
+                    job_id = key.removeprefix(records.CRASHES_KEY_PREFIX)
+                    self._stored_crashes[job_id] = record
+                continue
             record = _decode(key, value, messages.ProgressStored)
             if record is not None:
                 self._stored_progress[key] = record
@@ -459,6 +467,7 @@
     def _finish_loading(self):
         self._is_ready = True
         self._stored_progress = {}
+        self._stored_crashes = {}
         taken_s = time.monotonic() - self._started_at
         _logger.info(
             "controller ready",
@@ -497,7 +506,12 @@
         job = records.job_from_record(record)
         progress = self._stored_progress.get(record.job)
         if progress is not None:
-            self._scheduler.restore_job(job, progress, now_unix_s)
+            self._scheduler.restore_job(
+                job,
+                progress,
+                now_unix_s,
+                crash_record=self._stored_crashes.get(record.job),
+            )
         else:
             self._scheduler.add_job(job, now_unix_s)
             _logger.info(
@@ -615,7 +629,7 @@
                 timeout_s=STORE_TIMEOUT_S,
                 partition=partition,
             )
-        self._writer.write([], self.schedule_decision, deleted_jobs=ended)
+        self._writer.write([], self.schedule_decision, deleted_keys=ended)
 
     def _decide(self):
         self._decision_timer = None
@@ -682,10 +696,12 @@
         callbacks, self._orders_callbacks = self._orders_callbacks, []
         self._unsaved_waves = {}
         self._unsaved_orders = []
-        new_records = [*batch.progress_records, *other_records]
+        new_records = [*batch.progress_records, *batch.crash_records, *other_records]
         if new_records:
             self._writer.write(
-                new_records, lambda: self._on_batch_stored(batch, callbacks)
+                new_records,
+                lambda: self._on_batch_stored(batch, callbacks),
+                deleted_keys=batch.deleted_crash_records,
             )
         elif not batch.is_empty:
             self._on_batch_stored(batch, callbacks)
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -122,6 +122,8 @@
         validity_s = run.start_expires_at - now
         if self._is_closed or run.state != model.ORDERED or validity_s <= 0:
             return
+        if run.is_start_withdrawn:
+            return
         if run not in run.task.runs:
             # The scheduler has removed the run, so its task may run elsewhere.
             return
--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -352,7 +352,11 @@
             if executor.id in present or executor.id not in self._seen_executors:
                 continue
             if executor.is_silent(list_sent_at) and executor.runs:
-                self._scheduler.retire_executor(executor, "no running instance has it")
+                self._scheduler.retire_executor(
+                    executor,
+                    "no running instance has it",
+                    has_crashed=not executor.is_being_vacated,
+                )
         current = self._scheduler.executors.keys()
         self._seen_executors = (self._seen_executors | present) & current
 
--- a/cranberryport/control/progress_writer.py
+++ b/cranberryport/control/progress_writer.py
@@ -82,20 +82,20 @@
         """Append an empty batch, so that the store refuses writes of lower epochs."""
         self._start_append([], callback)
 
-    def write(self, new_records, callback, *, deleted_jobs=()):
+    def write(self, new_records, callback, *, deleted_keys=()):
         """Store records and delete others in one append.
 
         Parameters
         ----------
-        new_records : list of messages.ProgressStored, WaveStored or OrdersStored
+        new_records : list of messages.ProgressStored or of another record
             Records; the field ``job`` holds the key, also where that is no job id.
         callback : callable
             Called once without arguments when the append is stored.
-        deleted_jobs : list of str
-            Ids of the jobs whose records are deleted.
+        deleted_keys : list of str
+            Keys of the records that are deleted; that of a job's progress is its id.
         """
         records = [(record.job, codec.encode(record)) for record in new_records]
-        records += [(job_id, b"") for job_id in deleted_jobs]
+        records += [(key, b"") for key in deleted_keys]
         self._start_append(records, callback)
 
     def _start_append(self, records, callback):
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -41,6 +41,9 @@
 
     Attributes
     ----------
+    lapsed_runs : list of (model.Run, float or None)
+        Runs that were given up when the lease expired, each with the seconds for which
+        it had certainly lasted; empty once the executor answers again.
     list_requested_at : float or None
         Monotonic time at which the unanswered request for its runs was sent; None if
         no request is unanswered.
@@ -103,6 +106,7 @@
         "has_store_entry",
         "is_being_vacated",
         "labels",
+        "lapsed_runs",
         "last_alive_at",
         "last_listed_at",
         "lease_expires_at",
@@ -152,6 +156,7 @@
         self.clock_ms = None
         self.clock_read_at = None
         self.runs = {}
+        self.lapsed_runs = []
         self.acknowledged_end_number = 0
         self.received_end_number = 0
         self.has_accepted_epoch = False
@@ -238,6 +243,7 @@
         """Record that its process has answered a request for its runs."""
         self.last_alive_at = now
         self.unreachable_since = None
+        self.lapsed_runs = []
 
     def record_failed_call(self, now, *, is_connection_closed):
         """Record that a request for its runs has failed.
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -160,6 +160,8 @@
     has_unanswered_start : bool
         Whether an attempt to send the start had no response, and may have been carried
         out.
+    is_start_withdrawn : bool
+        Whether the start is not sent again, as the executor has crashed since.
     deadline_ms : int or None
         Deadline sent with the start, on the executor's clock.
     stop_sent_at : float or None
@@ -188,6 +190,7 @@
         "deadline_ms",
         "executor",
         "has_unanswered_start",
+        "is_start_withdrawn",
         "number",
         "ordered_at",
         "pace",
@@ -211,6 +214,7 @@
         self.ordered_at = None
         self.start_expires_at = None
         self.has_unanswered_start = False
+        self.is_start_withdrawn = False
         self.deadline_ms = None
         self.stop_sent_at = None
         self.checkpoint = ""
@@ -258,6 +262,9 @@
         Runs that are planned or may be in progress.
     avoided_executors : tuple of str
         Executors on which the task failed or was stopped lately.
+    crash_history : crashes.CrashHistory or None
+        Crashes of executors under the task; None if there was none since its last
+        proven run.
     retry_at : float
         Monotonic time before which the task is not started again.
     """
@@ -265,6 +272,7 @@
     __slots__ = (
         "avoided_executors",
         "checkpoint",
+        "crash_history",
         "failed_run_count",
         "index",
         "is_done",
@@ -294,6 +302,7 @@
         self.last_run_s = None
         self.runs = []
         self.avoided_executors = ()
+        self.crash_history = None
         self.retry_at = 0.0
 
     @property
@@ -441,6 +450,8 @@
         Unix time in seconds at which the job ended.
     has_started : bool
         Whether a run of any task was planned.
+    has_stored_crashes : bool
+        Whether the store has a record of the crashes under its tasks.
     critical_path_s : float
         Declared seconds of the longest chain of dependent steps.
     """
@@ -454,6 +465,7 @@
         "ended_at",
         "first_due_at",
         "has_started",
+        "has_stored_crashes",
         "id",
         "interval_s",
         "is_cancelled",
@@ -498,6 +510,7 @@
         self.done_occurrences = set()
         self.ended_at = None
         self.has_started = False
+        self.has_stored_crashes = False
         self.is_dirty = False
         self.cancel_requested = False
         self.is_cancelled = False
--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -1,7 +1,10 @@
 """Conversion of jobs and their progress to stored records and back."""
 
 from cranberryport.generated import messages
-from cranberryport.scheduling import model
+from cranberryport.scheduling import crashes, model
+
+# Prefix of the key of a job's crash record. Programs of before this record skip it.
+CRASHES_KEY_PREFIX = "crashes/"
 
 # Fields that have the same name in a step and in its record.
 _SHARED_FIELDS = (
@@ -106,6 +109,55 @@
         occurrence.recount_remaining()
 
 
+def crashes_to_record(job):
+    """Return the record of the crashes of executors under a job's tasks.
+
+    Returns
+    -------
+    messages.CrashesStored
+        Without tasks if the job has ended or there were no crashes.
+    """
+    rows = []
+    if not job.has_ended:
+        for task in job.tasks():
+            history = task.crash_history
+            if history is not None and not task.is_done:
+                row = messages.CrashHistoryStored(
+                    occurrence=task.occurrence.number,
+                    step=task.step_number,
+                    index=task.index,
+                    crash_count=history.crash_count,
+                    is_suspect=history.is_suspect,
+                    longest_age_s=history.longest_age_s,
+                    sole_crash_hosts=history.sole_crash_hosts,
+                )
+                rows.append(row)
+    return messages.CrashesStored(job=CRASHES_KEY_PREFIX + job.id, tasks=rows)
+
+
+def restore_crashes(job, record):
+    """Restore the crash histories of a job's tasks, after its progress.
+
+    Parameters
+    ----------
+    job : model.Job
+        The job.
+    record : messages.CrashesStored
+        Result of :func:`crashes_to_record`.
+    """
+    job.has_stored_crashes = True
+    for row in record.tasks:
+        occurrence = job.occurrences.get(row.occurrence)
+        if occurrence is None:
+            continue
+        occurrence.tasks[row.step][row.index].crash_history = crashes.CrashHistory(
+            crash_count=row.crash_count,
+            is_suspect=row.is_suspect,
+            longest_age_s=row.longest_age_s,
+            sole_crash_hosts=row.sole_crash_hosts,
+        )
+
+
 def _step_to_record(step):
     values = {name: getattr(step, name) for name in _SHARED_FIELDS}
     bound = -1 if step.max_unavailable is None else step.max_unavailable
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -12,6 +12,7 @@
 import time
 
 from cranberryport.scheduling import (
+    crashes,
     executors,
     model,
     ordering,
@@ -67,6 +68,10 @@
     ----------
     progress_records : list of messages.ProgressStored
         Records of the jobs that have changed.
+    crash_records : list of messages.CrashesStored
+        Records of crashes of executors under tasks of these jobs.
+    deleted_crash_records : list of str
+        Keys of such records that have become empty.
     planned_runs : list of model.Run
         Runs whose start can be sent once the records are stored.
     acknowledgements : list of (executors.Executor, int, int or None)
@@ -74,10 +79,26 @@
         the last end that the records include, and start time of the executor.
     """
 
-    __slots__ = ("acknowledgements", "planned_runs", "progress_records")
+    __slots__ = (
+        "acknowledgements",
+        "crash_records",
+        "deleted_crash_records",
+        "planned_runs",
+        "progress_records",
+    )
 
-    def __init__(self, *, progress_records, planned_runs, acknowledgements):
+    def __init__(
+        self,
+        *,
+        progress_records,
+        crash_records,
+        deleted_crash_records,
+        planned_runs,
+        acknowledgements,
+    ):
         self.progress_records = progress_records
+        self.crash_records = crash_records
+        self.deleted_crash_records = deleted_crash_records
         self.planned_runs = planned_runs
         self.acknowledgements = acknowledgements
 
@@ -110,6 +131,8 @@
         self._stops_checked_at = -math.inf
         self._restored_runs = {}
         self._jobs_due_later = {}
+        # Tasks under which executors have crashed, by name.
+        self._crash_tasks = {}
         self._retired_executors = {}
         self._arrival_rates = collections.defaultdict(rebalancing.ArrivalRate)
         # By pool and by task or step: time of the mark, step, and number of tasks.
@@ -138,6 +161,11 @@
         """Numbers of events since this controller took over, by name."""
         return self._event_counts
 
+    @property
+    def has_suspects(self):
+        """Whether any open task may have crashed executors."""
+        return bool(self._crash_tasks)
+
     @property
     def arrival_rates(self):
         """Rate at which work becomes ready, by pool."""
@@ -191,12 +219,28 @@
         self._activate_due_occurrences(job, now_unix_s)
         return True
 
-    def restore_job(self, job, progress, now_unix_s):
+    def restore_job(self, job, progress, now_unix_s, *, crash_record=None):
         """Add a job with the progress that the previous controller stored.
 
         Its runs wait until their executors are known; see :meth:`process_due_events`.
+
+        Parameters
+        ----------
+        job : model.Job
+            Job without progress.
+        progress : messages.ProgressStored
+            Its progress.
+        now_unix_s : float
+            Unix time in seconds.
+        crash_record : messages.CrashesStored, optional
+            Crashes of executors under its tasks.
         """
         records.restore_progress(job, progress)
+        if crash_record is not None:
+            records.restore_crashes(job, crash_record)
+            for task in job.tasks():
+                if task.crash_history is not None:
+                    self._crash_tasks[task.name] = task
         self._jobs[job.id] = job
         if not job.has_ended:
             self._open_jobs[job.id] = job
@@ -317,7 +361,7 @@
                 )
             return known
         if known is not None:
-            self._remove_runs_on(known, "restarted")
+            self._remove_runs_on(known, "restarted", has_crashed=True)
         self._executors[executor.id] = executor
         executor.lease_expires_at = self._previous_leases_expire_at
         for run in self._restored_runs.pop(executor.id, {}).values():
@@ -349,10 +393,14 @@
         Its confirmed runs have ended. An unanswered start may still reach the restarted
         executor, so its run is kept until a list of runs shows whether it exists.
         """
-        self._remove_runs_on(executor, "restarted", is_kept=_is_unanswered)
+        self._remove_runs_on(
+            executor, "restarted", has_crashed=True, is_kept=_is_unanswered
+        )
         for run in executor.runs.values():
             # The deadline refers to the executor's clock, which restarts as well.
             run.deadline_ms = None
+            # If this start has crashed the executor, a repetition would crash it again.
+            run.is_start_withdrawn = crashes.is_suspect(run.task)
         executor.started_at_ms = started_at_ms
         executor.acknowledged_end_number = 0
         executor.received_end_number = 0
@@ -362,16 +410,26 @@
         executor.tickets = {}
         self._executors_to_acknowledge.pop(executor.id, None)
 
-    def remove_executor(self, executor, reason):
-        """Remove an executor that certainly has no runs any more."""
-        self._remove_runs_on(executor, reason)
+    def remove_executor(self, executor, reason, *, has_crashed=False):
+        """Remove an executor that certainly has no runs any more.
+
+        Parameters
+        ----------
+        executor : executors.Executor
+            The executor.
+        reason : str
+            Reason for the log.
+        has_crashed : bool, default=False
+            Whether it has crashed, and not left or been ended by an order.
+        """
+        self._remove_runs_on(executor, reason, has_crashed=has_crashed)
         self._executors.pop(executor.id, None)
         self._executors_to_acknowledge.pop(executor.id, None)
         _logger.info(
             "executor removed", extra={"executor": executor.id, "reason": reason}
         )
 
-    def retire_executor(self, executor, reason):
+    def retire_executor(self, executor, reason, *, has_crashed=False):
         """Remove an executor whose instance was moved, taken down or has failed.
 
         Its entry may stay in the store for seconds and is ignored from now on.
@@ -383,9 +441,11 @@
             shows in its start time.
         reason : str
             Reason for the log.
+        has_crashed : bool, default=False
+            Whether it has crashed, and not left or been ended by an order.
         """
         self._retired_executors[executor.id] = executor.started_at_ms
-        self.remove_executor(executor, reason)
+        self.remove_executor(executor, reason, has_crashed=has_crashed)
 
     def has_restored_runs(self, executor_id):
         """Return whether a previous controller left runs on an executor not yet known.
@@ -406,11 +466,71 @@
             Ids of the executors of all instances, read after the executors' entries.
         """
         for executor_id in set(self._restored_runs) - present:
-            for run in list(self._restored_runs.pop(executor_id).values()):
-                self._remove_lost_run(run, "no instance has the executor")
+            runs = list(self._restored_runs.pop(executor_id).values())
+            self._remove_restored_runs(runs, "no instance has the executor")
+
+    def _remove_restored_runs(self, runs, reason):
+        """Remove the runs of an executor that ended without a controller watching."""
+        self._record_crash(runs[0].executor, [(run, None) for run in runs], host=None)
+        for run in runs:
+            self._remove_lost_run(run, reason)
+
+    def _record_crash(self, executor_id, runs, *, host):
+        """Count a crash for the tasks that may have caused it.
+
+        Parameters
+        ----------
+        executor_id : str
+            Executor that has crashed.
+        runs, host
+            See :func:`crashes.record_crash`.
+        """
+        tasks = crashes.record_crash(runs, host=host)
+        if not tasks:
+            return
+        self._event_counts["executor_crashes"] += 1
+        _logger.warning(
+            "executor crashed under tasks",
+            extra={
+                "executor": executor_id,
+                "is_certain": host is not None,
+                "crashes_by_task": {t.name: t.crash_history.crash_count for t in tasks},
+                "suspects": [t.name for t in tasks if crashes.is_suspect(t)],
+            },
+        )
+        for task in tasks:
+            self._crash_tasks[task.name] = task
+            self._mark_changed(task.job)
+
+    def _give_up_crashing_tasks(self, now_unix_s):
+        """End the jobs of the tasks that have crashed too many executors."""
+        for name, task in list(self._crash_tasks.items()):
+            if task.job.has_ended or task.is_done or task.crash_history is None:
+                del self._crash_tasks[name]
+                continue
+            if not task.crash_history.is_limit_reached:
+                continue
+            self._event_counts["jobs_given_up_after_crashes"] += 1
+            _logger.warning(
+                "job given up: a task crashes its executors",
+                extra={
+                    "request": task.job.id,
+                    "task": task.name,
+                    "crashes": task.crash_history.crash_count,
+                    "sole_crash_hosts": task.crash_history.sole_crash_hosts,
+                },
+            )
+            self._end_job(task.job, model.FAILED, now_unix_s)
 
-    def _remove_runs_on(self, executor, reason, is_kept=lambda run: False):
+    def _remove_runs_on(
+        self, executor, reason, *, has_crashed=False, is_kept=lambda run: False
+    ):
         runs = list(executor.runs.values())
+        if has_crashed and not executor.is_draining:
+            aged_runs = [(run, executor.run_age_s(run)) for run in runs]
+            aged_runs += executor.lapsed_runs
+            self._record_crash(executor.id, aged_runs, host=executor.address[0])
+        executor.lapsed_runs = []
         if runs:
             _log_lost_runs(executor, runs, reason)
             self._event_counts["executors_lost_with_runs"] += 1
@@ -451,15 +571,25 @@
         for executor in list(self._executors.values()):
             is_lease_expired = executor.is_lease_expired(now)
             if executor.runs and is_lease_expired:
+                # Whether it has crashed or was cut off shows later.
+                lapsed_runs = [
+                    (run, executor.run_age_s(run)) for run in executor.runs.values()
+                ]
                 self._remove_runs_on(executor, "lease lapsed")
+                executor.lapsed_runs = lapsed_runs
                 executor.has_accepted_epoch = False
             if not executor.has_store_entry and not executor.runs:
+                if executor.lapsed_runs and not executor.is_draining:
+                    self._record_crash(executor.id, executor.lapsed_runs, host=None)
                 self.remove_executor(executor, "not listed")
         if self._restored_runs and now >= self._previous_leases_expire_at:
-            for runs in self._restored_runs.values():
-                for run in list(runs.values()):
-                    self._remove_lost_run(run, "executor not found after a takeover")
-            self._restored_runs = {}
+            for executor_id in list(self._restored_runs):
+                runs = list(self._restored_runs.pop(executor_id).values())
+                if runs:
+                    self._remove_restored_runs(
+                        runs, "executor not found after a takeover"
+                    )
+        self._give_up_crashing_tasks(now_unix_s)
         for job in list(self._jobs_due_later.values()):
             self._activate_due_occurrences(job, now_unix_s)
         self._repeat_stops(now)
@@ -618,6 +748,8 @@
 
     def _update_run(self, run, entry, now):
         self.on_run_started(run, now)
+        if crashes.clear_outlived_crashes(run.task, now - run.confirmed_at):
+            self._mark_changed(run.task.job)
         if run.progress_percent != entry.progress_percent or run.progressed_at is None:
             executor = self._executors.get(run.executor)
             if executor is not None:
@@ -732,12 +864,22 @@
         stored = [
             records.progress_to_record(job) for job in self._changed_jobs.values()
         ]
+        crash_records, deleted_crash_records = [], []
+        for job in self._changed_jobs.values():
+            record = records.crashes_to_record(job)
+            if record.tasks:
+                crash_records.append(record)
+            elif job.has_stored_crashes:
+                deleted_crash_records.append(record.job)
+            job.has_stored_crashes = bool(record.tasks)
         ends = [
             (e, e.received_end_number, e.started_at_ms)
             for e in self._executors_to_acknowledge.values()
         ]
         batch = Batch(
             progress_records=stored,
+            crash_records=crash_records,
+            deleted_crash_records=deleted_crash_records,
             planned_runs=self._planned_runs,
             acknowledgements=ends,
         )
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -1,14 +1,20 @@
 """Planning of runs: chooses executors for waiting tasks and replaces stragglers.
 
-This module applies the rules of ``ordering``, ``packing``, ``suspicion`` and
-``stragglers`` to the state of all jobs.
+This module applies the rules of ``ordering``, ``packing``, ``suspicion``, ``crashes``
+and ``stragglers`` to the state of all jobs.
 """
 
 import collections
 import logging
 import math
 
-from cranberryport.scheduling import ordering, packing, stragglers, suspicion
+from cranberryport.scheduling import (
+    crashes,
+    ordering,
+    packing,
+    stragglers,
+    suspicion,
+)
 
 # Progress is listed about once a second, so more frequent checks find nothing new.
 STRAGGLER_CHECK_INTERVAL_S = 0.1
@@ -22,12 +28,18 @@
     Parameters
     ----------
     candidates : list of (executors.Executor, list of int)
-        Executors that may be used, with the free resources of each.
+        Executors that accept runs, with the free resources of each.
+    isolation : crashes.Isolation
+        Division of these executors between suspects and other tasks.
     now : float
         Monotonic time in seconds.
 
     Attributes
     ----------
+    all_candidates : list of (executors.Executor, list of int)
+        The parameter ``candidates``.
+    candidates : list of (executors.Executor, list of int)
+        Executors for tasks that are not suspected.
     busy_s : dict of str to float
         Seconds for which each executor is busy.
     long_running : dict of str to int
@@ -36,10 +48,19 @@
         Needs for which no executor had room.
     """
 
-    __slots__ = ("busy_s", "candidates", "long_running", "unplaceable")
-
-    def __init__(self, *, candidates, now):
-        self.candidates = candidates
+    __slots__ = (
+        "all_candidates",
+        "busy_s",
+        "candidates",
+        "isolation",
+        "long_running",
+        "unplaceable",
+    )
+
+    def __init__(self, *, candidates, isolation, now):
+        self.all_candidates = candidates
+        self.isolation = isolation
+        self.candidates = isolation.ordinary
         self.busy_s = {e.id: packing.busy_for_s(e, now) for e, _ in candidates}
         self.long_running = {
             executor.id: sum(run.task.step.is_lasting for run in executor.runs.values())
@@ -106,10 +127,18 @@
                 [executor for executor, _ in candidates]
             )
             trusted = suspicion.filter_trusted(candidates, now, slow_executor_ids)
-            self._plan_pool(waiting.get(service, ()), trusted, now, now_unix_s)
+            occurrences = waiting.get(service, ())
+            isolation = crashes.Isolation(
+                candidates=trusted,
+                waiting_suspects=self._waiting_suspects(occurrences, now),
+                has_suspects=self._state.has_suspects,
+                now=now,
+            )
+            pool = _PoolState(candidates=trusted, isolation=isolation, now=now)
+            self._plan_pool(occurrences, pool, now, now_unix_s)
             if checks_stragglers:
                 self._replace_stragglers(
-                    ready[service], trusted, slow_executor_ids, now
+                    ready[service], pool.candidates, slow_executor_ids, now
                 )
 
     def _has_waiting_task(self, occurrence, now):
@@ -119,14 +148,41 @@
             for task in occurrence.tasks[number]
         )
 
-    def _plan_pool(self, occurrences, candidates, now, now_unix_s):
+    def _waiting_suspects(self, occurrences, now):
+        if not self._state.has_suspects:
+            return []
+        return [
+            task
+            for occurrence in occurrences
+            for number in occurrence.ready_steps
+            for task in self._waiting_tasks(occurrence, number, now)
+            if crashes.is_suspect(task)
+        ]
+
+    def _waiting_tasks(self, occurrence, number, now):
+        """Return the tasks of a step that can be started now."""
+        step = occurrence.job.steps[number]
+        failed_runs_limit = self._state.queue_rules(occurrence.job).failed_runs_limit
+        return [
+            task
+            for task in occurrence.tasks[number]
+            if not task.is_done
+            and not task.runs
+            and task.retry_at <= now
+            and (step.is_lasting or task.failed_run_count < failed_runs_limit)
+        ]
+
+    def _plan_pool(self, occurrences, pool, now, now_unix_s):
         occurrences_in_order = sorted(
             occurrences,
             key=lambda o: ordering.sort_key(
                 o, self._state.queue_rules(o.job), now_unix_s
             ),
         )
-        pool = _PoolState(candidates=candidates, now=now)
+        for occurrence in occurrences_in_order if self._state.has_suspects else ():
+            for number in sorted(occurrence.ready_steps):
+                if not occurrence.job.steps[number].is_gang:
+                    self._plan_suspects(occurrence, number, pool, now)
         for occurrence in occurrences_in_order:
             for number in sorted(occurrence.ready_steps):
                 self._plan_step(occurrence, number, pool, now)
@@ -137,15 +193,9 @@
         is_covered = pool.unplaceable.covers(step)
         if is_covered and not step.is_lasting:
             return
-        failed_runs_limit = self._state.queue_rules(occurrence.job).failed_runs_limit
-        waiting = [
-            task
-            for task in tasks
-            if not task.is_done
-            and not task.runs
-            and task.retry_at <= now
-            and (step.is_lasting or task.failed_run_count < failed_runs_limit)
-        ]
+        waiting = self._waiting_tasks(occurrence, number, now)
+        if not step.is_gang:
+            waiting = [task for task in waiting if not crashes.is_suspect(task)]
         if not waiting:
             return
         if is_covered:
@@ -154,7 +204,7 @@
         task_counts, used_racks = self._count_placements(tasks)
         permitted = self._permitted_candidates(occurrence, number, pool.candidates, now)
         if step.is_gang:
-            self._plan_gang(tasks, waiting, permitted, task_counts, used_racks, now)
+            self._plan_gang(tasks, waiting, permitted, pool, now)
             return
         for position, task in enumerate(waiting):
             executor = packing.choose_executor(
@@ -180,6 +230,40 @@
                 task, executor, task.next_run_number, permitted, task_counts, used_racks
             )
 
+    def _plan_suspects(self, occurrence, number, pool, now):
+        """Plan runs of the suspects of a step on executors that are kept for them."""
+        suspects = [
+            task
+            for task in self._waiting_tasks(occurrence, number, now)
+            if crashes.is_suspect(task)
+        ]
+        if not suspects:
+            return
+        tasks = occurrence.tasks[number]
+        task_counts, used_racks = self._count_placements(tasks)
+        unplaced = []
+        for task in suspects:
+            candidates = pool.isolation.candidates_for(task, now)
+            permitted = self._permitted_candidates(occurrence, number, candidates, now)
+            executor = packing.choose_executor(
+                task.step,
+                permitted,
+                task_counts=task_counts,
+                used_racks=used_racks,
+                avoided_executors=task.avoided_executors,
+                long_running_counts=pool.long_running,
+            )
+            if executor is None:
+                unplaced.append(task)
+                continue
+            pool.isolation.add_planned_run(task, executor)
+            pool.add_planned_run(task.step, executor)
+            self._plan_run(
+                task, executor, task.next_run_number, permitted, task_counts, used_racks
+            )
+        if unplaced and pool.isolation.needs_instance:
+            self._state.mark_unplaceable(unplaced, now)
+
     def _replace_stragglers(self, occurrences, candidates, slow_executor_ids, now):
         """Start the tasks of stalled or far too slow runs on other executors."""
         for occurrence in occurrences:
@@ -189,7 +273,7 @@
                     continue
                 for task in occurrence.tasks[number]:
                     is_at_limit = task.replacements >= stragglers.REPLACEMENTS_LIMIT
-                    if len(task.runs) != 1 or is_at_limit:
+                    if len(task.runs) != 1 or is_at_limit or crashes.is_suspect(task):
                         continue
                     (run,) = task.runs
                     if not stragglers.is_worth_replacing(run, now, slow_executor_ids):
@@ -316,17 +400,27 @@
                     used_racks.add(executor.rack)
         return task_counts, used_racks
 
-    def _plan_gang(self, tasks, waiting, candidates, task_counts, used_racks, now):
+    def _plan_gang(self, tasks, waiting, candidates, pool, now):
         """Plan a run of every task of a gang if there is room for all of them."""
         if len(waiting) != sum(not task.is_done for task in tasks):
             return
         step = tasks[0].step
+        task_counts, used_racks = self._count_placements(tasks)
         trial_candidates = [(executor, list(free)) for executor, free in candidates]
+        suspects = [task for task in waiting if crashes.is_suspect(task)]
         placements = []
-        for task in waiting:
+        used_by_suspects = set()
+        for task in sorted(waiting, key=lambda task: task not in suspects):
+            usable = trial_candidates
+            if task in suspects:
+                usable = [
+                    (executor, list(free))
+                    for executor, free in pool.isolation.candidates_for(task, now)
+                    if executor.id not in used_by_suspects
+                ]
             executor = packing.choose_executor(
                 step,
-                trial_candidates,
+                usable,
                 task_counts=task_counts,
                 used_racks=used_racks,
                 avoided_executors=task.avoided_executors,
@@ -334,6 +428,9 @@
             )
             if executor is None:
                 return
+            if task in suspects:
+                used_by_suspects.add(executor.id)
+                trial_candidates = [c for c in trial_candidates if c[0] is not executor]
             for candidate, free in trial_candidates:
                 if candidate is executor:
                     packing.reserve(step, free)
@@ -344,8 +441,15 @@
         checkpoint = max(task.checkpoint for task in tasks)
         for task, executor in placements:
             task.checkpoint = checkpoint
+            if task in suspects:
+                pool.isolation.add_planned_run(task, executor)
             self._plan_run(
-                task, executor, number, candidates, collections.Counter(), set()
+                task,
+                executor,
+                number,
+                pool.all_candidates,
+                collections.Counter(),
+                set(),
             )
 
     def _plan_run(self, task, executor, number, candidates, task_counts, used_racks):
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -2,13 +2,13 @@
 
 import json
 import pathlib
-import tempfile
 import time
 import unittest
 
 from standins import calls
 from standins.platform import local_deployment
 
+LOG_DIRECTORY = pathlib.Path(__file__).resolve().parent.parent / "build" / "crashing"
 HEADERS = {"Host": "fleet.example", "Deadline-Ms": "3000"}
 STEP = {"count": 6, "ms": 400, "processors": 1000, "memory": 1000}
 # Six crashes of 3 s each, one after the other, and a takeover of the controller.
@@ -21,10 +21,10 @@
 
     def setUp(self):
         """Start the stand-in platform and two entry instances."""
-        directory = tempfile.TemporaryDirectory(prefix="crashing-")
-        self.addCleanup(directory.cleanup)
+        directory = LOG_DIRECTORY / self.id().rpartition(".")[2]
+        directory.mkdir(parents=True, exist_ok=True)
         self.deployment = local_deployment.LocalDeployment(
-            directory=pathlib.Path(directory.name),
+            directory=directory,
             pools={"one": 4, "spare": 4},
             entry_count=2,
         )
