Plan no runs on an executor that has stopped answering

Change: an executor whose last list call failed gets no runs, planned or being stored, until it answers. After a closed connection it is asked again at once. Tests: three, two failing before.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -366,7 +366,12 @@
             self._list_runs()
 
     def _on_no_response(self, reason):
+        delay_s = LIST_RETRY_DELAY_S
         if not self._has_list_call_failed:
+            if reason == "closed":
+                # The connection may have been reset by the network. If the executor
+                # answers, it accepts runs again without a pause.
+                delay_s = 0.0
             self._has_list_call_failed = True
             # The executor of an instance that is moved or taken down ends at once.
             is_expected = self._executor.is_being_vacated
@@ -375,4 +380,4 @@
                 "executor does not answer",
                 extra={"executor": self._executor.id, "reason": reason},
             )
-        self._timers.after(LIST_RETRY_DELAY_S, self._list_runs)
+        self._timers.after(delay_s, self._list_runs)
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -323,6 +323,7 @@
             and self.state == READY
             and self.has_accepted_epoch
             and not self.is_being_vacated
+            and self.unreachable_since is None
             and self.clock_ms is not None
             and now >= self.backoff_until
             and self.last_listed_at is not None
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -431,10 +431,10 @@
         harness.now += 2.0
         harness.add_job(scheduling.make_job(job="b" * 16))
         (new,) = harness.start()
-        harness.now += 0.01
-        executor.record_failed_call(harness.now, is_connection_closed=True)
         harness.add_job(scheduling.make_job(job="c" * 16))
         (unanswered,) = harness.scheduler.commit(harness.plan(), harness.now)
+        harness.now += 0.01
+        executor.record_failed_call(harness.now, is_connection_closed=True)
         harness.now += 0.5
         executor.record_failed_call(harness.now, is_connection_closed=True)
         with self.assertLogs("cranberryport") as logs:
@@ -453,3 +453,43 @@
             harness.scheduler.event_counts,
             {"executors_lost_with_runs": 1, "runs_lost": 3},
         )
+
+
+class UnreachableExecutorTest(unittest.TestCase):
+    """An executor that has stopped answering, before it is known to be gone."""
+
+    def setUp(self):
+        """Make two executors and plan a run on the first."""
+        self.harness = scheduling.SchedulerHarness(count=2)
+        self.harness.add_job(scheduling.make_job())
+        self.batch = self.harness.plan()
+        (run,) = self.batch.planned_runs
+        self.executor = self.harness.scheduler.executors[run.executor]
+
+    def _fail_call(self):
+        self.executor.record_failed_call(self.harness.now, is_connection_closed=True)
+
+    def test_no_run_is_planned_on_it(self):
+        """Guards against tasks that wait on a crashed executor for seconds.
+
+        Such an executor looks free, as its runs seem to end soon.
+        """
+        self._fail_call()
+        self.harness.add_job(scheduling.make_job(job="b" * 16))
+        (run,) = self.harness.plan().planned_runs
+        self.assertNotEqual(run.executor, self.executor.id)
+
+    def test_run_that_is_being_stored_is_not_sent_to_it(self):
+        """Guards against a start that is sent to a crashed executor."""
+        self._fail_call()
+        self.assertEqual(
+            self.harness.scheduler.commit(self.batch, self.harness.now), []
+        )
+        (run,) = self.harness.start()
+        self.assertNotEqual(run.executor, self.executor.id)
+
+    def test_runs_are_planned_on_it_once_it_answers(self):
+        """Guards against an executor that stays unused after one lost connection."""
+        self._fail_call()
+        self.executor.record_answer(self.harness.now)
+        self.assertTrue(self.executor.can_accept_runs(self.harness.now))
