Give up runs of a crashed executor as soon as the list of instances shows it

Change: an executor is given up if a list call has failed and a list of instances that was requested later lacks it. It must have been seen in such a list, or be known for 1.6 s, as an instance that arrives is listed as up a little later than its executor. Tests: four, failing before.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -36,6 +36,9 @@
 # instance is up with the same executor this long after the acceptance of an order, the
 # order is taken for such a repetition.
 NO_EFFECT_DELAY_S = 0.6
+# The list of instances shows an instance as up within this time after its executor has
+# been found.
+ARRIVAL_LIST_DELAY_S = 1.6
 # Timeout of a call to an executor plus the time until the next list of its runs shows
 # the effect.
 STOP_EFFECT_DELAY_S = 1.0
@@ -309,7 +312,7 @@
             not self._is_reported_complete(wave) for wave in self._waves.values()
         )
         is_busy = is_busy or any(
-            executor.runs and executor.is_silent(now)
+            executor.runs and executor.is_overdue(now)
             for executor in self._scheduler.executors.values()
         )
         interval_s = BUSY_LIST_INTERVAL_S if is_busy else IDLE_LIST_INTERVAL_S
@@ -339,7 +342,7 @@
             self._scheduler.remove_restored_runs(present)
 
     def _retire_executors_without_instance(self, list_sent_at):
-        """Retire silent executors that belong to no running instance any more.
+        """Retire executors without an answer that no running instance has any more.
 
         Their tasks can start elsewhere without waiting for the leases to expire.
         """
@@ -349,9 +352,15 @@
             if instance.state == instances.UP and instance.executor
         }
         for executor in list(self._scheduler.executors.values()):
-            if executor.id in present or executor.id not in self._seen_executors:
+            if executor.id in present:
                 continue
-            if executor.is_silent(list_sent_at) and executor.runs:
+            # The executor of an instance that has just arrived may be known before the
+            # list of instances shows it as up.
+            is_settled = list_sent_at - executor.found_at > ARRIVAL_LIST_DELAY_S
+            if executor.id not in self._seen_executors and not is_settled:
+                continue
+            has_runs = executor.runs or executor.lapsed_runs
+            if has_runs and executor.is_overdue(list_sent_at):
                 self._scheduler.retire_executor(
                     executor,
                     "no running instance has it",
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -60,6 +60,8 @@
         a run has ended; the executor numbers them from 1.
     acknowledged_end_number : int
         Number of the last end that is stored, so that the executor may delete it.
+    found_at : float
+        Monotonic time at which its entry was first read.
     has_accepted_epoch : bool
         Whether it has accepted the epoch of this controller, after which it rejects
         orders of previous controllers.
@@ -101,6 +103,7 @@
         "clock_ms",
         "clock_read_at",
         "data_centre",
+        "found_at",
         "has_accepted_epoch",
         "id",
         "has_store_entry",
@@ -159,6 +162,7 @@
         self.lapsed_runs = []
         self.acknowledged_end_number = 0
         self.received_end_number = 0
+        self.found_at = 0.0
         self.has_accepted_epoch = False
         self.has_store_entry = True
         self.is_being_vacated = False
@@ -204,6 +208,11 @@
             self.last_listed_at is None or now - self.last_listed_at > SILENCE_TIMEOUT_S
         )
 
+    def is_overdue(self, now):
+        """Return whether it is silent, or a request for its runs had failed before."""
+        has_failed = self.unreachable_since is not None and self.unreachable_since < now
+        return has_failed or self.is_silent(now)
+
     def estimate_clock_ms(self, now):
         """Return a lower bound of the executor's clock in milliseconds."""
         return self.clock_ms + int(
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -363,6 +363,7 @@
         if known is not None:
             self._remove_runs_on(known, "restarted", has_crashed=True)
         self._executors[executor.id] = executor
+        executor.found_at = now
         executor.lease_expires_at = self._previous_leases_expire_at
         for run in self._restored_runs.pop(executor.id, {}).values():
             executor.runs[(run.task.name, run.number)] = run
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -336,6 +336,50 @@
         run = self._make_executor_silent(instances.UP)
         self.assertTrue(run.task.runs)
 
+    def _lose_executor(self, *, found_at, list_sent_at):
+        """List no instance of an executor that has just failed a call; return a run."""
+        executor = self.harness.add_executor("e1")
+        executor.found_at = found_at
+        self.harness.add_job(scheduling.make_job())
+        (run,) = self.harness.start()
+        executor.record_failed_call(self.harness.now, is_connection_closed=True)
+        self.manager._on_instances_listed(self.listed, list_sent_at)
+        return run
+
+    def test_executor_that_failed_a_call_and_has_no_instance_is_dropped_at_once(self):
+        """Guards against tasks that wait for seconds although the crash is known."""
+        now = self.harness.now
+        run = self._lose_executor(found_at=now - 5.0, list_sent_at=now + 0.1)
+        self.assertFalse(run.task.runs)
+        self.assertEqual(run.task.crash_history.crash_count, 1)
+
+    def test_list_from_before_the_failed_call_proves_nothing(self):
+        """Guards against a second run while the list of instances is older."""
+        now = self.harness.now
+        run = self._lose_executor(found_at=now - 5.0, list_sent_at=now - 0.1)
+        self.assertTrue(run.task.runs)
+
+    def test_executor_of_an_instance_that_has_just_arrived_is_kept(self):
+        """Guards against a second run while the list shows an instance as moving."""
+        now = self.harness.now
+        run = self._lose_executor(found_at=now - 0.5, list_sent_at=now + 0.1)
+        self.assertTrue(run.task.runs)
+
+    def test_crash_of_an_executor_that_lapsed_after_a_takeover_is_counted(self):
+        """Guards against a crash during a takeover that no controller counts."""
+        executor = self.harness.add_executor("e1")
+        self.harness.add_job(scheduling.make_job())
+        (run,) = self.harness.start()
+        executor.record_failed_call(self.harness.now, is_connection_closed=True)
+        executor.lease_expires_at = self.harness.now
+        self.harness.now += 1.0
+        self.harness.scheduler.process_due_events(
+            self.harness.now, scheduling.NOW_UNIX_S
+        )
+        self.assertFalse(run.task.runs)
+        self.manager._on_instances_listed(self.listed, self.harness.now + 5.0)
+        self.assertEqual(run.task.crash_history.crash_count, 1)
+
     def test_maintenance_that_was_not_accepted_is_not_done(self):
         """Guards against a wave that is reported as completed without maintenance."""
         del self.listed["m2"]
