Plan nothing on an executor that lists unknown runs

An executor that does not guard its capacity would be overloaded; the others refuse the start. Change: such an executor gets no runs until a list shows none that is unknown. Tests: four on capacities; that one failed before. The others hold already: runs being stopped count, a capacity that has shrunk is not exceeded, by best-effort tasks neither.

--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -65,6 +65,9 @@
     has_accepted_epoch : bool
         Whether it has accepted the epoch of this controller, after which it rejects
         orders of previous controllers.
+    has_unknown_runs : bool
+        Whether its last list had runs that this controller does not know. They are
+        being stopped and occupy resources that are not known.
     has_store_entry : bool
         Whether the store has an entry of it.
     is_being_vacated : bool
@@ -107,6 +110,7 @@
         "has_accepted_epoch",
         "id",
         "has_store_entry",
+        "has_unknown_runs",
         "is_being_vacated",
         "labels",
         "lapsed_runs",
@@ -165,6 +169,7 @@
         self.found_at = 0.0
         self.has_accepted_epoch = False
         self.has_store_entry = True
+        self.has_unknown_runs = False
         self.is_being_vacated = False
         self.lease_expires_at = None
         self.last_listed_at = None
@@ -333,6 +338,7 @@
             and self.has_accepted_epoch
             and not self.is_being_vacated
             and self.unreachable_since is None
+            and not self.has_unknown_runs
             and self.clock_ms is not None
             and now >= self.backoff_until
             and self.last_listed_at is not None
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -408,6 +408,7 @@
         executor.clock_ms = None
         executor.lease_expires_at = None
         executor.has_accepted_epoch = False
+        executor.has_unknown_runs = False
         executor.tickets = {}
         self._executors_to_acknowledge.pop(executor.id, None)
 
@@ -745,6 +746,7 @@
             )
             if was_confirmed or (run.state != model.STOPPING and has_start_expired):
                 self._remove_lost_run(run, "not in the executor's list")
+        executor.has_unknown_runs = bool(unknown)
         return unknown
 
     def _update_run(self, run, entry, now):
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -493,3 +493,54 @@
         self._fail_call()
         self.executor.record_answer(self.harness.now)
         self.assertTrue(self.executor.can_accept_runs(self.harness.now))
+
+
+class CapacityTest(unittest.TestCase):
+    """Executors that start whatever they are told, beyond their capacity as well."""
+
+    def setUp(self):
+        """Make an executor with room for two tasks."""
+        self.harness = scheduling.SchedulerHarness(processors=2000)
+        (self.executor,) = self.harness.executors
+
+    def _update_capacity(self, processors):
+        entry = scheduling.make_executor("e1", processors=processors)
+        self.harness.scheduler.add_or_update_executor(entry, self.harness.now)
+
+    def test_nothing_is_started_beside_a_run_that_is_not_known(self):
+        """Guards against an overloaded executor after a takeover.
+
+        The job of a run has ended, and its stop takes some time.
+        """
+        self.harness.list_runs(self.executor, [("f" * 16 + ".0.0.0", 1)])
+        self.harness.add_job(scheduling.make_job())
+        self.assertEqual(self.harness.start(), [])
+        self.harness.list_runs(self.executor)
+        self.assertEqual(len(self.harness.start()), 1)
+
+    def test_run_that_is_being_stopped_occupies_resources(self):
+        """Guards against a start in place of a run that has not ended yet."""
+        self.harness.add_job(scheduling.make_job(scheduling.make_step(2)))
+        runs = self.harness.start()
+        self.harness.scheduler.stop_run(runs[0])
+        self.harness.add_job(scheduling.make_job(job="b" * 16))
+        self.assertEqual(self.harness.start(), [])
+
+    def test_capacity_that_has_shrunk_is_not_exceeded(self):
+        """Guards against starts on an executor whose room has shrunk while it runs."""
+        self.harness.add_job(scheduling.make_job())
+        self.harness.start()
+        self._update_capacity(1000)
+        self.harness.add_job(scheduling.make_job(job="b" * 16))
+        self.assertEqual(self.harness.start(), [])
+        self._update_capacity(2000)
+        self.assertEqual(len(self.harness.start()), 1)
+
+    def test_capacity_below_what_runs_there_takes_no_best_effort_task(self):
+        """Guards against a negative room that counts as enough for nothing."""
+        self.harness.add_job(scheduling.make_job(scheduling.make_step(2)))
+        self.harness.start()
+        self._update_capacity(1000)
+        step = scheduling.make_step(is_filling=True)
+        self.harness.add_job(scheduling.make_job(step, job="b" * 16))
+        self.assertEqual(self.harness.start(), [])
