Suspect fewer runs, and restart suspects alone where there is room

Executors found less than 1.6 s before were given up only 1.7 s after their crash. Change: runs older than 0.15 s are not suspected; a group is as small as the reserved executors allow; an executor known for 0.5 s need not have been seen in a list.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -38,7 +38,7 @@
 NO_EFFECT_DELAY_S = 0.6
 # The list of instances shows an instance as up within this time after its executor has
 # been found.
-ARRIVAL_LIST_DELAY_S = 1.6
+ARRIVAL_LIST_DELAY_S = 0.5
 # Timeout of a call to an executor plus the time until the next list of its runs shows
 # the effect.
 STOP_EFFECT_DELAY_S = 1.0
--- a/cranberryport/scheduling/crashes.py
+++ b/cranberryport/scheduling/crashes.py
@@ -16,7 +16,7 @@
 
 # A run that has lasted this long did not crash its executor by its start. Crashes were
 # seen 0.01 s after the start; a slow executor takes several times as long.
-PROVEN_AGE_S = 0.3
+PROVEN_AGE_S = 0.15
 # A run that has lasted longer than this when its executor crashes is not suspected.
 OLDEST_SUSPECT_S = 2.0
 # A restarted suspect is proven after this multiple of its age at the crash.
@@ -27,8 +27,9 @@
 # A task is also given up after this many crashes, as the platform's rules allow two
 # more starts after three crashes.
 CRASHES_LIMIT = 5
-# Number of suspects of one crash that may run unproven on one executor.
-GROUP_SIZE = 4
+# Number of suspects that may run unproven on one executor after their first crash. They
+# run alone if enough executors are reserved.
+LARGEST_GROUP = 4
 # Share of a pool's executors that may be reserved for waiting suspects, and the share
 # once one of them has waited for ISOLATION_WAIT_S.
 RESERVED_SHARE = 1 / 3
@@ -213,6 +214,7 @@
     __slots__ = (
         "_candidates",
         "_for_suspects",
+        "_group_size",
         "_unproven_suspects",
         "needs_instance",
         "ordinary",
@@ -220,6 +222,7 @@
 
     def __init__(self, *, candidates, waiting_suspects, has_suspects, now):
         self._candidates = candidates
+        self._group_size = 1
         if not has_suspects:
             # Nearly always; spares the look at every run.
             self._unproven_suspects = {}
@@ -254,7 +257,6 @@
                 task.crash_history.waits_since = now
         repeated_count = sum(_is_repeated(task) for task in waiting_suspects)
         first_count = len(waiting_suspects) - repeated_count
-        wanted_count = repeated_count + math.ceil(first_count / GROUP_SIZE)
         share = RESERVED_SHARE
         if any(_waited_s(task, now) >= ISOLATION_WAIT_S for task in waiting_suspects):
             share = LONG_WAIT_RESERVED_SHARE
@@ -273,7 +275,9 @@
                 executor.id,
             )
 
-        best = sorted(candidates, key=rank)[: min(limit, wanted_count)]
+        best = sorted(candidates, key=rank)[: min(limit, len(waiting_suspects))]
+        groups_count = max(1, len(best) - repeated_count)
+        self._group_size = min(LARGEST_GROUP, math.ceil(first_count / groups_count))
         return {executor.id for executor, _ in best}
 
     def candidates_for(self, task, now):
@@ -290,7 +294,7 @@
         waited_s = _waited_s(task, now)
         if waited_s >= LONGEST_WAIT_S:
             return [c for c in self._candidates if not self._unproven_suspects[c[0].id]]
-        room = 0 if _is_repeated(task) else GROUP_SIZE - 1
+        room = 0 if _is_repeated(task) else max(0, self._group_size - 1)
         found = [
             c
             for c in self._for_suspects
