Restart first-time suspects alone while tasks crash executors

Change: for 30 s after a task was given up, and while a task was the only suspect of a crash, first-time suspects run alone; up to two thirds of a pool's executors are reserved for suspects that have waited for 0.5 s.

--- a/cranberryport/scheduling/crashes.py
+++ b/cranberryport/scheduling/crashes.py
@@ -28,12 +28,15 @@
 # more starts after three crashes.
 CRASHES_LIMIT = 5
 # Number of suspects that may run unproven on one executor after their first crash. They
-# run alone if enough executors are reserved.
+# run alone if enough executors are reserved, or if tasks crash executors at present.
 LARGEST_GROUP = 4
+# Tasks crash executors at present if one was given up within this time.
+CRASHING_PERIOD_S = 30.0
 # Share of a pool's executors that may be reserved for waiting suspects, and the share
-# once one of them has waited for ISOLATION_WAIT_S.
+# once one of them has waited for RESERVED_WAIT_S.
 RESERVED_SHARE = 1 / 3
 LONG_WAIT_RESERVED_SHARE = 2 / 3
+RESERVED_WAIT_S = 0.5
 # For this long, suspects wait for an executor without long-running tasks; moving
 # another instance to the pool takes 1.5 s.
 ISOLATION_WAIT_S = 2.0
@@ -200,6 +203,8 @@
         Suspects that wait for an executor.
     has_suspects : bool
         Whether any task is suspected, waiting or not.
+    largest_group : int
+        Number of first-time suspects that may run unproven on one executor.
     now : float
         Monotonic time in seconds.
 
@@ -220,9 +225,11 @@
         "ordinary",
     )
 
-    def __init__(self, *, candidates, waiting_suspects, has_suspects, now):
+    def __init__(
+        self, *, candidates, waiting_suspects, has_suspects, largest_group, now
+    ):
         self._candidates = candidates
-        self._group_size = 1
+        self._group_size = largest_group
         if not has_suspects:
             # Nearly always; spares the look at every run.
             self._unproven_suspects = {}
@@ -258,7 +265,7 @@
         repeated_count = sum(_is_repeated(task) for task in waiting_suspects)
         first_count = len(waiting_suspects) - repeated_count
         share = RESERVED_SHARE
-        if any(_waited_s(task, now) >= ISOLATION_WAIT_S for task in waiting_suspects):
+        if any(_waited_s(task, now) >= RESERVED_WAIT_S for task in waiting_suspects):
             share = LONG_WAIT_RESERVED_SHARE
         limit = max(1, int(len(candidates) * share))
         compared = waiting_suspects[:COMPARED_SUSPECTS]
@@ -277,7 +284,7 @@
 
         best = sorted(candidates, key=rank)[: min(limit, len(waiting_suspects))]
         groups_count = max(1, len(best) - repeated_count)
-        self._group_size = min(LARGEST_GROUP, math.ceil(first_count / groups_count))
+        self._group_size = min(self._group_size, math.ceil(first_count / groups_count))
         return {executor.id for executor, _ in best}
 
     def candidates_for(self, task, now):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -134,7 +134,9 @@
         deadline = time.monotonic() + RECOVERY_TIMEOUT_S
         jobs = [(caller, job) for caller in self._callers for job in caller.jobs]
         unfinished = [
-            (c, job) for c, job in jobs if job.is_accepted and not job.is_long_running
+            (c, job)
+            for c, job in jobs
+            if job.is_accepted and (not job.is_long_running or job.is_crashing)
         ]
         while unfinished and time.monotonic() < deadline:
             unfinished = [
@@ -148,7 +150,7 @@
                 "accepted job does not end", f"{job.id} {job.states[-3:]}"
             )
         self._check_long_running(
-            [job for _, job in jobs if job.is_long_running], deadline
+            [j for _, j in jobs if j.is_long_running and not j.is_crashing], deadline
         )
         findings = self._deployment.findings()
         self.violations += [
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,8 +15,10 @@
 RETRY_DELAY_S = 0.2
 # Least and greatest pause between two jobs of a caller.
 PAUSE_RANGE_S = (0.05, 0.4)
-# Probability that a job is long-running, and that an accepted job is cancelled.
+# Probabilities that a job is long-running, that one of its tasks crashes each executor
+# that starts it, and that an accepted job is cancelled.
 LONG_RUNNING_PROBABILITY = 0.05
+CRASHING_PROBABILITY = 0.02
 CANCEL_PROBABILITY = 0.1
 # Other entry instances may report an acknowledged job as unknown for this long
 # (visible_ms of the deployments).
@@ -35,6 +37,8 @@
         Pool that it is submitted to.
     is_long_running : bool
         Whether its tasks run until the job is cancelled.
+    is_crashing : bool
+        Whether a task of its first step crashes each executor that starts it.
     task_count : int
         Number of tasks of its first step.
     """
@@ -43,6 +47,7 @@
         "accepted_at",
         "id",
         "is_cancelled",
+        "is_crashing",
         "is_long_running",
         "pool",
         "response_statuses",
@@ -50,8 +55,9 @@
         "task_count",
     )
 
-    def __init__(self, *, id, pool, is_long_running, task_count):
+    def __init__(self, *, id, pool, is_long_running, is_crashing, task_count):
         self.id = id
+        self.is_crashing = is_crashing
         self.pool = pool
         self.is_long_running = is_long_running
         self.task_count = task_count
@@ -128,6 +134,9 @@
             "processors": 1000,
             "memory": 1000,
         }
+        is_crashing = generator.random() < CRASHING_PROBABILITY
+        if is_crashing:
+            step["crashing"] = [0]
         if is_long_running:
             steps = [{**step, "lasts": True, "unavailable": 1}]
         else:
@@ -137,6 +146,7 @@
             id=job_id,
             pool=generator.choice(self._pools),
             is_long_running=is_long_running,
+            is_crashing=is_crashing,
             task_count=steps[0]["count"],
         )
         self.jobs.append(job)
@@ -179,7 +189,9 @@
             self._report_violation(
                 "final state of a job changed", f"{job.id} {job.states[-1]} {state}"
             )
-        if state in ("failed", "cancelled") and not job.is_cancelled:
+        is_failure_expected = job.is_crashing and state == "failed"
+        is_end_unexpected = state in ("failed", "cancelled") and not job.is_cancelled
+        if is_end_unexpected and not is_failure_expected:
             self._report_violation(
                 "job failed or was cancelled without a request to cancel it",
                 f"{job.id} {state}",
