Reserve no executors for suspects that fit nowhere

Found by reading the change: a suspect that fits on no executor kept part of its pool reserved for good, the whole pool if that has one executor; an executor whose restored runs had all been removed raised an exception after a takeover. Change: after 4 s nothing is reserved for a suspect, and its pool may get another instance; the time is counted anew for each start. The line of a lost run tells how many crashes its task has, and whether it is suspected. Tests: two, failing before.

--- a/cranberryport/scheduling/crashes.py
+++ b/cranberryport/scheduling/crashes.py
@@ -40,7 +40,7 @@
 # For this long, suspects wait for an executor without long-running tasks; moving
 # another instance to the pool takes 1.5 s.
 ISOLATION_WAIT_S = 2.0
-# After this time suspects need no reserved executor, as none of these may suit them.
+# After this time no executor is reserved for a suspect, as none of these may suit it.
 LONGEST_WAIT_S = 4.0
 # Number of waiting suspects whose needs decide which executors are reserved.
 COMPARED_SUSPECTS = 4
@@ -213,7 +213,8 @@
     ordinary : list of (executors.Executor, list of int)
         Candidates for the tasks that are not suspected.
     needs_instance : bool
-        Whether suspects wait and every executor has long-running tasks.
+        Whether suspects wait and every executor has long-running tasks, or one has
+        waited for ``ISOLATION_WAIT_S``.
     """
 
     __slots__ = (
@@ -251,17 +252,21 @@
             for c in candidates
             if c[0].id in reserved and not _has_other_unproven_runs(c[0], now)
         ]
-        self.needs_instance = bool(waiting_suspects) and all(
-            _has_long_running_task(executor) for executor, _ in candidates
+        self.needs_instance = bool(waiting_suspects) and (
+            all(_has_long_running_task(executor) for executor, _ in candidates)
+            or any(_waited_s(t, now) >= ISOLATION_WAIT_S for t in waiting_suspects)
         )
 
     def _reserve(self, candidates, waiting_suspects, now):
         """Return the ids of the executors that are kept for waiting suspects."""
-        if not waiting_suspects:
-            return frozenset()
         for task in waiting_suspects:
             if task.crash_history.waits_since is None:
                 task.crash_history.waits_since = now
+        waiting_suspects = [
+            task for task in waiting_suspects if _waited_s(task, now) < LONGEST_WAIT_S
+        ]
+        if not waiting_suspects:
+            return frozenset()
         repeated_count = sum(_is_repeated(task) for task in waiting_suspects)
         first_count = len(waiting_suspects) - repeated_count
         share = RESERVED_SHARE
@@ -315,6 +320,7 @@
 
     def add_planned_run(self, task, executor):
         """Record that a suspect was planned on an executor."""
+        task.crash_history.waits_since = None
         self._unproven_suspects[executor.id].append(task)
 
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -483,6 +483,8 @@
 
     def _remove_restored_runs(self, runs, reason):
         """Remove the runs of an executor that ended without a controller watching."""
+        if not runs:
+            return
         self._record_crash(runs[0].executor, [(run, None) for run in runs], host=None)
         for run in runs:
             self._remove_lost_run(run, reason)
@@ -554,6 +556,7 @@
     def _remove_lost_run(self, run, reason):
         """Remove a run whose end no executor will list."""
         self._event_counts["runs_lost"] += 1
+        history = run.task.crash_history
         _logger.info(
             "run lost",
             extra={
@@ -562,6 +565,8 @@
                 "run": run.number,
                 "executor": run.executor,
                 "reason": reason,
+                "crashes": 0 if history is None else history.crash_count,
+                "is_suspect": crashes.is_suspect(run.task),
             },
         )
         self._remove_run(run)
@@ -598,10 +603,7 @@
         if self._restored_runs and now >= self._previous_leases_expire_at:
             for executor_id in list(self._restored_runs):
                 runs = list(self._restored_runs.pop(executor_id).values())
-                if runs:
-                    self._remove_restored_runs(
-                        runs, "executor not found after a takeover"
-                    )
+                self._remove_restored_runs(runs, "executor not found after a takeover")
         self._give_up_crashing_tasks(now, now_unix_s)
         for job in list(self._jobs_due_later.values()):
             self._activate_due_occurrences(job, now_unix_s)
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -310,6 +310,16 @@
         harness.start()
         self.assertEqual(len(suspect.runs), 1)
 
+    def test_other_tasks_do_not_wait_for_a_suspect_that_fits_nowhere(self):
+        """Guards against a pool that is reserved for good."""
+        harness = CrashHarness(count=1)
+        (suspect,) = self._suspects(harness, 1)
+        suspect.step.memory = 1_000_000
+        other = harness.add_job(scheduling.make_job(job="f" * 16))
+        self.assertEqual(harness.start(), [])
+        harness.list_all(crashes.LONGEST_WAIT_S)
+        self.assertEqual([run.task.job for run in harness.start()], [other])
+
     def test_gang_with_a_crashing_member_is_given_up(self):
         """Guards against gangs, which start all members again after every crash."""
         harness = CrashHarness(count=6)
@@ -380,6 +390,19 @@
         self.assertEqual(batch.crash_records, [])
         self.assertEqual(batch.deleted_crash_records, [record.job])
 
+    def test_executor_whose_restored_runs_are_gone_is_ignored(self):
+        """Guards against an exception after a job is cancelled during a takeover."""
+        harness = CrashHarness()
+        (job,) = make_jobs(harness, 1)
+        batch = harness.plan()
+        successor = CrashHarness(count=1)
+        copy = records.job_from_record(records.job_to_record(job))
+        (progress,) = batch.progress_records
+        successor.scheduler.restore_job(copy, progress, scheduling.NOW_UNIX_S)
+        successor.scheduler._remove_run(first_task(copy).runs[0])
+        successor.scheduler.remove_restored_runs(set())
+        self.assertIsNone(first_task(copy).crash_history)
+
     def test_executor_that_was_lost_during_the_takeover_counts(self):
         """Guards against crashes that no controller counts."""
         harness = CrashHarness()
