Shrink capacities and crash executors in the soak

The checker reports starts beyond a capacity after a grace of 4.5 s. Both are drawn by generators of their own, so that the other faults and jobs of a seed stay as they were. Tests: two, that the checker reports both.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,8 @@
 # Small numbers of instances, entry instances and callers keep a run at about a dozen
 # processes and threads, so that several runs fit on a machine.
 INSTANCES_BY_POOL = {"one": 4, "two": 3, "spare": 3}
+# Executors of this pool start what exceeds their capacity.
+UNGUARDED_POOL = "two"
 ENTRY_COUNT = 3
 CALLER_COUNT = 4
 # After the last fault the system has this long to recover: takeover of the controller,
@@ -47,6 +49,7 @@
             directory=directory,
             pools=INSTANCES_BY_POOL,
             entry_count=ENTRY_COUNT,
+            unguarded_pools=[UNGUARDED_POOL],
             make_settings=self._make_settings,
         )
         self._callers = []
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -103,6 +103,8 @@
     def __init__(self, *, number, seed, ports, pools, report_violation):
         super().__init__(daemon=True)
         self._generator = random.Random(seed * 1000 + number)
+        # Keeps the other jobs of a seed as they were before there were crashing ones.
+        self._crash_generator = random.Random(f"crashing {seed} {number}")
         self._number = number
         self._ports = ports
         self._pools = pools
@@ -134,7 +136,7 @@
             "processors": 1000,
             "memory": 1000,
         }
-        is_crashing = generator.random() < CRASHING_PROBABILITY
+        is_crashing = self._crash_generator.random() < CRASHING_PROBABILITY
         if is_crashing:
             step["crashing"] = [0]
         if is_long_running:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,8 @@
 LOST_RESPONSE_COUNT = 3
 # Newest records of each partition that do not expire.
 KEPT_RECORDS_PER_PARTITION = 5
+# Capacity of an executor that has shrunk, in thousandths of a core.
+SHRUNK_PROCESSORS = 2_000
 WAVE_INSTANCE_COUNT = 3
 WAVE_DURATION_S = 20
 
@@ -60,6 +62,7 @@
         for name in self._instances:
             self._deployment.send_order("freeze", instance=name, is_frozen=False)
             self._deployment.send_order("revive", instance=name)
+            self._deployment.send_order("capacity", instance=name)
         for entry in self._entries.values():
             self._start_or_resume(entry)
 
@@ -168,6 +171,13 @@
             "freeze", instance=fault.target, is_frozen=False
         )
 
+    def shrink_executor(self, fault):
+        """Reduce the capacity of an executor below what may run there."""
+        self._deployment.send_order(
+            "capacity", instance=fault.target, processors=SHRUNK_PROCESSORS
+        )
+        return lambda: self._deployment.send_order("capacity", instance=fault.target)
+
     def wave(self, fault):
         """Request the maintenance of some instances, one of them down at a time."""
         first = self._instances.index(fault.target)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,6 +8,8 @@
 # Faults overlap, and the longest ones outlast a takeover of the controller and a lease.
 START_INTERVAL_RANGE_S = (0.2, 2.0)
 DURATION_RANGE_S = (0.3, 5.0)
+# Least and greatest time between the starts of two reductions of a capacity.
+SHRINKING_INTERVAL_RANGE_S = (1.0, 4.0)
 
 
 class Fault:
@@ -62,6 +64,27 @@
     while start_s < seconds:
         faults.append(_draw_fault(generator, start_s, seconds, entries, instances))
         start_s += generator.uniform(*START_INTERVAL_RANGE_S)
+    faults += _draw_shrinkings(seed, seconds, instances)
+    return sorted(faults, key=lambda fault: fault.start_s)
+
+
+def _draw_shrinkings(seed, seconds, instances):
+    """Return faults that reduce the capacity of executors.
+
+    A generator of their own keeps the other faults of a seed as they were before.
+    """
+    generator = random.Random(f"shrinkings {seed}")
+    faults = []
+    start_s = generator.uniform(*SHRINKING_INTERVAL_RANGE_S)
+    while start_s < seconds:
+        fault = Fault(
+            start_s=start_s,
+            kind="shrink_executor",
+            duration_s=min(generator.uniform(*DURATION_RANGE_S), seconds - start_s),
+            target=generator.choice(instances),
+        )
+        faults.append(fault)
+        start_s += generator.uniform(*SHRINKING_INTERVAL_RANGE_S)
     return faults
 
 
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -65,6 +65,7 @@
             pools=self._pools,
             processors=options.processors,
             memory=options.memory,
+            unguarded_pools=options.unguarded,
         )
         self._store_server = serving.Server(application=self._store.handle)
         self._instances_server = serving.Server(application=self._instances.handle)
@@ -170,6 +171,10 @@
             self._instances.end_executor(target, is_listed=True)
             self._instances.start_executor(target, id=executor_id)
 
+    def _order_capacity(self, instance, processors=None):
+        """Change the capacity of an executor; without a number as it was at first."""
+        self._instances.set_processors(self._instances.by_id[instance], processors)
+
     def _order_freeze(self, instance, is_frozen):
         """Make an executor hold back its responses, or resume it."""
         executor = self._instances.by_id[instance].executor
@@ -188,6 +193,13 @@
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--pool", action="append", required=True, metavar="NAME=COUNT")
     parser.add_argument("--spare", default="spare", help="pool on standby")
+    parser.add_argument(
+        "--unguarded",
+        action="append",
+        default=[],
+        metavar="NAME",
+        help="pool whose executors start what exceeds their capacity",
+    )
     parser.add_argument("--partitions", type=int, default=8)
     parser.add_argument("--processors", type=int, default=16_000)
     parser.add_argument("--memory", type=int, default=32_768)
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -19,6 +19,9 @@
 CHECK_INTERVAL_S = 0.02
 # Time from the start of a crashing task until its executor crashes.
 CRASH_DELAY_S = 0.01
+# Time for which a capacity that has shrunk may still be exceeded: the bound within
+# which a controller hears of it, and one interval of the entries (platform's rules).
+SHRINKING_GRACE_S = 4.5
 # Progress reported for a running lasting task. Others report less until they end.
 FULL_PROGRESS_PERCENT = 100
 # Value of an executor's clock at its start, so that the clock is never 0.
@@ -78,6 +81,8 @@
         Capacity, in thousandths of a core and mebibytes.
     lease_limit_s : float
         Longest lease that it grants, in seconds.
+    is_guarding : bool
+        Whether it refuses starts that exceed its capacity.
     checker : invariants.InvariantChecker
         Told of starts, ends and acknowledgements of runs.
 
@@ -89,12 +94,16 @@
         Whether responses are held back and the simulation stands still.
     """
 
-    def __init__(self, *, id, processors, memory, lease_limit_s, checker):
+    def __init__(
+        self, *, id, processors, memory, lease_limit_s, checker, is_guarding=True
+    ):
         self.id = id
         self.processors = processors
         self.memory = memory
         self.started_at_ms = int(time.time() * 1000)
         self.is_frozen = False
+        self._is_guarding = is_guarding
+        self._shrunk_at = None
         self._checker = checker
         self._lease_limit_s = lease_limit_s
         self._started_at = time.monotonic()
@@ -114,6 +123,12 @@
         """The executor's clock: milliseconds since its start, from an initial value."""
         return int((time.monotonic() - self._started_at) * 1000) + INITIAL_CLOCK_MS
 
+    def set_processors(self, processors):
+        """Change the capacity while tasks run."""
+        if processors < self.processors:
+            self._shrunk_at = time.monotonic()
+        self.processors = processors
+
     def stop(self):
         """End all runs because the executor ends."""
         for key in list(self._runs):
@@ -193,7 +208,15 @@
         processors = sum(r.processors for r in self._runs.values()) + run.processors
         memory = sum(r.memory for r in self._runs.values()) + run.memory
         if processors > self.processors or memory > self.memory:
-            return self._make_response(409, Reason="room")
+            if self._is_guarding:
+                return self._make_response(409, Reason="room")
+            grace_end = -1.0
+            if self._shrunk_at is not None:
+                grace_end = self._shrunk_at + SHRINKING_GRACE_S
+            if time.monotonic() > grace_end:
+                self._checker.report_violation(
+                    "start exceeds the capacity", f"{task} {number} on {self.id}"
+                )
         self._runs[key] = run
         self._checker.on_run_started(task, number, self.id, spec)
         return self._make_response(200)
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -66,6 +66,8 @@
         Number of instances by name of the pool.
     processors, memory : int
         Capacity of each instance, in thousandths of a core and mebibytes.
+    unguarded_pools : collection of str
+        Pools whose executors start what exceeds their capacity.
     rack_size : int
         Number of instances in a rack.
     move_s, upkeep_s : float
@@ -87,6 +89,7 @@
         pools,
         processors,
         memory,
+        unguarded_pools=(),
         rack_size=4,
         move_s=1.5,
         upkeep_s=2.0,
@@ -95,6 +98,7 @@
         self._checker = checker
         self._processors = processors
         self._memory = memory
+        self._unguarded_pools = unguarded_pools
         self._move_s = move_s
         self._upkeep_s = upkeep_s
         self._executor_numbers = itertools.count(1)
@@ -135,9 +139,24 @@
             memory=self._memory,
             lease_limit_s=LEASE_LIMIT_S,
             checker=self._checker,
+            is_guarding=instance.pool not in self._unguarded_pools,
         )
         self._write_entry(instance)
 
+    def set_processors(self, instance, processors):
+        """Change the capacity of an instance's executor while it runs tasks.
+
+        Parameters
+        ----------
+        instance : Instance
+            The instance.
+        processors : int or None
+            Thousandths of a core; None for the capacity of all instances.
+        """
+        if instance.executor is not None:
+            instance.executor.set_processors(processors or self._processors)
+            self._write_entry(instance)
+
     def _write_entry(self, instance):
         executor = instance.executor
         entry = {
@@ -145,7 +164,7 @@
             "Address": f"{instance.host}:{instance.server.port}",
             "Zone": "a",
             "State": "ready",
-            "Capacity": self._capacity(),
+            "Capacity": {**self._capacity(), "Cpu": executor.processors},
             "Labels": ["a", instance.rack],
             "born": executor.started_at_ms,
             "Sequence": 1,
--- a/standins/platform/local_deployment.py
+++ b/standins/platform/local_deployment.py
@@ -90,6 +90,8 @@
         Number of instances by name of the pool; the pool ``spare`` is on standby.
     entry_count : int
         Number of entry instances.
+    unguarded_pools : iterable of str
+        Pools whose executors start what exceeds their capacity.
     make_settings : callable or None
         Called with the name of an entry instance and the addresses that the stand-ins
         announce; returns settings that are added to those of the instance.
@@ -111,6 +113,7 @@
         directory,
         pools,
         entry_count=1,
+        unguarded_pools=(),
         make_settings=None,
         profile=None,
     ):
@@ -118,6 +121,8 @@
         arguments = ["-m", "standins.platform", "--partitions", str(PARTITIONS)]
         for pool, count in pools.items():
             arguments += ["--pool", f"{pool}={count}"]
+        for pool in unguarded_pools:
+            arguments += ["--unguarded", pool]
         self._platform = processes.ChildProcess(
             name="platform", arguments=arguments, directory=self._directory
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,12 @@
 """Short soak runs, and tests of the soak's fault plans and invariant checks."""
 
+import json
 import pathlib
 import unittest
 
 from soak import __main__ as soak
 from soak import plan
-from standins.platform import invariants
+from standins.platform import executors, invariants
 
 # The logs are kept, since the same seed may not show a violation again.
 LOG_DIRECTORY = pathlib.Path(__file__).resolve().parent.parent / "build" / "soak"
@@ -93,3 +94,35 @@
         self.assertEqual(
             self._violated_invariants(), ["run before the step it depends on"]
         )
+
+    def test_crashing_task_that_is_started_again_and_again_is_reported(self):
+        """Guards against a soak that misses a task that crashes many executors."""
+        for run in range(1, 6):
+            self.checker.on_run_started("job.0.0.0", run, "e1", SPEC)
+            self.checker.on_run_ended("job.0.0.0", run, "e1", "gone")
+            self.checker.on_executor_crashed("job.0.0.0")
+        self.assertEqual(self._violated_invariants(), [])
+        self.checker.on_run_started("job.0.0.0", 6, "e1", SPEC)
+        self.assertEqual(
+            self._violated_invariants(), ["crashing task is started again"]
+        )
+
+    def test_start_beyond_a_capacity_is_reported_after_a_grace(self):
+        """Guards against a soak that misses an executor with too many tasks."""
+        executor = executors.Executor(
+            id="e1",
+            processors=2000,
+            memory=100,
+            lease_limit_s=10.0,
+            checker=self.checker,
+            is_guarding=False,
+        )
+        step = {"count": 9, "ms": 1000, "processors": 1000, "memory": 1}
+        body = {"Spec": json.dumps({"steps": [step]}), "DeadlineMs": 9000}
+        executor.set_processors(1000)
+        for index in range(2):
+            executor._start_run({**body, "Task": f"job.0.0.{index}", "RunId": 1})
+        self.assertEqual(self._violated_invariants(), [])
+        executor._shrunk_at -= executors.SHRINKING_GRACE_S
+        executor._start_run({**body, "Task": "job.0.0.2", "RunId": 1})
+        self.assertEqual(self._violated_invariants(), ["start exceeds the capacity"])
