Give up no task after fewer than two certain crashes

A suspect could wait for 4 s, and a job that has nothing running for 3 s counts as lost. Change: two crashes must be certain; suspects wait for at most 1.8 s for an executor without long-running tasks and at most 2.6 s for a reserved one. Test: one, failing before.

--- a/cranberryport/scheduling/crashes.py
+++ b/cranberryport/scheduling/crashes.py
@@ -21,6 +21,8 @@
 OLDEST_SUSPECT_S = 2.0
 # A restarted suspect is proven after this multiple of its age at the crash.
 CRASH_AGE_FACTOR = 2.0
+# No task is given up after fewer certain crashes (platform's rules).
+CERTAIN_CRASHES_MINIMUM = 2
 # A task is given up once it was the only suspect of this many crashes on different
 # hosts. One such crash may be a coincidence.
 SOLE_CRASHES_LIMIT = 2
@@ -39,9 +41,9 @@
 RESERVED_WAIT_S = 0.5
 # For this long, suspects wait for an executor without long-running tasks; moving
 # another instance to the pool takes 1.5 s.
-ISOLATION_WAIT_S = 2.0
+ISOLATION_WAIT_S = 1.8
 # After this time no executor is reserved for a suspect, as none of these may suit it.
-LONGEST_WAIT_S = 4.0
+LONGEST_WAIT_S = 2.6
 # Number of waiting suspects whose needs decide which executors are reserved.
 COMPARED_SUSPECTS = 4
 
@@ -53,6 +55,8 @@
     ----------
     crash_count : int
         Number of executors that crashed while the task ran there.
+    certain_count : int
+        Number of these that have certainly crashed, and not left.
     is_suspect : bool
         Whether the task is restarted in isolation.
     longest_age_s : float
@@ -67,6 +71,7 @@
     """
 
     __slots__ = (
+        "certain_count",
         "crash_count",
         "is_suspect",
         "longest_age_s",
@@ -75,9 +80,16 @@
     )
 
     def __init__(
-        self, *, crash_count=0, is_suspect=False, longest_age_s=0.0, sole_crash_hosts=()
+        self,
+        *,
+        crash_count=0,
+        certain_count=0,
+        is_suspect=False,
+        longest_age_s=0.0,
+        sole_crash_hosts=(),
     ):
         self.crash_count = crash_count
+        self.certain_count = certain_count
         self.is_suspect = is_suspect
         self.longest_age_s = longest_age_s
         self.sole_crash_hosts = list(sole_crash_hosts)
@@ -86,6 +98,8 @@
     @property
     def is_limit_reached(self):
         """Whether the task is to be given up."""
+        if self.certain_count < CERTAIN_CRASHES_MINIMUM:
+            return False
         return (
             len(self.sole_crash_hosts) >= SOLE_CRASHES_LIMIT
             or self.crash_count >= CRASHES_LIMIT
@@ -147,6 +161,7 @@
         if history is None:
             history = run.task.crash_history = CrashHistory()
         history.crash_count += 1
+        history.certain_count += host is not None
         history.longest_age_s = max(history.longest_age_s, age_s or 0.0)
         history.is_suspect |= run in suspects or history.crash_count > 1
         history.waits_since = None
--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -127,6 +127,7 @@
                     step=task.step_number,
                     index=task.index,
                     crash_count=history.crash_count,
+                    certain_count=history.certain_count,
                     is_suspect=history.is_suspect,
                     longest_age_s=history.longest_age_s,
                     sole_crash_hosts=history.sole_crash_hosts,
@@ -152,6 +153,7 @@
             continue
         occurrence.tasks[row.step][row.index].crash_history = crashes.CrashHistory(
             crash_count=row.crash_count,
+            certain_count=row.certain_count,
             is_suspect=row.is_suspect,
             longest_age_s=row.longest_age_s,
             sole_crash_hosts=row.sole_crash_hosts,
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -117,6 +117,14 @@
         crashes.record_crash([(task.runs[0], 0.01)], host="127.1.0.2")
         self.assertTrue(task.crash_history.is_limit_reached)
 
+    def test_task_is_not_given_up_for_executors_that_may_have_left(self):
+        """Guards against jobs that fail without a crash."""
+        task = first_task(self.guilty)
+        crashes.record_crash([(task.runs[0], 0.01)], host="127.1.0.1")
+        for _ in range(2 * crashes.CRASHES_LIMIT):
+            crashes.record_crash([(task.runs[0], None)], host=None)
+        self.assertFalse(task.crash_history.is_limit_reached)
+
     def test_run_that_has_lasted_is_no_suspect_beside_one_that_has_just_started(self):
         """Guards against lasting neighbours that are restarted in isolation."""
         self.harness.list_all(1.0)
