Count maintenance that is ordered but not accepted as down

Cause: an instance without an executor, as it had crashed, was ordered into maintenance while the store was down, so that the order waited. The crashed executor was replaced, and an instance with another executor than before counted as back from its maintenance. The next instance was ordered, and the store's return sent both orders. The tasks that had started on the replaced executor meanwhile were ended. Class of fault: an observation that has two causes taken for one of them. Change: an instance counts as back only once its order was accepted; the executor that an open order will end gets no runs; an order that was never sent is dropped if its instance has runs now. Tests: three, failing before.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -61,16 +61,30 @@
     previous_executor : str
         Executor of the instance when the order was given; empty for none.
     sent_at : float
-        Monotonic time at which the order was last sent.
+        Monotonic time at which the order was last sent, before that the time at which
+        it was decided.
+
+    Attributes
+    ----------
+    was_sent : bool
+        Whether it was sent, and may be carried out without a response.
     """
 
-    __slots__ = ("accepted_at", "previous_executor", "sent_at", "target_pool", "wave")
+    __slots__ = (
+        "accepted_at",
+        "previous_executor",
+        "sent_at",
+        "target_pool",
+        "was_sent",
+        "wave",
+    )
 
     def __init__(self, *, target_pool, wave, previous_executor, sent_at):
         self.target_pool = target_pool
         self.wave = wave
         self.previous_executor = previous_executor
         self.sent_at = sent_at
+        self.was_sent = False
         self.accepted_at = None
 
     @property
@@ -418,11 +432,24 @@
             wave = self._waves[number]
             reserved |= self._decide_maintenance(wave, demand_ratios, now)
         self._decide_moves(reserved, now)
+        reserved |= self._executors_with_open_orders()
         for executor in self._scheduler.executors.values():
             executor.is_being_vacated = executor.id in reserved
         evacuation.evacuate_draining(self._scheduler, now)
         self._on_decided()
 
+    def _executors_with_open_orders(self):
+        """Return the executors that an order will end which is not accepted yet.
+
+        After a crash an instance has another executor than when the order was decided.
+        """
+        found = set()
+        for instance_id, order in self._orders.items():
+            instance = self._instances.get(instance_id)
+            if instance is not None and instance.executor and not order.is_accepted:
+                found.add(instance.executor)
+        return found
+
     # Maintenance
 
     def _is_reported_complete(self, wave):
@@ -546,6 +573,11 @@
         if not self._is_sole_controller():
             self._retry_order_later(instance_id, order)
             return
+        if not order.was_sent and self._has_runs(instance_id):
+            # Another executor has started after a crash, and tasks on it.
+            self._drop_order(instance_id, order)
+            return
+        order.was_sent = True
         order.sent_at = time.monotonic()
 
         def finish(result):
@@ -568,6 +600,19 @@
                 callback=finish,
             )
 
+    def _has_runs(self, instance_id):
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            return False
+        executor = self._scheduler.executors.get(instance.executor)
+        return executor is not None and bool(executor.runs)
+
+    def _drop_order(self, instance_id, order):
+        """Forget an order that has no effect; it may be decided again."""
+        self._orders.pop(instance_id, None)
+        if order.wave is not None:
+            order.wave.previous_executors.pop(instance_id, None)
+
     def _on_order_result(self, instance_id, order, result):
         if self._is_stopped:
             return
@@ -587,9 +632,8 @@
         elif result.reason in ("", "limited"):
             self._retry_order_later(instance_id, order)
         else:
-            self._orders.pop(instance_id, None)
+            self._drop_order(instance_id, order)
             if order.wave is not None:
-                order.wave.previous_executors.pop(instance_id, None)
                 if result.reason in ("wave", "invalid"):
                     order.wave.done_instances.add(instance_id)
                     self._save_wave(order.wave)
--- a/cranberryport/scheduling/maintenance.py
+++ b/cranberryport/scheduling/maintenance.py
@@ -36,7 +36,8 @@
     -------
     set of str
         Instances that are listed as in maintenance, and those for which it was ordered
-        until they are listed as up with another executor.
+        until the order was accepted and they are listed as up with another executor.
+        Without the acceptance another executor may also follow a crash.
     """
     down = set()
     for instance_id, previous in wave.previous_executors.items():
@@ -44,7 +45,7 @@
         if instance is None:
             continue
         is_back = instance.state == instances.UP and instance.executor != previous
-        if not is_back:
+        if not is_back or instance_id not in wave.accepted_instances:
             down.add(instance_id)
     for instance_id in wave.instances:
         instance = listed.get(instance_id)
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -380,6 +380,40 @@
         self.manager._on_instances_listed(self.listed, self.harness.now + 5.0)
         self.assertEqual(run.task.crash_history.crash_count, 1)
 
+    def _replace_executor_while_the_order_waits(self):
+        """Order maintenance of m1; its executor crashes before the order is stored."""
+        self.manager.waves[1].max_down = 1
+        self.manager.start()
+        ((_, send),) = self.saved
+        executor = self.harness.add_executor("e9")
+        self.listed["m1"].pool, self.listed["m1"].executor = "pool", "e9"
+        return executor, send
+
+    def test_instance_whose_executor_crashed_before_the_order_counts_as_down(self):
+        """Guards against more maintenance at once than a wave allows.
+
+        Seen in the soak, seed 9247: the store was down when an executor that had
+        crashed was replaced, and two orders were sent once it was back.
+        """
+        self._replace_executor_while_the_order_waits()
+        self.manager._decide(time.monotonic())
+        self.assertEqual(len(self.saved), 1)
+
+    def test_nothing_is_planned_on_the_executor_that_an_order_will_end(self):
+        """Guards against tasks that are started just before maintenance ends them."""
+        executor, _ = self._replace_executor_while_the_order_waits()
+        self.manager._decide(time.monotonic())
+        self.assertTrue(executor.is_being_vacated)
+
+    def test_order_for_an_instance_with_runs_is_not_sent(self):
+        """Guards against maintenance that ends tasks on an executor that came since."""
+        _, send = self._replace_executor_while_the_order_waits()
+        self.harness.add_job(scheduling.make_job())
+        self.harness.start()
+        send()
+        self.assertEqual(self.client.orders, [])
+        self.assertEqual(self.manager.waves[1].previous_executors, {})
+
     def test_maintenance_that_was_not_accepted_is_not_done(self):
         """Guards against a wave that is reported as completed without maintenance."""
         del self.listed["m2"]
