--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -206,7 +206,8 @@
             time.monotonic() + STOP_EFFECT_DELAY_S + settings.stop_ms / 1000
         )
         self._order_not_before = {}
-        self._seen_executors = set()
+        # Instance on which each known executor was last listed as up.
+        self._seen_executors = {}
         self._order_times = {}
         # Unix times of earlier controllers' orders that had no response.
         self._inherited_unanswered = {}
@@ -361,7 +362,7 @@
         Their tasks can start elsewhere without waiting for the leases to expire.
         """
         present = {
-            instance.executor
+            instance.executor: instance.id
             for instance in self._instances.values()
             if instance.state == instances.UP and instance.executor
         }
@@ -375,13 +376,18 @@
                 continue
             has_runs = executor.runs or executor.lapsed_runs
             if has_runs and executor.is_overdue(list_sent_at):
+                has_order = self._seen_executors.get(executor.id) in self._orders
                 self._scheduler.retire_executor(
                     executor,
                     "no running instance has it",
-                    has_crashed=not executor.is_being_vacated,
+                    has_crashed=not (has_order or executor.is_being_vacated),
                 )
         current = self._scheduler.executors.keys()
-        self._seen_executors = (self._seen_executors | present) & current
+        self._seen_executors = {
+            executor_id: instance_id
+            for executor_id, instance_id in (self._seen_executors | present).items()
+            if executor_id in current
+        }
 
     def _close_finished_orders(self, list_sent_at):
         now = time.monotonic()
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -353,6 +353,28 @@
         self.assertFalse(run.task.runs)
         self.assertEqual(run.task.crash_history.crash_count, 1)
 
+    def test_executor_that_an_order_has_ended_has_not_crashed(self):
+        """Guards against tasks that are suspected as their instance is moved."""
+        executor = self.harness.add_executor("e1")
+        instance = self.listed["m1"]
+        instance.pool, instance.executor = "pool", "e1"
+        self.harness.add_job(scheduling.make_job())
+        (run,) = self.harness.start()
+        now = self.harness.now
+        self.manager._on_instances_listed(self.listed, now)
+        order = instance_manager._Order(
+            target_pool="spare",
+            wave=None,
+            previous_executor="",
+            sent_at=time.monotonic(),
+        )
+        self.manager._orders["m1"] = order
+        executor.record_failed_call(now, is_connection_closed=True)
+        instance.state, instance.executor = instances.MOVING, ""
+        self.manager._on_instances_listed(self.listed, now + 0.1)
+        self.assertFalse(run.task.runs)
+        self.assertIsNone(run.task.crash_history)
+
     def test_list_from_before_the_failed_call_proves_nothing(self):
         """Guards against a second run while the list of instances is older."""
         now = self.harness.now
