Ask for permits of suspected members of a gang

Found by reading the change: a suspected member of a gang was planned on a reserved executor without the ticket that its queue may require, which raised an exception in the controller. Test: one, failing before.

--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -414,11 +414,13 @@
         for task in sorted(waiting, key=lambda task: task not in suspects):
             usable = trial_candidates
             if task in suspects:
-                usable = [
-                    (executor, list(free))
-                    for executor, free in pool.isolation.candidates_for(task, now)
-                    if executor.id not in used_by_suspects
-                ]
+                usable = self._permitted_candidates(
+                    task.occurrence,
+                    task.step_number,
+                    pool.isolation.candidates_for(task, now),
+                    now,
+                )
+                usable = [c for c in usable if c[0].id not in used_by_suspects]
             executor = packing.choose_executor(
                 step,
                 usable,
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -350,6 +350,17 @@
         self.assertEqual(job.state, model.FAILED)
         self.assertLessEqual(crash_count, 4)
 
+    def test_member_of_a_gang_needs_a_permit_in_isolation_as_well(self):
+        """Guards against a start without the ticket that its queue requires."""
+        harness = CrashHarness(count=6)
+        (job,) = make_jobs(harness, 1, scheduling.make_step(2, is_gang=True))
+        harness.start()
+        harness.crash(harness.executor_of(first_task(job)))
+        rules = harness.scheduler.queues["queue"]
+        rules.advice_times = (0.1, 0.0, 3.0)
+        self.assertEqual(harness.start(), [])
+        self.assertTrue(harness.planner.take_advice_requests())
+
 
 class TakeoverTest(unittest.TestCase):
     """What a controller learned of crashes is known to its successors."""
