--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from cranberryport.scheduling import (
     crashes,
     executors,
+    isolation,
     model,
     ordering,
     rebalancing,
@@ -174,7 +175,7 @@
             task.crash_history is not None and task.crash_history.sole_crash_hosts
             for task in self._crash_tasks.values()
         )
-        return 1 if is_crashing_period else crashes.LARGEST_GROUP
+        return 1 if is_crashing_period else isolation.LARGEST_GROUP
 
     @property
     def arrival_rates(self):
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -1,6 +1,6 @@
 """Planning of runs: chooses executors for waiting tasks and replaces stragglers.
 
-This module applies the rules of ``ordering``, ``packing``, ``suspicion``, ``crashes``
+This module applies the rules of ``ordering``, ``packing``, ``suspicion``, ``isolation``
 and ``stragglers`` to the state of all jobs.
 """
 
@@ -10,6 +10,7 @@
 
 from cranberryport.scheduling import (
     crashes,
+    isolation,
     ordering,
     packing,
     stragglers,
@@ -29,7 +30,7 @@
     ----------
     candidates : list of (executors.Executor, list of int)
         Executors that accept runs, with the free resources of each.
-    isolation : crashes.Isolation
+    pool_isolation : isolation.Isolation
         Division of these executors between suspects and other tasks.
     now : float
         Monotonic time in seconds.
@@ -57,10 +58,10 @@
         "unplaceable",
     )
 
-    def __init__(self, *, candidates, isolation, now):
+    def __init__(self, *, candidates, pool_isolation, now):
         self.all_candidates = candidates
-        self.isolation = isolation
-        self.candidates = isolation.ordinary
+        self.isolation = pool_isolation
+        self.candidates = pool_isolation.ordinary
         self.busy_s = {e.id: packing.busy_for_s(e, now) for e, _ in candidates}
         self.long_running = {
             executor.id: sum(run.task.step.is_lasting for run in executor.runs.values())
@@ -128,14 +129,16 @@
             )
             trusted = suspicion.filter_trusted(candidates, now, slow_executor_ids)
             occurrences = waiting.get(service, ())
-            isolation = crashes.Isolation(
+            pool_isolation = isolation.Isolation(
                 candidates=trusted,
                 waiting_suspects=self._waiting_suspects(occurrences, now),
                 has_suspects=self._state.has_suspects,
                 largest_group=self._state.largest_suspect_group(now),
                 now=now,
             )
-            pool = _PoolState(candidates=trusted, isolation=isolation, now=now)
+            pool = _PoolState(
+                candidates=trusted, pool_isolation=pool_isolation, now=now
+            )
             self._plan_pool(occurrences, pool, now, now_unix_s)
             if checks_stragglers:
                 self._replace_stragglers(
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -1,5 +1,6 @@
 """Builders and a harness for tests of the scheduling package."""
 
+import math
 import types
 
 from cranberryport.scheduling import (
@@ -10,6 +11,8 @@
     task_planner,
 )
 
+# Reason for which a crashed executor is retired.
+GONE = "no running instance has it"
 # Unix time of all tests in seconds.
 NOW_UNIX_S = 1_000_000.0
 
@@ -165,3 +168,59 @@
         ]
         end = (number, run.task.name, run.number, how)
         return self.list_runs(executor, others, [end])
+
+
+class CrashHarness(SchedulerHarness):
+    """A harness whose executors have hosts of their own and can crash."""
+
+    def __init__(self, *, count=3, **values):
+        self._executor_number = 0
+        super().__init__(count=0, **values)
+        for number in range(count):
+            self.add_host(f"127.1.0.{number}")
+
+    def add_host(self, host, **values):
+        """Add an executor on a host and return it."""
+        self._executor_number += 1
+        name = f"e{self._executor_number}"
+        executor = self.add_executor(name, address=(host, 1), **values)
+        executor.started_at_ms = self._executor_number
+        executor.lease_expires_at = math.inf
+        return executor
+
+    def crash(self, executor):
+        """Crash an executor and replace it by a new one on the same host."""
+        executor.record_failed_call(self.now, is_connection_closed=True)
+        self.scheduler.retire_executor(executor, GONE, has_crashed=True)
+        self.process()
+        self.add_host(executor.address[0])
+
+    def process(self):
+        """Handle due events, which also end the jobs of tasks that are given up."""
+        self.scheduler.process_due_events(self.now, NOW_UNIX_S)
+
+    def list_all(self, seconds):
+        """Let time pass, and let all executors list their runs."""
+        self.now += seconds
+        for executor in list(self.scheduler.executors.values()):
+            executor.record_answer(self.now)
+            running = [k for k, r in executor.runs.items() if r.state != model.PLANNED]
+            self.list_runs(executor, running)
+
+    def executor_of(self, task):
+        """Return the executor of a task's only run."""
+        (run,) = task.runs
+        return self.scheduler.executors[run.executor]
+
+
+def make_jobs(harness, count, *steps):
+    """Add jobs with distinct ids and return them."""
+    return [
+        harness.add_job(make_job(*steps, job=f"{number:016x}"))
+        for number in range(1, count + 1)
+    ]
+
+
+def first_task(job):
+    """Return the first task of a job."""
+    return next(iter(job.tasks()))
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -1,7 +1,5 @@
 """Tests of the attribution of executor crashes to tasks."""
 
-import collections
-import math
 import random
 import unittest
 
@@ -9,84 +7,27 @@
 from cranberryport.scheduling import crashes, model, records
 from tests import scheduling
 
-GONE = "no running instance has it"
 # A task may be started at most this many times after three crashes (platform's rules).
 STARTS_AFTER_THREE_CRASHES = 2
 # Probability in each 0.07 s that some executor crashes without a task's fault.
 RANDOM_CRASH_PROBABILITY = 0.01
 
 
-class CrashHarness(scheduling.SchedulerHarness):
-    """A harness whose executors have hosts of their own and can crash."""
-
-    def __init__(self, *, count=3, **values):
-        self._executor_number = 0
-        super().__init__(count=0, **values)
-        for number in range(count):
-            self.add_host(f"127.1.0.{number}")
-
-    def add_host(self, host, **values):
-        """Add an executor on a host and return it."""
-        self._executor_number += 1
-        name = f"e{self._executor_number}"
-        executor = self.add_executor(name, address=(host, 1), **values)
-        executor.started_at_ms = self._executor_number
-        executor.lease_expires_at = math.inf
-        return executor
-
-    def crash(self, executor):
-        """Crash an executor and replace it by a new one on the same host."""
-        executor.record_failed_call(self.now, is_connection_closed=True)
-        self.scheduler.retire_executor(executor, GONE, has_crashed=True)
-        self.process()
-        self.add_host(executor.address[0])
-
-    def process(self):
-        """Handle due events, which also end the jobs of tasks that are given up."""
-        self.scheduler.process_due_events(self.now, scheduling.NOW_UNIX_S)
-
-    def list_all(self, seconds):
-        """Let time pass, and let all executors list their runs."""
-        self.now += seconds
-        for executor in list(self.scheduler.executors.values()):
-            executor.record_answer(self.now)
-            running = [k for k, r in executor.runs.items() if r.state != model.PLANNED]
-            self.list_runs(executor, running)
-
-    def executor_of(self, task):
-        """Return the executor of a task's only run."""
-        (run,) = task.runs
-        return self.scheduler.executors[run.executor]
-
-
-def make_jobs(harness, count, *steps):
-    """Add jobs with distinct ids and return them."""
-    return [
-        harness.add_job(scheduling.make_job(*steps, job=f"{number:016x}"))
-        for number in range(1, count + 1)
-    ]
-
-
-def first_task(job):
-    """Return the first task of a job."""
-    return next(iter(job.tasks()))
-
-
 class AttributionTest(unittest.TestCase):
     """Which task is given up after crashes."""
 
     def setUp(self):
         """Start two jobs on one executor."""
-        self.harness = CrashHarness()
-        self.guilty, self.neighbour = make_jobs(self.harness, 2)
+        self.harness = scheduling.CrashHarness()
+        self.guilty, self.neighbour = scheduling.make_jobs(self.harness, 2)
         self.harness.start()
         self.assertIs(
-            self.harness.executor_of(first_task(self.guilty)),
-            self.harness.executor_of(first_task(self.neighbour)),
+            self.harness.executor_of(scheduling.first_task(self.guilty)),
+            self.harness.executor_of(scheduling.first_task(self.neighbour)),
         )
 
     def _crash_guilty(self):
-        self.harness.crash(self.harness.executor_of(first_task(self.guilty)))
+        self.harness.crash(self.harness.executor_of(scheduling.first_task(self.guilty)))
 
     def test_first_crash_gives_up_no_task(self):
         """Guards against a job that fails because of its neighbour."""
@@ -110,7 +51,7 @@
 
     def test_crashes_on_one_host_do_not_give_up_a_task_at_its_second_crash(self):
         """Guards against a job that fails because of a faulty host."""
-        task = first_task(self.guilty)
+        task = scheduling.first_task(self.guilty)
         for _ in range(2):
             crashes.record_crash([(task.runs[0], 0.01)], host="127.1.0.1")
         self.assertFalse(task.crash_history.is_limit_reached)
@@ -119,7 +60,7 @@
 
     def test_task_is_not_given_up_for_executors_that_may_have_left(self):
         """Guards against jobs that fail without a crash."""
-        task = first_task(self.guilty)
+        task = scheduling.first_task(self.guilty)
         crashes.record_crash([(task.runs[0], 0.01)], host="127.1.0.1")
         for _ in range(2 * crashes.CRASHES_LIMIT):
             crashes.record_crash([(task.runs[0], None)], host=None)
@@ -128,19 +69,21 @@
     def test_run_that_has_lasted_is_no_suspect_beside_one_that_has_just_started(self):
         """Guards against lasting neighbours that are restarted in isolation."""
         self.harness.list_all(1.0)
-        (late,) = make_jobs(self.harness, 3)[2:]
+        (late,) = scheduling.make_jobs(self.harness, 3)[2:]
         self.harness.start()
-        executor = self.harness.executor_of(first_task(late))
-        self.assertIs(executor, self.harness.executor_of(first_task(self.guilty)))
+        executor = self.harness.executor_of(scheduling.first_task(late))
+        self.assertIs(
+            executor, self.harness.executor_of(scheduling.first_task(self.guilty))
+        )
         self.harness.crash(executor)
-        self.assertTrue(crashes.is_suspect(first_task(late)))
-        self.assertFalse(crashes.is_suspect(first_task(self.guilty)))
+        self.assertTrue(crashes.is_suspect(scheduling.first_task(late)))
+        self.assertFalse(crashes.is_suspect(scheduling.first_task(self.guilty)))
 
     def test_run_that_has_lasted_for_long_is_not_counted(self):
         """Guards against long-running jobs that fail as executors crash over time."""
         self.harness.list_all(crashes.OLDEST_SUSPECT_S + 0.1)
         self._crash_guilty()
-        self.assertIsNone(first_task(self.guilty).crash_history)
+        self.assertIsNone(scheduling.first_task(self.guilty).crash_history)
 
     def test_task_that_crashes_executors_late_is_given_up(self):
         """Guards against a crash that counts only at the start of a run."""
@@ -159,23 +102,23 @@
         self._crash_guilty()
         self.harness.start()
         self.harness.list_all(crashes.PROVEN_AGE_S + 0.1)
-        self.assertIsNone(first_task(self.guilty).crash_history)
-        self.assertFalse(crashes.is_suspect(first_task(self.neighbour)))
+        self.assertIsNone(scheduling.first_task(self.guilty).crash_history)
+        self.assertFalse(crashes.is_suspect(scheduling.first_task(self.neighbour)))
 
     def test_end_of_a_draining_executor_is_no_crash(self):
         """Guards against tasks that are suspected as their executor leaves."""
-        executor = self.harness.executor_of(first_task(self.guilty))
+        executor = self.harness.executor_of(scheduling.first_task(self.guilty))
         executor.state = "draining"
         self._crash_guilty()
-        self.assertIsNone(first_task(self.guilty).crash_history)
+        self.assertIsNone(scheduling.first_task(self.guilty).crash_history)
 
     def test_order_that_was_not_sent_is_not_blamed(self):
         """Guards against a task that is suspected without having been started."""
-        harness = CrashHarness()
-        (job,) = make_jobs(harness, 1)
+        harness = scheduling.CrashHarness()
+        (job,) = scheduling.make_jobs(harness, 1)
         (run,) = harness.scheduler.commit(harness.plan(), harness.now)
         harness.crash(harness.scheduler.executors[run.executor])
-        self.assertIsNone(first_task(job).crash_history)
+        self.assertIsNone(scheduling.first_task(job).crash_history)
 
 
 class LapseTest(unittest.TestCase):
@@ -183,10 +126,10 @@
 
     def setUp(self):
         """Let the lease of an executor with a run lapse."""
-        self.harness = CrashHarness()
-        (job,) = make_jobs(self.harness, 1)
+        self.harness = scheduling.CrashHarness()
+        (job,) = scheduling.make_jobs(self.harness, 1)
         self.harness.start()
-        self.task = first_task(job)
+        self.task = scheduling.first_task(job)
         self.executor = self.harness.executor_of(self.task)
         self.executor.record_failed_call(self.harness.now, is_connection_closed=False)
         self.executor.lease_expires_at = self.harness.now + 4.0
@@ -197,7 +140,9 @@
     def test_executor_that_answers_again_has_not_crashed(self):
         """Guards against tasks that are suspected after a network partition."""
         self.executor.record_answer(self.harness.now)
-        self.harness.scheduler.retire_executor(self.executor, GONE, has_crashed=True)
+        self.harness.scheduler.retire_executor(
+            self.executor, scheduling.GONE, has_crashed=True
+        )
         self.assertIsNone(self.task.crash_history)
 
     def test_restart_after_the_lapse_counts_as_a_crash(self):
@@ -218,8 +163,8 @@
 
     def test_start_without_an_answer_is_not_repeated_after_the_crash(self):
         """Guards against one start that crashes each life of an executor."""
-        harness = CrashHarness()
-        make_jobs(harness, 1)
+        harness = scheduling.CrashHarness()
+        scheduling.make_jobs(harness, 1)
         (run,) = harness.scheduler.commit(harness.plan(), harness.now)
         run.has_unanswered_start = True
         executor = harness.scheduler.executors[run.executor]
@@ -228,146 +173,12 @@
         self.assertEqual(run.task.crash_history.crash_count, 1)
 
 
-class IsolationTest(unittest.TestCase):
-    """Where suspects and other tasks are started."""
-
-    def _suspects(self, harness, count):
-        jobs = make_jobs(harness, count)
-        harness.start()
-        harness.crash(harness.executor_of(first_task(jobs[0])))
-        return [first_task(job) for job in jobs]
-
-    def _group_sizes(self, harness, tasks):
-        counts = collections.Counter(harness.executor_of(task).id for task in tasks)
-        return sorted(counts.values())
-
-    def test_suspects_are_restarted_in_small_groups(self):
-        """Guards against a second crash that takes all suspects of the first."""
-        harness = CrashHarness(count=9)
-        tasks = self._suspects(harness, 9)
-        harness.start()
-        self.assertEqual(self._group_sizes(harness, tasks), [3, 3, 3])
-
-    def test_more_suspects_than_fit_into_groups_wait(self):
-        """Guards against large groups, in which a crash costs many tasks their work."""
-        harness = CrashHarness(count=3)
-        tasks = self._suspects(harness, 9)
-        harness.start()
-        started = [task for task in tasks if task.runs]
-        self.assertEqual(len(started), crashes.LARGEST_GROUP)
-
-    def test_few_suspects_are_restarted_alone(self):
-        """Guards against crashes that are attributed to no task."""
-        harness = CrashHarness(count=9)
-        tasks = self._suspects(harness, 3)
-        harness.start()
-        self.assertEqual(self._group_sizes(harness, tasks), [1, 1, 1])
-
-    def test_repeated_suspect_is_restarted_alone(self):
-        """Guards against a second crash that convicts no task."""
-        harness = CrashHarness(count=9)
-        tasks = self._suspects(harness, 9)
-        harness.start()
-        harness.crash(harness.executor_of(tasks[0]))
-        harness.list_all(1.0)
-        harness.start()
-        repeated = [task for task in tasks if task.crash_history]
-        self.assertEqual([t.crash_history.crash_count for t in repeated], [2, 2, 2])
-        self.assertEqual(self._group_sizes(harness, repeated), [1, 1, 1])
-
-    def test_other_tasks_are_not_started_beside_an_unproven_suspect(self):
-        """Guards against new neighbours for a task that crashes its executors."""
-        harness = CrashHarness(count=2)
-        (suspect,) = self._suspects(harness, 1)
-        harness.start()
-        other = harness.add_job(scheduling.make_job(job="f" * 16))
-        harness.start()
-        self.assertIsNot(
-            harness.executor_of(first_task(other)), harness.executor_of(suspect)
-        )
-
-    def test_other_tasks_are_started_beside_a_proven_suspect(self):
-        """Guards against executors that stay reserved for one task."""
-        harness = CrashHarness(count=1)
-        (suspect,) = self._suspects(harness, 1)
-        harness.start()
-        harness.list_all(crashes.PROVEN_AGE_S + 0.1)
-        other = harness.add_job(scheduling.make_job(job="f" * 16))
-        harness.start()
-        self.assertIs(
-            harness.executor_of(first_task(other)), harness.executor_of(suspect)
-        )
-
-    def test_suspect_waits_for_an_executor_without_long_running_tasks(self):
-        """Guards against long-running neighbours that lose their work once more."""
-        harness = CrashHarness(count=1)
-        (suspect,) = self._suspects(harness, 1)
-        lasting = harness.add_job(
-            scheduling.make_job(scheduling.make_step(is_lasting=True), job="e" * 16)
-        )
-        (executor,) = harness.scheduler.executors.values()
-        harness.scheduler.plan_run(first_task(lasting), executor, 1)
-        (run,) = harness.scheduler.commit(harness.scheduler.take_batch(), harness.now)
-        harness.scheduler.on_run_started(run, harness.now)
-        harness.list_all(1.0)
-        harness.start()
-        self.assertEqual(suspect.runs, [])
-        ((step, count),) = harness.scheduler.unplaceable_tasks("pool", harness.now)
-        self.assertEqual((step, count), (suspect.step, 1))
-        harness.list_all(crashes.ISOLATION_WAIT_S + 0.1)
-        harness.start()
-        self.assertEqual(len(suspect.runs), 1)
-
-    def test_other_tasks_do_not_wait_for_a_suspect_that_fits_nowhere(self):
-        """Guards against a pool that is reserved for good."""
-        harness = CrashHarness(count=1)
-        (suspect,) = self._suspects(harness, 1)
-        suspect.step.memory = 1_000_000
-        other = harness.add_job(scheduling.make_job(job="f" * 16))
-        self.assertEqual(harness.start(), [])
-        harness.list_all(crashes.LONGEST_WAIT_S + 0.1)
-        self.assertEqual([run.task.job for run in harness.start()], [other])
-
-    def test_gang_with_a_crashing_member_is_given_up(self):
-        """Guards against gangs, which start all members again after every crash."""
-        harness = CrashHarness(count=6)
-        (job,) = make_jobs(harness, 1, scheduling.make_step(3, is_gang=True))
-        guilty = list(job.tasks())[1]
-        crash_count = 0
-        while job.state != model.FAILED and crash_count < 9:
-            harness.start()
-            harness.now += 0.01
-            if not guilty.runs:
-                harness.list_all(0.1)
-                continue
-            executor = harness.executor_of(guilty)
-            harness.crash(executor)
-            crash_count += 1
-            for member in job.tasks():
-                for run in list(member.runs):
-                    end_number = harness.executor_of(member).received_end_number + 1
-                    harness.finish(run, end_number, "broken")
-        self.assertEqual(job.state, model.FAILED)
-        self.assertLessEqual(crash_count, 4)
-
-    def test_member_of_a_gang_needs_a_permit_in_isolation_as_well(self):
-        """Guards against a start without the ticket that its queue requires."""
-        harness = CrashHarness(count=6)
-        (job,) = make_jobs(harness, 1, scheduling.make_step(2, is_gang=True))
-        harness.start()
-        harness.crash(harness.executor_of(first_task(job)))
-        rules = harness.scheduler.queues["queue"]
-        rules.advice_times = (0.1, 0.0, 3.0)
-        self.assertEqual(harness.start(), [])
-        self.assertTrue(harness.planner.take_advice_requests())
-
-
 class TakeoverTest(unittest.TestCase):
     """What a controller learned of crashes is known to its successors."""
 
     def _take_over(self, job, batch):
         """Return a harness whose scheduler has read the stored records of a job."""
-        successor = CrashHarness(count=3)
+        successor = scheduling.CrashHarness(count=3)
         copy = records.job_from_record(records.job_to_record(job))
         (crash_record,) = [
             codec.decode(codec.encode(record)) for record in batch.crash_records
@@ -380,27 +191,27 @@
 
     def test_successor_knows_the_crashes(self):
         """Guards against a count that starts anew with each controller."""
-        harness = CrashHarness()
-        (job,) = make_jobs(harness, 1)
+        harness = scheduling.CrashHarness()
+        (job,) = scheduling.make_jobs(harness, 1)
         harness.start()
         harness.scheduler.commit(harness.scheduler.take_batch(), harness.now)
-        harness.crash(harness.executor_of(first_task(job)))
+        harness.crash(harness.executor_of(scheduling.first_task(job)))
         successor, copy = self._take_over(job, harness.scheduler.take_batch())
-        history = first_task(copy).crash_history
+        history = scheduling.first_task(copy).crash_history
         self.assertEqual(history.crash_count, 1)
         self.assertTrue(history.is_suspect)
         successor.start()
         successor.now += 0.01
-        successor.crash(successor.executor_of(first_task(copy)))
+        successor.crash(successor.executor_of(scheduling.first_task(copy)))
         batch = successor.scheduler.take_batch()
         self.assertEqual(batch.crash_records[0].tasks[0].crash_count, 2)
 
     def test_record_is_deleted_once_the_crashes_are_outlived(self):
         """Guards against records that remain in the store for good."""
-        harness = CrashHarness()
-        (job,) = make_jobs(harness, 1)
+        harness = scheduling.CrashHarness()
+        (job,) = scheduling.make_jobs(harness, 1)
         harness.start()
-        harness.crash(harness.executor_of(first_task(job)))
+        harness.crash(harness.executor_of(scheduling.first_task(job)))
         (record,) = harness.scheduler.take_batch().crash_records
         harness.start()
         harness.scheduler.take_batch()
@@ -411,29 +222,29 @@
 
     def test_executor_whose_restored_runs_are_gone_is_ignored(self):
         """Guards against an exception after a job is cancelled during a takeover."""
-        harness = CrashHarness()
-        (job,) = make_jobs(harness, 1)
+        harness = scheduling.CrashHarness()
+        (job,) = scheduling.make_jobs(harness, 1)
         batch = harness.plan()
-        successor = CrashHarness(count=1)
+        successor = scheduling.CrashHarness(count=1)
         copy = records.job_from_record(records.job_to_record(job))
         (progress,) = batch.progress_records
         successor.scheduler.restore_job(copy, progress, scheduling.NOW_UNIX_S)
-        successor.scheduler._remove_run(first_task(copy).runs[0])
+        successor.scheduler._remove_run(scheduling.first_task(copy).runs[0])
         successor.scheduler.remove_restored_runs(set())
-        self.assertIsNone(first_task(copy).crash_history)
+        self.assertIsNone(scheduling.first_task(copy).crash_history)
 
     def test_executor_that_was_lost_during_the_takeover_counts(self):
         """Guards against crashes that no controller counts."""
-        harness = CrashHarness()
-        (job,) = make_jobs(harness, 1)
+        harness = scheduling.CrashHarness()
+        (job,) = scheduling.make_jobs(harness, 1)
         batch = harness.plan()
         harness.scheduler.commit(batch, harness.now)
-        successor = CrashHarness(count=1)
+        successor = scheduling.CrashHarness(count=1)
         copy = records.job_from_record(records.job_to_record(job))
         (progress,) = batch.progress_records
         successor.scheduler.restore_job(copy, progress, scheduling.NOW_UNIX_S)
         successor.scheduler.remove_restored_runs(set())
-        history = first_task(copy).crash_history
+        history = scheduling.first_task(copy).crash_history
         self.assertEqual((history.crash_count, history.sole_crash_hosts), (1, []))
 
 
@@ -442,8 +253,10 @@
 
     def _play(self, seed):
         generator = random.Random(seed)
-        harness = CrashHarness(count=generator.randint(3, 8), processors=8000)
-        jobs = make_jobs(
+        harness = scheduling.CrashHarness(
+            count=generator.randint(3, 8), processors=8000
+        )
+        jobs = scheduling.make_jobs(
             harness,
             12,
             scheduling.make_step(3),
