--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -97,6 +97,23 @@
         self.assertEqual(self.guilty.state, model.FAILED)
         self.assertLessEqual(crash_count, 3 + STARTS_AFTER_THREE_CRASHES)
 
+    def test_long_running_task_that_crashes_executors_is_given_up(self):
+        """Guards against a task that is restarted however often it ends."""
+        harness = scheduling.CrashHarness(count=4)
+        step = scheduling.make_step(2, is_lasting=True)
+        (job,) = scheduling.make_jobs(harness, 1, step)
+        crash_count = 0
+        while job.state != model.FAILED and crash_count < 9:
+            harness.start()
+            harness.now += 0.01
+            guilty = scheduling.first_task(job)
+            if guilty.runs:
+                harness.crash(harness.executor_of(guilty))
+                crash_count += 1
+            harness.list_all(1.0)
+        self.assertEqual(job.state, model.FAILED)
+        self.assertLessEqual(crash_count, 4)
+
     def test_run_that_outlives_its_crashes_clears_them(self):
         """Guards against crashes that add up over the life of a long-running job."""
         self._crash_guilty()
