End maintenance only by a list from after the acceptance of its order

Cause: the list of instances that a cycle uses may be 2 s old. It named a crashed executor when the order was decided; the next list, requested before the order was accepted, named the executor that had followed, which seemed to have followed the maintenance. The order was closed and the next instance ordered. Change: an order is closed only by a list that was requested after its acceptance, and an instance counts as down until then, whatever executor is listed. Tests: one, failing before; the one on allowed numbers is stricter: nothing but the end of the order frees its place.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -396,8 +396,11 @@
             is_finished = now - order.sent_at > ORDER_LIFETIME_S
             if instance is not None and order.is_accepted:
                 self._retire_previous_executor(instance, order)
-                is_finished = is_finished or self._is_carried_out(
-                    instance, order, list_sent_at
+                # An older list may show an executor that the order has ended since.
+                is_list_newer = list_sent_at > order.accepted_at
+                is_finished = is_finished or (
+                    is_list_newer
+                    and self._is_carried_out(instance, order, list_sent_at)
                 )
             if instance is None or is_finished:
                 del self._orders[instance_id]
--- a/cranberryport/scheduling/maintenance.py
+++ b/cranberryport/scheduling/maintenance.py
@@ -36,17 +36,12 @@
     -------
     set of str
         Instances that are listed as in maintenance, and those for which it was ordered
-        until the order was accepted and they are listed as up with another executor.
-        Without the acceptance another executor may also follow a crash.
+        until the order is over. That another executor is listed proves nothing: it may
+        have followed a crash, or the list may be older than the order.
     """
-    down = set()
-    for instance_id, previous in wave.previous_executors.items():
-        instance = listed.get(instance_id)
-        if instance is None:
-            continue
-        is_back = instance.state == instances.UP and instance.executor != previous
-        if not is_back or instance_id not in wave.accepted_instances:
-            down.add(instance_id)
+    down = {
+        instance_id for instance_id in wave.previous_executors if instance_id in listed
+    }
     for instance_id in wave.instances:
         instance = listed.get(instance_id)
         if instance is not None and instance.state == instances.MAINTENANCE:
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -421,6 +421,24 @@
         self.manager._decide(time.monotonic())
         self.assertEqual(len(self.saved), 1)
 
+    def test_list_from_before_the_acceptance_does_not_show_the_end_of_maintenance(self):
+        """Guards against more maintenance at once than a wave allows.
+
+        Seen in the soak, seed 9420: the list named an executor that had started after
+        the order was decided and that the order ended.
+        """
+        executor, send = self._replace_executor_while_the_order_waits()
+        list_sent_at = time.monotonic()
+        send()
+        self.client.orders[0][4](machines.OrderResult(is_accepted=True))
+        self.manager._on_instances_listed(self.listed, list_sent_at)
+        self.manager._decide(time.monotonic())
+        self.assertEqual(len(self.saved), 1)
+        self.listed["m1"].executor = "e10"
+        self.manager._on_instances_listed(self.listed, time.monotonic())
+        self.manager._decide(time.monotonic())
+        self.assertEqual(len(self.saved), 2)
+
     def test_nothing_is_planned_on_the_executor_that_an_order_will_end(self):
         """Guards against tasks that are started just before maintenance ends them."""
         executor, _ = self._replace_executor_while_the_order_waits()
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -654,9 +654,11 @@
         wave.previous_executors = {"m1": "e1", "m2": "e2"}
         self.assertEqual(self._choose(wave, listed), [])
         listed["m1"].executor = "e9"
-        # Without an accepted order, the executor may have been replaced after a crash.
+        # Another executor does not prove that the maintenance is over.
         self.assertEqual(self._choose(wave, listed), [])
         wave.accepted_instances = {"m1"}
+        self.assertEqual(self._choose(wave, listed), [])
+        del wave.previous_executors["m1"]
         self.assertEqual(len(self._choose(wave, listed)), 1)
 
     def test_instance_without_long_running_tasks_goes_first(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,8 +14,9 @@
 # kinds of faults, and every seed that ever failed.
 # Seed 1 failed when the start of a run was repeated to a restarted executor although
 # the task was already running elsewhere. Seed 9247 failed when a crashed executor was
-# replaced while the order for its maintenance waited for the store.
-FAULT_PHASES_S = {1: 6.0, 4: 6.0, 9247: 15.0}
+# replaced while the order for its maintenance waited for the store, and seed 9420 when
+# a list from before an order seemed to show the end of its maintenance.
+FAULT_PHASES_S = {1: 6.0, 4: 6.0, 9247: 15.0, 9420: 15.0}
 SPEC = {"steps": [{"count": 1}, {"count": 1, "after": [0]}]}
 
 
