Make crash records only for jobs with crashes

Each batch looked at all tasks of every changed job a second time; now it does so only for jobs whose tasks have crashes, or a record of them. No other effect.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -882,7 +882,10 @@
             records.progress_to_record(job) for job in self._changed_jobs.values()
         ]
         crash_records, deleted_crash_records = [], []
+        jobs_with_crashes = {task.job.id for task in self._crash_tasks.values()}
         for job in self._changed_jobs.values():
+            if job.id not in jobs_with_crashes and not job.has_stored_crashes:
+                continue
             record = records.crashes_to_record(job)
             if record.tasks:
                 crash_records.append(record)
