Let suspects run in groups and beside others once they have waited

Cause: while tasks crash executors, every suspect ran alone, and up to two thirds of a pool were reserved with one run each. Suspects came faster than they could be isolated, and what waited longest found neither a reserved executor nor room on the others. Change: groups of four are used again whenever suspects outnumber the reserved executors; at most a third is reserved; a suspect that has waited for 2.6 s runs wherever there is room, but not beside another repeated suspect.

--- a/cranberryport/scheduling/crashes.py
+++ b/cranberryport/scheduling/crashes.py
@@ -26,8 +26,6 @@
 # A task is also given up after this many crashes, as the platform's rules allow two
 # more starts after three crashes.
 CRASHES_LIMIT = 5
-# Tasks crash executors at present if one was given up within this time.
-CRASHING_PERIOD_S = 30.0
 
 
 class CrashHistory:
--- a/cranberryport/scheduling/isolation.py
+++ b/cranberryport/scheduling/isolation.py
@@ -11,17 +11,16 @@
 from cranberryport.scheduling import crashes, packing
 
 # Number of suspects that may run unproven on one executor after their first crash. They
-# run alone if enough executors are reserved, or if tasks crash executors at present.
+# run alone if enough executors are reserved.
 LARGEST_GROUP = 4
-# Share of a pool's executors that may be reserved for waiting suspects, and the share
-# once one of them has waited for RESERVED_WAIT_S.
+# Share of a pool's executors that may be reserved for waiting suspects. Most of their
+# room stays free, while other tasks may wait.
 RESERVED_SHARE = 1 / 3
-LONG_WAIT_RESERVED_SHARE = 2 / 3
-RESERVED_WAIT_S = 0.5
 # For this long, suspects wait for an executor without long-running tasks; moving
 # another instance to the pool takes 1.5 s.
 ISOLATION_WAIT_S = 1.8
-# After this time no executor is reserved for a suspect, as none of these may suit it.
+# After this time a suspect may run beside other tasks, as no reserved executor may suit
+# it, or many suspects wait for these.
 LONGEST_WAIT_S = 2.6
 # Number of waiting suspects whose needs decide which executors are reserved.
 COMPARED_SUSPECTS = 4
@@ -38,8 +37,6 @@
         Suspects that wait for an executor.
     has_suspects : bool
         Whether any task is suspected, waiting or not.
-    largest_group : int
-        Number of first-time suspects that may run unproven on one executor.
     now : float
         Monotonic time in seconds.
 
@@ -61,11 +58,9 @@
         "ordinary",
     )
 
-    def __init__(
-        self, *, candidates, waiting_suspects, has_suspects, largest_group, now
-    ):
+    def __init__(self, *, candidates, waiting_suspects, has_suspects, now):
         self._candidates = candidates
-        self._group_size = largest_group
+        self._group_size = LARGEST_GROUP
         if not has_suspects:
             # Nearly always; spares the look at every run.
             self._unproven_suspects = {}
@@ -104,10 +99,7 @@
             return frozenset()
         repeated_count = sum(_is_repeated(task) for task in waiting_suspects)
         first_count = len(waiting_suspects) - repeated_count
-        share = RESERVED_SHARE
-        if any(_waited_s(task, now) >= RESERVED_WAIT_S for task in waiting_suspects):
-            share = LONG_WAIT_RESERVED_SHARE
-        limit = max(1, int(len(candidates) * share))
+        limit = max(1, int(len(candidates) * RESERVED_SHARE))
         compared = waiting_suspects[:COMPARED_SUSPECTS]
 
         def rank(candidate):
@@ -140,7 +132,11 @@
         history = task.crash_history
         waited_s = _waited_s(task, now)
         if waited_s >= LONGEST_WAIT_S:
-            return [c for c in self._candidates if not self._unproven_suspects[c[0].id]]
+            return [
+                c
+                for c in self._candidates
+                if not any(map(_is_repeated, self._unproven_suspects[c[0].id]))
+            ]
         room = 0 if _is_repeated(task) else max(0, self._group_size - 1)
         found = [
             c
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -14,7 +14,6 @@
 from cranberryport.scheduling import (
     crashes,
     executors,
-    isolation,
     model,
     ordering,
     rebalancing,
@@ -134,7 +133,6 @@
         self._jobs_due_later = {}
         # Tasks under which executors have crashed, by name.
         self._crash_tasks = {}
-        self._last_given_up_at = -math.inf
         self._retired_executors = {}
         self._arrival_rates = collections.defaultdict(rebalancing.ArrivalRate)
         # By pool and by task or step: time of the mark, step, and number of tasks.
@@ -168,15 +166,6 @@
         """Whether any open task may have crashed executors."""
         return bool(self._crash_tasks)
 
-    def largest_suspect_group(self, now):
-        """Return how many suspects may run unproven on one executor."""
-        is_crashing_period = now - self._last_given_up_at < crashes.CRASHING_PERIOD_S
-        is_crashing_period = is_crashing_period or any(
-            task.crash_history is not None and task.crash_history.sole_crash_hosts
-            for task in self._crash_tasks.values()
-        )
-        return 1 if is_crashing_period else isolation.LARGEST_GROUP
-
     @property
     def arrival_rates(self):
         """Rate at which work becomes ready, by pool."""
@@ -517,7 +506,7 @@
             self._crash_tasks[task.name] = task
             self._mark_changed(task.job)
 
-    def _give_up_crashing_tasks(self, now, now_unix_s):
+    def _give_up_crashing_tasks(self, now_unix_s):
         """End the jobs of the tasks that have crashed too many executors."""
         for name, task in list(self._crash_tasks.items()):
             if task.job.has_ended or task.is_done or task.crash_history is None:
@@ -525,7 +514,6 @@
                 continue
             if not task.crash_history.is_limit_reached:
                 continue
-            self._last_given_up_at = now
             self._event_counts["jobs_given_up_after_crashes"] += 1
             _logger.warning(
                 "job given up: a task crashes its executors",
@@ -605,7 +593,7 @@
             for executor_id in list(self._restored_runs):
                 runs = list(self._restored_runs.pop(executor_id).values())
                 self._remove_restored_runs(runs, "executor not found after a takeover")
-        self._give_up_crashing_tasks(now, now_unix_s)
+        self._give_up_crashing_tasks(now_unix_s)
         for job in list(self._jobs_due_later.values()):
             self._activate_due_occurrences(job, now_unix_s)
         self._repeat_stops(now)
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -133,7 +133,6 @@
                 candidates=trusted,
                 waiting_suspects=self._waiting_suspects(occurrences, now),
                 has_suspects=self._state.has_suspects,
-                largest_group=self._state.largest_suspect_group(now),
                 now=now,
             )
             pool = _PoolState(
