Start few tasks at once on one executor while tasks are suspected

Change: while any task is suspected, at most four runs on an executor may be unproven. Test: one, failing before.

--- a/cranberryport/scheduling/isolation.py
+++ b/cranberryport/scheduling/isolation.py
@@ -13,6 +13,9 @@
 # Number of suspects that may run unproven on one executor after their first crash. They
 # run alone if enough executors are reserved.
 LARGEST_GROUP = 4
+# Number of runs that may be unproven on one executor while any task is suspected. They
+# are proven within 0.2 s, so that this hardly delays the filling of an executor.
+UNPROVEN_RUNS_LIMIT = 4
 # Share of a pool's executors that may be reserved for waiting suspects. Most of their
 # room stays free, while other tasks may wait.
 RESERVED_SHARE = 1 / 3
@@ -53,6 +56,7 @@
         "_candidates",
         "_for_suspects",
         "_group_size",
+        "_unproven_counts",
         "_unproven_suspects",
         "needs_instance",
         "ordinary",
@@ -63,6 +67,7 @@
         self._group_size = LARGEST_GROUP
         if not has_suspects:
             # Nearly always; spares the look at every run.
+            self._unproven_counts = None
             self._unproven_suspects = {}
             self._for_suspects = []
             self.ordinary = candidates
@@ -71,11 +76,19 @@
         self._unproven_suspects = {
             executor.id: _unproven_suspects(executor, now) for executor, _ in candidates
         }
+        self._unproven_counts = {
+            executor.id: sum(
+                not _is_run_proven(run, now) for run in executor.runs.values()
+            )
+            for executor, _ in candidates
+        }
         reserved = self._reserve(candidates, waiting_suspects, now)
         self.ordinary = [
             c
             for c in candidates
-            if c[0].id not in reserved and not self._unproven_suspects[c[0].id]
+            if c[0].id not in reserved
+            and not self._unproven_suspects[c[0].id]
+            and self._unproven_counts[c[0].id] < UNPROVEN_RUNS_LIMIT
         ]
         self._for_suspects = [
             c
@@ -154,6 +167,14 @@
         task.crash_history.waits_since = None
         self._unproven_suspects[executor.id].append(task)
 
+    def add_ordinary_run(self, executor):
+        """Record that a task that is not suspected was planned on an executor."""
+        if self._unproven_counts is None:
+            return
+        self._unproven_counts[executor.id] += 1
+        if self._unproven_counts[executor.id] >= UNPROVEN_RUNS_LIMIT:
+            self.ordinary[:] = [c for c in self.ordinary if c[0] is not executor]
+
 
 def _waited_s(task, now):
     waits_since = task.crash_history.waits_since
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -232,6 +232,7 @@
             self._plan_run(
                 task, executor, task.next_run_number, permitted, task_counts, used_racks
             )
+            pool.isolation.add_ordinary_run(executor)
 
     def _plan_suspects(self, occurrence, number, pool, now):
         """Plan runs of the suspects of a step on executors that are kept for them."""
--- a/tests/test_scheduling_isolation.py
+++ b/tests/test_scheduling_isolation.py
@@ -99,6 +99,22 @@
         harness.start()
         self.assertEqual(len(suspect.runs), 1)
 
+    def test_few_tasks_start_at_once_on_one_executor_while_tasks_are_suspected(self):
+        """Guards against a dozen new suspects at each crash of an executor.
+
+        Seen on varied days of scoica-ops with many crashing tasks: suspects came faster
+        than they could be isolated.
+        """
+        harness = scheduling.CrashHarness(count=2)
+        self._suspects(harness, 1)
+        harness.start()
+        step = scheduling.make_step(9)
+        job = harness.add_job(scheduling.make_job(step, job="f" * 16))
+        started = [run for run in harness.start() if run.task.job is job]
+        self.assertEqual(len(started), isolation.UNPROVEN_RUNS_LIMIT)
+        harness.list_all(crashes.PROVEN_AGE_S + 0.01)
+        self.assertGreater(len(harness.start()), 0)
+
     def test_other_tasks_do_not_wait_for_a_suspect_that_fits_nowhere(self):
         """Guards against a pool that is reserved for good."""
         harness = scheduling.CrashHarness(count=1)
