--- a/cranberryport/scheduling/isolation.py
+++ b/cranberryport/scheduling/isolation.py
@@ -144,17 +144,14 @@
         """
         history = task.crash_history
         waited_s = _waited_s(task, now)
-        if waited_s >= LONGEST_WAIT_S:
-            return [
-                c
-                for c in self._candidates
-                if not any(map(_is_repeated, self._unproven_suspects[c[0].id]))
-            ]
-        room = 0 if _is_repeated(task) else max(0, self._group_size - 1)
+        is_reserved_only = waited_s < LONGEST_WAIT_S
+        limit = self._group_size if is_reserved_only else UNPROVEN_RUNS_LIMIT
+        if _is_repeated(task):
+            limit = 1
         found = [
             c
-            for c in self._for_suspects
-            if len(self._unproven_suspects[c[0].id]) <= room
+            for c in (self._for_suspects if is_reserved_only else self._candidates)
+            if self._unproven_counts[c[0].id] < limit
             and not any(map(_is_repeated, self._unproven_suspects[c[0].id]))
         ]
         if waited_s < ISOLATION_WAIT_S:
@@ -166,6 +163,8 @@
         """Record that a suspect was planned on an executor."""
         task.crash_history.waits_since = None
         self._unproven_suspects[executor.id].append(task)
+        self._unproven_counts[executor.id] += 1
+        self.ordinary[:] = [c for c in self.ordinary if c[0] is not executor]
 
     def add_ordinary_run(self, executor):
         """Record that a task that is not suspected was planned on an executor."""
