--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -3,7 +3,8 @@
 from cranberryport.generated import messages
 from cranberryport.scheduling import crashes, model
 
-# Prefix of the key of a job's crash record. Programs of before this record skip it.
+# Prefix of the key of a job's crash record. Versions without such records skip keys
+# with this prefix.
 CRASHES_KEY_PREFIX = "crashes/"
 
 # Fields that have the same name in a step and in its record.
