Read organisations, their keys, weights and limits from the configuration

Cause: two customers' callers compete for pools; the system knows no organisations. Nothing decides by them yet. A deployment whose configuration has no such list has organisations None, and its records keep their defaults.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -258,6 +258,7 @@
         """
         self._has_configuration = True
         self._scheduler.set_queues(configuration.queues)
+        self._scheduler.set_organisations(configuration.organisations or {})
         if self._instance_manager is not None:
             self._instance_manager.set_services(configuration.services)
 
--- a/cranberryport/platform/configuration.py
+++ b/cranberryport/platform/configuration.py
@@ -1,11 +1,17 @@
-"""Parses the operator's configuration: routes to queues, and services."""
+"""Parses the operator's configuration: routes, services and organisations."""
+
+import logging
 
 from cranberryport.platform import bodies
-from cranberryport.scheduling import ordering
+from cranberryport.scheduling import ordering, organisations
 
 # Keys of the operator's records in ``store.OPERATOR_TOPIC``.
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
+# Weight of an organisation whose row has none.
+DEFAULT_WEIGHT = 1.0
+
+_logger = logging.getLogger(__name__)
 
 
 class Route:
@@ -17,14 +23,17 @@
         Host name and path prefix of the requests.
     queue : ordering.QueueRules
         Name and rules of the queue.
+    is_public : bool, default=False
+        Whether requests need no key of an organisation.
     """
 
-    __slots__ = ("host", "prefix", "queue")
+    __slots__ = ("host", "is_public", "prefix", "queue")
 
-    def __init__(self, *, host, prefix, queue):
+    def __init__(self, *, host, prefix, queue, is_public=False):
         self.host = host
         self.prefix = prefix
         self.queue = queue
+        self.is_public = is_public
 
 
 class Service:
@@ -56,13 +65,35 @@
         All routes.
     services : dict of str to Service
         All services by name.
+    organisations : dict of str to organisations.Organisation, or None
+        Organisations by name; None where the deployment has none, and then requests
+        need no key.
+    keys_by_organisation : dict of str to list of str
+        Keys of each organisation.
     """
 
-    __slots__ = ("_routes", "queues", "services", "version")
+    __slots__ = (
+        "_routes",
+        "keys_by_organisation",
+        "organisations",
+        "queues",
+        "services",
+        "version",
+    )
 
-    def __init__(self, *, version, routes, services):
+    def __init__(
+        self,
+        *,
+        version,
+        routes,
+        services,
+        organisations=None,
+        keys_by_organisation=None,
+    ):
         self.version = version
         self.services = services
+        self.organisations = organisations
+        self.keys_by_organisation = keys_by_organisation or {}
         self.queues = {route.queue.name: route.queue for route in routes}
         self._routes = {}
         for route in routes:
@@ -100,11 +131,46 @@
         for name, row in names.items()
         if name
     }
+    organisation_by_name, keys_by_organisation = None, {}
+    if isinstance(fields.get("Tenants"), list):
+        organisation_by_name, keys_by_organisation = _parse_organisations(
+            fields["Tenants"]
+        )
     return Configuration(
-        version=bodies.get_integer(fields, "Version"), routes=routes, services=services
+        version=bodies.get_integer(fields, "Version"),
+        routes=routes,
+        services=services,
+        organisations=organisation_by_name,
+        keys_by_organisation=keys_by_organisation,
     )
 
 
+def _parse_organisations(rows):
+    """Return the organisations and their keys by name; unusable rows are skipped."""
+    organisation_by_name, keys_by_organisation = {}, {}
+    for row in rows:
+        name = bodies.get_text(row, "Name") if isinstance(row, dict) else ""
+        if not name:
+            _logger.error("unusable organisation", extra={"reason": "it has no name"})
+            continue
+        limits = row.get("Maximum")
+        limits = limits if isinstance(limits, dict) else {}
+        organisation_by_name[name] = organisations.Organisation(
+            name=name,
+            weight=max(0.0, bodies.get_number(row, "Weight")) or DEFAULT_WEIGHT,
+            processors_limit=max(0, bodies.get_integer(limits, "Cpu")),
+            memory_limit=max(0, bodies.get_integer(limits, "MemMb")),
+            accelerators_limit=max(0, bodies.get_integer(limits, "Gpu")),
+        )
+        keys = row.get("ApiKeys")
+        keys_by_organisation[name] = [
+            key
+            for key in (keys if isinstance(keys, list) else [])
+            if isinstance(key, str) and key
+        ]
+    return organisation_by_name, keys_by_organisation
+
+
 def _parse_route(row):
     advice_row = row.get("Recommendation")
     queue = ordering.QueueRules(
@@ -122,6 +188,7 @@
         host=bodies.get_text(row, "Host"),
         prefix=bodies.get_text(row, "PathPrefix"),
         queue=queue,
+        is_public=row.get("Public") is True,
     )
 
 
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -437,6 +437,8 @@
         Number of failed runs of a task after which the job fails, as configured for
         its queue when it was accepted. Used if the queue was removed from the
         configuration since then.
+    organisation : str, default=""
+        Name of the organisation that submitted it; empty for none.
 
     Attributes
     ----------
@@ -471,6 +473,7 @@
         "is_cancelled",
         "is_dirty",
         "occurrences",
+        "organisation",
         "queue",
         "repeats",
         "service",
@@ -493,8 +496,10 @@
         interval_s=0.0,
         repeats=0,
         failed_runs_limit=0,
+        organisation="",
     ):
         self.id = id
+        self.organisation = organisation
         self.queue = queue
         self.service = service
         self.spec = spec
--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -41,6 +41,7 @@
         interval_s=job.interval_s,
         repeats=job.repeats,
         attempts=job.failed_runs_limit,
+        organisation=job.organisation,
     )
 
 
@@ -57,6 +58,7 @@
         interval_s=record.interval_s,
         repeats=record.repeats,
         failed_runs_limit=record.attempts,
+        organisation=record.organisation,
     )
 
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -124,6 +124,7 @@
         self._open_jobs = {}
         self._executors = {}
         self._queues = {}
+        self._organisations = {}
         self._changed_jobs = {}
         self._planned_runs = []
         self._executors_to_acknowledge = {}
@@ -176,6 +177,15 @@
         """Rules of the queues by name."""
         return self._queues
 
+    @property
+    def organisations(self):
+        """Organisations of the newest configuration by name."""
+        return self._organisations
+
+    def set_organisations(self, organisations):
+        """Replace the organisations by those of a configuration, by name."""
+        self._organisations = organisations
+
     def set_queues(self, queues):
         """Update the rules by a configuration; queues missing there keep theirs."""
         self._queues.update(queues)
