--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -1,3 +1,5 @@
+"""Tests of the parser of the operator's configuration."""
+
 import json
 import unittest
 
@@ -9,6 +11,8 @@
 
 
 class OrganisationsTest(unittest.TestCase):
+    """A configuration must not lose organisations or ask for keys by mistake."""
+
     def test_configuration_without_the_list_asks_for_no_keys(self):
         self.assertIsNone(_parse().organisations)
 
