Shorten the long polls while executors' answers are lost

The loss of a long poll of 1 s was noticed 0.8 s later and repeated after 0.25 s; until then the ends were unknown and nothing was started there.

Ruled out: lost starts (2 runs were not in a list), too few instances (needed and present agree), waits before the first start (95 of 100 within 0.83 s).

Change: control/call_losses counts lost answers of all executors; while some are lost, long polls take 0.25 s and their timeout is 0.3 s more. The first repetition is sent at once. An order without an answer is repeated after 0.4 s instead of 0.7 s.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -12,6 +12,7 @@
 from cranberryport import codec
 from cranberryport.control import (
     append_policy,
+    call_losses,
     executor_link,
     instance_manager,
     progress_writer,
@@ -94,6 +95,7 @@
     __slots__ = (
         "_advice_client",
         "_advice_pending",
+        "_call_losses",
         "_cancelled_jobs",
         "_decision_timer",
         "_done_instances_by_wave",
@@ -154,6 +156,7 @@
         self._planner = task_planner.TaskPlanner(state=self._scheduler)
         self._load_meter = load.LoadMeter(state=self._scheduler)
         self._links = {}
+        self._call_losses = call_losses.CallLosses()
         self._advice_client = advice_client
         self._advice_pending = set()
         self._waves_to_add = []
@@ -579,6 +582,7 @@
             lease_s=self._lease_s,
             on_change=self.schedule_decision,
             on_superseded=self._on_superseded,
+            losses=self._call_losses,
         )
         self._links[executor.id] = link
         link.open()
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -8,18 +8,16 @@
 import logging
 import time
 
+from cranberryport.control import call_losses
 from cranberryport.platform import executors
 from cranberryport.scheduling import model, pacing
 
 # Long enough that no run ends while a new controller replaces one that has failed.
 LEASE_S = 4.0
-# A start is valid for 2 s, so it can be sent twice more if responses are lost.
-ORDER_TIMEOUT_S = 0.7
+# Executors answer orders within milliseconds, and a repeated order has no further
+# effect, so a short timeout only costs a new connection. 0.7 s delayed whole steps.
+ORDER_TIMEOUT_S = 0.4
 START_RETRY_DELAY_S = 0.05
-# Added to the duration of the long poll.
-LIST_TIMEOUT_S = 0.8
-# Renewals have to come well within a lease, but each call is charged for.
-BUSY_LONG_POLL_S = 1.0
 # While a best-effort task runs, the tail latencies of the serving tasks beside it are
 # read at this interval to adjust its pace.
 BEST_EFFORT_LONG_POLL_S = 0.5
@@ -61,6 +59,8 @@
     on_superseded : callable
         Called without arguments if the executor refuses a call because it has received
         one of a later controller.
+    losses : call_losses.CallLosses, optional
+        Lost answers of all executors of the controller.
     """
 
     __slots__ = (
@@ -72,6 +72,7 @@
         "_is_list_pending",
         "_lease_s",
         "_list_sent_at",
+        "_losses",
         "_on_change",
         "_on_superseded",
         "_scheduler",
@@ -89,6 +90,7 @@
         lease_s,
         on_change,
         on_superseded,
+        losses=None,
     ):
         self._executor = executor
         self._scheduler = scheduler
@@ -102,6 +104,7 @@
         self._has_list_call_failed = False
         self._is_list_pending = False
         self._list_sent_at = 0.0
+        self._losses = losses or call_losses.CallLosses()
 
     @property
     def executor(self):
@@ -176,6 +179,8 @@
         if isinstance(response, executors.NoResponse):
             # Until the connection is made nothing is sent.
             run.has_unanswered_start |= response.reason != "connect"
+            if response.reason == "timeout" and not self._has_list_call_failed:
+                self._losses.record_loss(now)
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
             return
         if self._is_unusable(response):
@@ -250,9 +255,11 @@
         lease_end_ms = None
         if executor.clock_ms is not None and not self._has_list_call_failed:
             lease_end_ms = executor.extend_lease(now, self._lease_s)
-        long_poll_s = BUSY_LONG_POLL_S if executor.runs else IDLE_LONG_POLL_S
+        long_poll_s = IDLE_LONG_POLL_S
+        if executor.runs:
+            long_poll_s = self._losses.long_poll_s(now)
         if any(run.task.step.is_filling for run in executor.runs.values()):
-            long_poll_s = BEST_EFFORT_LONG_POLL_S
+            long_poll_s = min(long_poll_s, BEST_EFFORT_LONG_POLL_S)
         if executor.clock_ms is None or self._has_list_call_failed:
             long_poll_s = 0.0
         self._is_list_pending = True
@@ -262,7 +269,7 @@
             epoch=self._epoch,
             wait_s=long_poll_s,
             callback=self._on_runs_listed,
-            timeout_s=LIST_TIMEOUT_S,
+            timeout_s=self._losses.list_timeout_s(now),
         )
 
     def _on_runs_listed(self, response):
@@ -368,10 +375,11 @@
     def _on_no_response(self, reason):
         delay_s = LIST_RETRY_DELAY_S
         if not self._has_list_call_failed:
-            if reason == "closed":
-                # The connection may have been reset by the network. If the executor
-                # answers, it accepts runs again without a pause.
-                delay_s = 0.0
+            # The connection may have been reset by the network, or one answer lost. If
+            # the executor answers, it accepts runs again without a pause.
+            delay_s = 0.0
+            if reason == "timeout":
+                self._losses.record_loss(time.monotonic())
             self._has_list_call_failed = True
             # The executor of an instance that is moved or taken down ends at once.
             is_expected = self._executor.is_being_vacated
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -1,8 +1,9 @@
 """Tests for cranberryport.control.executor_link."""
 
+import time
 import unittest
 
-from cranberryport.control import executor_link
+from cranberryport.control import call_losses, executor_link
 from cranberryport.platform import executors
 from tests import scheduling, scripted
 
@@ -117,3 +118,63 @@
         self.client.starts.pop()[2](answer)
         self.assertEqual(self.executor.started_at_ms, 6)
         self.assertIsNone(self.run_.confirmed_at)
+
+
+class LostAnswersTest(unittest.TestCase):
+    """Long polls of an executor while answers are lost."""
+
+    def setUp(self):
+        """Open links to two executors that have runs."""
+        self.harness = scheduling.SchedulerHarness(count=2)
+        self.timers = scripted.FakeTimers()
+        self.losses = call_losses.CallLosses()
+        self.client = FakeClient()
+        self.harness.add_job(scheduling.make_job())
+        self.harness.scheduler.commit(self.harness.plan(), self.harness.now)
+        self.links = []
+        for executor in self.harness.scheduler.executors.values():
+            link = executor_link.ExecutorLink(
+                executor=executor,
+                scheduler=self.harness.scheduler,
+                client=self.client,
+                timers=self.timers,
+                epoch=1,
+                lease_s=4.0,
+                on_change=lambda: None,
+                on_superseded=lambda: None,
+                losses=self.losses,
+            )
+            self.links.append(link)
+
+    def test_lost_answers_shorten_the_long_polls_of_all_executors(self):
+        """Guards against ends that stay unknown for 2 s after each lost answer.
+
+        Seen on a day on which 7 % of the calls to executors got no answer: the steps of
+        half of the jobs took 2 s longer than their slowest task.
+        """
+        now = time.monotonic()
+        self.assertEqual(self.losses.long_poll_s(now), call_losses.BUSY_LONG_POLL_S)
+        for link in self.links:
+            link._on_no_response("timeout")
+        self.assertEqual(self.losses.long_poll_s(now), call_losses.LOSSY_LONG_POLL_S)
+        self.assertLess(
+            call_losses.LOSSY_LONG_POLL_S + call_losses.LOSSY_LIST_TIMEOUT_S, 0.6
+        )
+
+    def test_one_silent_executor_is_no_loss_of_answers(self):
+        """Guards against many short polls because one executor has crashed."""
+        for _ in range(5):
+            self.links[0]._on_no_response("timeout")
+        self.assertFalse(self.losses.are_answers_lost(time.monotonic()))
+
+    def test_long_polls_are_long_again_after_the_losses(self):
+        """Guards against calls that are charged for without need."""
+        self.losses.record_loss(10.0)
+        self.losses.record_loss(10.1)
+        self.assertTrue(self.losses.are_answers_lost(10.2))
+        self.assertFalse(self.losses.are_answers_lost(10.0 + call_losses.WINDOW_S))
+
+    def test_list_is_repeated_at_once_after_a_lost_answer(self):
+        """Guards against an executor without new runs while the retry is delayed."""
+        self.links[0]._on_no_response("timeout")
+        self.assertEqual(self.timers.calls[-1].delay_s, 0.0)
