Move the log lines of runs to a module of their own

Cause: limits of organisations need calls in scheduler.py and controller.py, which should not grow. Conclusion: no behaviour has changed.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     ordering,
     rebalancing,
     records,
+    run_logs,
     stragglers,
     suspicion,
 )
@@ -546,7 +547,7 @@
             self._record_crash(executor.id, aged_runs, host=executor.address[0])
         executor.lapsed_runs = []
         if runs:
-            _log_lost_runs(executor, runs, reason)
+            run_logs.log_lost_runs(executor, runs, reason)
             self._event_counts["executors_lost_with_runs"] += 1
         for run in runs:
             if not is_kept(run):
@@ -836,7 +837,7 @@
                 self._stop_or_remove_run(run)
         self._mark_changed(job)
         if occurrence.remaining_counts[task.step_number] == 0:
-            _log_step_end(occurrence.tasks[task.step_number])
+            run_logs.log_step_end(occurrence.tasks[task.step_number])
             self._update_ready_steps(occurrence)
         if occurrence.is_done:
             job.done_occurrences.add(occurrence.number)
@@ -999,49 +1000,5 @@
         )
 
 
-def _log_lost_runs(executor, runs, reason):
-    """Log what ran on an executor that is lost, with the runs' ages in seconds.
-
-    A run without a known age is logged with its state.
-    """
-    unreachable_s = None
-    if executor.unreachable_since is not None:
-        unreachable_s = round(time.monotonic() - executor.unreachable_since, 3)
-    ages = {}
-    for run in runs:
-        age_s = executor.run_age_s(run)
-        ages[f"{run.task.name} {run.number}"] = (
-            run.state if age_s is None else round(age_s, 3)
-        )
-    _logger.info(
-        "executor lost with runs",
-        extra={
-            "executor": executor.id,
-            "pool": executor.service,
-            "state": executor.state,
-            "address": ":".join(map(str, executor.address)),
-            "reason": reason,
-            "is_listed": executor.has_store_entry,
-            "is_being_vacated": executor.is_being_vacated,
-            "unreachable_s": unreachable_s,
-            "age_s_by_run": ages,
-        },
-    )
-
-
-def _log_step_end(tasks):
-    """Log the end of a step, with its slowest task."""
-    slowest = max(tasks, key=lambda task: task.last_run_s or 0.0)
-    fields = {
-        "request": slowest.job.id,
-        "step": slowest.step_name,
-        "tasks": len(tasks),
-        "slowest": slowest.name,
-    }
-    if slowest.last_run_s is not None:
-        fields["slowest_s"] = round(slowest.last_run_s, 3)
-    _logger.info("step ended", extra=fields)
-
-
 def _is_unanswered(run):
     return run.state == model.ORDERED and run.confirmed_at is None
