Hold the runs of an organisation within its limits

Cause: an organisation could take all capacity; the configuration has a limit of processors, memory and accelerators for each. Change: a task, or a gang as a whole, starts if its organisation stays within the limit with it, or if it uses under half of each limited resource. The use is derived from all runs at each decision, with restored runs on executors that were not found yet and with unknown runs that an executor lists. Copies, suspects and replacements count as well. Each change is logged once.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -259,7 +259,10 @@
         """
         self._has_configuration = True
         self._scheduler.set_queues(configuration.queues)
-        self._scheduler.set_organisations(configuration.organisations or {})
+        self._scheduler.set_organisations(
+            configuration.organisations or {},
+            limit_overshoot=self._settings.limit_overshoot,
+        )
         if self._instance_manager is not None:
             self._instance_manager.set_services(configuration.services)
 
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -65,9 +65,6 @@
     has_accepted_epoch : bool
         Whether it has accepted the epoch of this controller, after which it rejects
         orders of previous controllers.
-    has_unknown_runs : bool
-        Whether its last list had runs that this controller does not know. They are
-        being stopped and occupy resources that are not known.
     has_store_entry : bool
         Whether the store has an entry of it.
     is_being_vacated : bool
@@ -91,6 +88,9 @@
         Monotonic time until which it is suspected to fail every task.
     recent_failures : list of (float, str)
         Monotonic time and job of failed runs.
+    unknown_runs : tuple of (str, int)
+        Task and number of the runs in its last list that this controller does not know.
+        They are being stopped and occupy resources until they have ended.
     tickets : dict of str to ((str, float) or None)
         Ticket and monotonic end of its validity by name of the step; None for a step
         that the advice service does not permit here.
@@ -110,7 +110,6 @@
         "has_accepted_epoch",
         "id",
         "has_store_entry",
-        "has_unknown_runs",
         "is_being_vacated",
         "labels",
         "lapsed_runs",
@@ -131,6 +130,7 @@
         "suspected_until",
         "terminates_at",
         "tickets",
+        "unknown_runs",
         "unreachable_since",
     )
 
@@ -169,7 +169,7 @@
         self.found_at = 0.0
         self.has_accepted_epoch = False
         self.has_store_entry = True
-        self.has_unknown_runs = False
+        self.unknown_runs = ()
         self.is_being_vacated = False
         self.lease_expires_at = None
         self.last_listed_at = None
@@ -338,7 +338,7 @@
             and self.has_accepted_epoch
             and not self.is_being_vacated
             and self.unreachable_since is None
-            and not self.has_unknown_runs
+            and not self.unknown_runs
             and self.clock_ms is not None
             and now >= self.backoff_until
             and self.last_listed_at is not None
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -126,6 +126,7 @@
         self._executors = {}
         self._queues = {}
         self._organisations = {}
+        self._limit_overshoot = 0.0
         self._changed_jobs = {}
         self._planned_runs = []
         self._executors_to_acknowledge = {}
@@ -183,9 +184,23 @@
         """Organisations of the newest configuration by name."""
         return self._organisations
 
-    def set_organisations(self, organisations):
+    @property
+    def limit_overshoot(self):
+        """Share by which the platform allows limits of organisations to be exceeded."""
+        return self._limit_overshoot
+
+    @property
+    def restored_runs(self):
+        """Runs of previous controllers on executors that have not been found yet.
+
+        By id of the executor, then by name of the task and number of the run.
+        """
+        return self._restored_runs
+
+    def set_organisations(self, organisations, *, limit_overshoot=0.0):
         """Replace the organisations by those of a configuration, by name."""
         self._organisations = organisations
+        self._limit_overshoot = limit_overshoot
 
     def set_queues(self, queues):
         """Update the rules by a configuration; queues missing there keep theirs."""
@@ -419,7 +434,7 @@
         executor.clock_ms = None
         executor.lease_expires_at = None
         executor.has_accepted_epoch = False
-        executor.has_unknown_runs = False
+        executor.unknown_runs = ()
         executor.tickets = {}
         self._executors_to_acknowledge.pop(executor.id, None)
 
@@ -759,7 +774,7 @@
             )
             if was_confirmed or (run.state != model.STOPPING and has_start_expired):
                 self._remove_lost_run(run, "not in the executor's list")
-        executor.has_unknown_runs = bool(unknown)
+        executor.unknown_runs = tuple(unknown)
         return unknown
 
     def _update_run(self, run, entry, now):
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -12,6 +12,8 @@
     crashes,
     isolation,
     ordering,
+    organisation_limit_log,
+    organisation_limits,
     packing,
     stragglers,
     suspicion,
@@ -85,12 +87,21 @@
         State of all jobs, to which the planned runs are added.
     """
 
-    __slots__ = ("_advice_requests", "_state", "_stragglers_checked_at")
+    __slots__ = (
+        "_advice_requests",
+        "_budget",
+        "_limit_log",
+        "_state",
+        "_stragglers_checked_at",
+    )
 
     def __init__(self, *, state):
         self._state = state
         self._stragglers_checked_at = -math.inf
         self._advice_requests = {}
+        # What each organisation may still start; renewed at each decision.
+        self._budget = None
+        self._limit_log = organisation_limit_log.LimitLog()
 
     def plan(self, now, now_unix_s):
         """Plan runs of waiting tasks and replace stragglers.
@@ -107,6 +118,7 @@
         )
         if checks_stragglers:
             self._stragglers_checked_at = now
+        self._budget = organisation_limits.make_budget(self._state, now)
         ready, waiting = {}, {}
         for job in self._state.open_jobs.values():
             for occurrence in job.occurrences.values():
@@ -143,6 +155,7 @@
                 self._replace_stragglers(
                     ready[service], pool.candidates, slow_executor_ids, now
                 )
+        self._limit_log.update(self._budget, now)
 
     def _has_waiting_task(self, occurrence, now):
         return any(
@@ -154,13 +167,16 @@
     def _waiting_suspects(self, occurrences, now):
         if not self._state.has_suspects:
             return []
-        return [
-            task
-            for occurrence in occurrences
-            for number in occurrence.ready_steps
-            for task in self._waiting_tasks(occurrence, number, now)
-            if crashes.is_suspect(task)
-        ]
+        suspects = []
+        for occurrence in occurrences:
+            for number in occurrence.ready_steps:
+                tasks = self._waiting_tasks(occurrence, number, now)
+                if not occurrence.job.steps[number].is_gang:
+                    tasks = [task for task in tasks if crashes.is_suspect(task)]
+                # No executor is kept for a suspect that a limit holds back.
+                tasks = self._budget.select_startable(tasks)
+                suspects += [task for task in tasks if crashes.is_suspect(task)]
+        return suspects
 
     def _waiting_tasks(self, occurrence, number, now):
         """Return the tasks of a step that can be started now."""
@@ -199,10 +215,11 @@
         waiting = self._waiting_tasks(occurrence, number, now)
         if not step.is_gang:
             waiting = [task for task in waiting if not crashes.is_suspect(task)]
+        waiting = self._budget.select_startable(waiting)
         if not waiting:
             return
         if is_covered:
-            self._state.mark_unplaceable(waiting, now)
+            self._mark_unplaceable(waiting, now)
             return
         task_counts, used_racks = self._count_placements(tasks)
         permitted = self._permitted_candidates(occurrence, number, pool.candidates, now)
@@ -224,7 +241,7 @@
                     has_advice = permitted is not pool.candidates
                     # The advice service may not permit the instances that are added.
                     unplaced = [task] if has_advice else waiting[position:]
-                    self._state.mark_unplaceable(unplaced, now)
+                    self._mark_unplaceable(unplaced, now)
                 if permitted is pool.candidates:
                     pool.unplaceable.add(step)
                 return
@@ -234,6 +251,12 @@
             )
             pool.isolation.add_ordinary_run(executor)
 
+    def _mark_unplaceable(self, tasks, now):
+        """Mark the tasks for which an instance would be of use within the limits."""
+        tasks = self._budget.select_awaited(tasks)
+        if tasks:
+            self._state.mark_unplaceable(tasks, now)
+
     def _plan_suspects(self, occurrence, number, pool, now):
         """Plan runs of the suspects of a step on executors that are kept for them."""
         suspects = [
@@ -241,6 +264,7 @@
             for task in self._waiting_tasks(occurrence, number, now)
             if crashes.is_suspect(task)
         ]
+        suspects = self._budget.select_startable(suspects)
         if not suspects:
             return
         tasks = occurrence.tasks[number]
@@ -266,7 +290,7 @@
                 task, executor, task.next_run_number, permitted, task_counts, used_racks
             )
         if unplaced and pool.isolation.needs_instance:
-            self._state.mark_unplaceable(unplaced, now)
+            self._mark_unplaceable(unplaced, now)
 
     def _replace_stragglers(self, occurrences, candidates, slow_executor_ids, now):
         """Start the tasks of stalled or far too slow runs on other executors."""
@@ -286,6 +310,12 @@
 
     def _replace_run(self, run, candidates, now):
         task = run.task
+        if task.step.may_copy:
+            is_permitted = self._budget.may_start(task)
+        else:
+            is_permitted = self._budget.may_restart(task)
+        if not is_permitted:
+            return
         others = [c for c in candidates if c[0].id != run.executor]
         others = self._permitted_candidates(
             task.occurrence, task.step_number, others, now
@@ -461,6 +491,7 @@
     def _plan_run(self, task, executor, number, candidates, task_counts, used_racks):
         """Plan a run and subtract its needs from the free resources."""
         self._state.plan_run(task, executor, number)
+        self._budget.add(task.job, task.step)
         for candidate, free in candidates:
             if candidate is executor:
                 packing.reserve(task.step, free)
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -7,6 +7,7 @@
     executors,
     model,
     ordering,
+    organisations,
     scheduler,
     task_planner,
 )
@@ -224,3 +225,19 @@
 def first_task(job):
     """Return the first task of a job."""
     return next(iter(job.tasks()))
+
+
+def set_limits(state, **limits):
+    """Configure the organisation ``red`` with limits, and ``blue`` without any."""
+    state.set_organisations(
+        {
+            "red": organisations.Organisation(name="red", **limits),
+            "blue": organisations.Organisation(name="blue"),
+        },
+        limit_overshoot=0.1,
+    )
+
+
+def make_red_job(*steps, job="bbbbbbbbbbbbbbbb", **values):
+    """Return a job of the organisation ``red``."""
+    return make_job(*steps, job=job, organisation="red", **values)
