Give the stand-in platform organisations, and check their limits and keys

Cause: keys and limits of organisations are to be checked from outside, by what callers and executors see. A job's specification names its organisation for the executors of the stand-in only.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -15,7 +15,7 @@
 DEFAULT_LIFETIME_S = 600.0
 
 
-def configuration(pools, spare, version):
+def configuration(pools, spare, version, *, organisations=None, public_pools=()):
     """Return a configuration of the platform, with one queue for each pool in use.
 
     Parameters
@@ -26,6 +26,10 @@
         Name of the pool on standby, which gets no queue.
     version : int
         Version of the configuration.
+    organisations : list of dict or None
+        Rows of the organisations; None for a deployment that requires no keys.
+    public_pools : collection of str
+        Pools whose queues need no key although there are organisations.
     """
     routes = [
         {
@@ -37,12 +41,16 @@
             "MaxAttempts": 3,
             "StretchFactor": 1.6,
             "TargetLatencyMs": 600,
+            **({"Public": True} if pool in public_pools else {}),
         }
         for pool in pools
         if pool != spare
     ]
     services = [{"Name": pool, "Standby": pool == spare} for pool in pools]
-    return {"Version": version, "Routes": routes, "Services": services}
+    result = {"Version": version, "Routes": routes, "Services": services}
+    if organisations is not None:
+        result["Tenants"] = organisations
+    return result
 
 
 class Platform:
@@ -58,6 +66,9 @@
         self._options = options
         self._pools = dict(_read_pool(text) for text in options.pool)
         self._checker = invariants.InvariantChecker()
+        self._version = 0
+        self._organisations = None
+        self._public_pools = ()
         self._store = store.Store(partitions=options.partitions)
         self._instances = instances.Instances(
             store=self._store,
@@ -103,7 +114,15 @@
             task.cancel()
 
     def _write_configuration(self, version):
-        value = configuration(self._pools, self._options.spare, version)
+        self._version = version
+        value = configuration(
+            self._pools,
+            self._options.spare,
+            version,
+            organisations=self._organisations,
+            public_pools=self._public_pools,
+        )
+        self._checker.limits.set_organisations(self._organisations)
         self._store.put("keyed.op", "config", json.dumps(value).encode())
 
     async def _handle_operator_request(self, request):
@@ -130,9 +149,17 @@
     # POST /control looks up the method _order_NAME for the order NAME; the other fields
     # of the order are its arguments.
 
-    def _order_configure(self, version):
-        """Write the configuration under a new version."""
-        self._write_configuration(version)
+    def _order_configure(self, version=None, organisations=None, public_pools=None):
+        """Write the configuration under a new version, by default the next one.
+
+        ``organisations`` and ``public_pools``, see :func:`configuration`, stay as they
+        are where they are not given.
+        """
+        if organisations is not None:
+            self._organisations = organisations
+        if public_pools is not None:
+            self._public_pools = public_pools
+        self._write_configuration(self._version + 1 if version is None else version)
 
     def _order_wave(self, number, names, duration_s, maximum):
         """Request upkeep of instances, see ``Instances.add_wave``."""
--- a/standins/platform/invariants.py
+++ b/standins/platform/invariants.py
@@ -8,6 +8,8 @@
 import json
 import time
 
+from standins.platform import organisations
+
 # A task may be started fewer times than this after this number of executors have
 # crashed under it (platform's rules).
 CRASH_LIMIT = 3
@@ -25,11 +27,14 @@
         ``invariant``, ``detail`` and ``at`` (Unix time in seconds).
     starts : int
         Number of runs started.
+    limits : organisations.LimitChecker
+        Checks the limits of organisations.
     """
 
     def __init__(self):
         self.violations = []
         self.starts = 0
+        self.limits = organisations.LimitChecker(report_violation=self.report_violation)
         self._running = collections.defaultdict(set)
         self._completed_tasks = set()
         self._acknowledged_tasks = set()
@@ -57,6 +62,11 @@
             if self._starts_after_crashes[task] == CRASH_LIMIT:
                 self.report_violation("crashing task is started again", f"{task} {run}")
         job, occurrence, step, _ = task.split(".")
+        self.limits.on_run_started(
+            spec.get("organisation", ""),
+            (task, run, executor_id),
+            spec["steps"][int(step)],
+        )
         for earlier in spec["steps"][int(step)].get("after", ()):
             for index in range(spec["steps"][earlier]["count"]):
                 name = f"{job}.{occurrence}.{earlier}.{index}"
@@ -70,6 +80,7 @@
     def on_run_ended(self, task, run, executor_id, outcome):
         """Record the end of a run; the outcome ``done`` completes the task."""
         self._running[task].discard((executor_id, run))
+        self.limits.on_run_ended((task, run, executor_id))
         if outcome == "done":
             self._completed_tasks.add(task)
 
--- a/standins/platform/local_deployment.py
+++ b/standins/platform/local_deployment.py
@@ -194,7 +194,7 @@
 _job_numbers = itertools.count(1)
 
 
-def make_job_request(*steps, prefix=0):
+def make_job_request(*steps, prefix=0, organisation=""):
     """Return the id of a new job and the body of the request that submits it.
 
     Parameters
@@ -204,6 +204,9 @@
         ``unavailable``, the largest number of tasks that may be down at the same time.
     prefix : int, default=0
         First half of the id; callers with different values never share an id.
+    organisation : str, default=""
+        Organisation whose key the request will have. The specification names it, so
+        that the executors of the stand-in know whose limit a run counts for.
 
     Returns
     -------
@@ -225,5 +228,8 @@
         if "unavailable" in step:
             row["MaxUnavailable"] = step["unavailable"]
         rows.append(row)
-    body = {"Spec": json.dumps({"steps": steps}), "Steps": rows}
+    spec = {"steps": steps}
+    if organisation:
+        spec["organisation"] = organisation
+    body = {"Spec": json.dumps(spec), "Steps": rows}
     return f"{prefix:08x}{next(_job_numbers):08x}", json.dumps(body).encode()
