--- a/cranberryport/command_line/main.py
+++ b/cranberryport/command_line/main.py
@@ -16,7 +16,13 @@
 
 from cranberryport import findings, settings
 from cranberryport.callers import requests
-from cranberryport.command_line import client, explaining, publishing, rendering
+from cranberryport.command_line import (
+    client,
+    explaining,
+    organisations,
+    publishing,
+    rendering,
+)
 from cranberryport.sheet import reader
 
 # Exit codes.
@@ -76,6 +82,14 @@
         help="Address of an entry instance.",
     ),
 ]
+ControllerArgument = Annotated[
+    client.Address,
+    typer.Argument(
+        metavar="ADDRESS",
+        parser=_parse_address,
+        help="Metrics address HOST:PORT of the entry instance that leads.",
+    ),
+]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print the page as JSON.")]
 JobArgument = Annotated[str, typer.Argument(metavar="JOB")]
 
@@ -315,6 +329,16 @@
     _send_job_request(instance, "DELETE", _job_path(job))
 
 
+@app.command("organisations")
+def show_organisations(address: ControllerArgument, *, as_json: JsonOption = False):
+    """Show use, limits and shares of the organisations, as the controller has them."""
+    try:
+        page = organisations.read_page(address)
+    except client.RequestError as error:
+        _fail(str(error))
+    _print_value(page, as_json, organisations.render_page)
+
+
 @app.command("explain")
 def explain(
     request: Annotated[str, typer.Argument(metavar="ID")],
--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -227,6 +227,11 @@
         """Whether the stored jobs and their progress are loaded."""
         return self._is_ready
 
+    @property
+    def state(self):
+        """State of all jobs and executors, for reports; None while it is loaded."""
+        return self._scheduler if self._is_ready else None
+
     @property
     def event_counts(self):
         """Numbers of events since the takeover, by name; for the metrics."""
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -26,7 +26,12 @@
 )
 from cranberryport.generated import messages
 from cranberryport.http import connection, connection_pool, limits, server
-from cranberryport.observability import node_logs, node_metrics
+from cranberryport.observability import (
+    node_logs,
+    node_metrics,
+    operator_pages,
+    organisation_report,
+)
 from cranberryport.platform import (
     advice,
     configuration,
@@ -48,6 +53,8 @@
 GRACE_MARGIN_S = 1.0
 # The balancer sends requests until two readiness checks, one a second, have failed.
 BALANCER_REMOVAL_S = 2.2
+# Beginning of the names of the metrics by organisation.
+ORGANISATION_METRICS = "organisations."
 
 _logger = logging.getLogger(__name__)
 
@@ -267,6 +274,19 @@
 
     @handler("request", channel="metrics")
     def _on_metrics_request(self, request, response):
+        state = None if self._controller is None else self._controller.state
+        if request.path in operator_pages.PATHS:
+            operator_pages.respond(
+                request,
+                response,
+                state=state,
+                controller_address=self._membership.controller_address,
+            )
+            return response
+        gauges = {}
+        if state is not None:
+            gauges = organisation_report.make_report(state).to_gauges()
+        self._metrics.replace_gauges(ORGANISATION_METRICS, gauges)
         self._metrics.gauge("store.calls", self._store.call_count)
         self._metrics.gauge("front.in_progress", self._job_api.in_progress_count)
         self._metrics.gauge("controller.is_leading", int(self._controller is not None))
--- a/cranberryport/observability/node_metrics.py
+++ b/cranberryport/observability/node_metrics.py
@@ -25,6 +25,20 @@
         """Set a gauge to a value."""
         self._gauges[name] = value
 
+    def replace_gauges(self, prefix, values):
+        """Set gauges, and remove the others with the same prefix.
+
+        Parameters
+        ----------
+        prefix : str
+            Beginning of their names.
+        values : dict of str to float
+            Values by the rest of the name.
+        """
+        for name in [name for name in self._gauges if name.startswith(prefix)]:
+            del self._gauges[name]
+        self._gauges |= {f"{prefix}{name}": value for name, value in values.items()}
+
     def observe(self, name, seconds):
         """Add a duration to a histogram."""
         buckets = self._histograms.setdefault(name, [0] * (len(BUCKETS_S) + 1))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -106,6 +106,12 @@
         self.assertEqual((status, headers["Retry-After"]), (503, "1"))
         self.assertIn(b"front.GET.503 1", self.get("metrics", "/metrics")[2])
 
+    def test_page_of_organisations_needs_the_controller(self):
+        """Guards against an empty page of an instance that does not lead."""
+        status, _, body = self.get("metrics", "/organisations")
+        self.assertEqual(status, 503)
+        self.assertIn("the controller is not known", json.loads(body)["Error"])
+
     def test_sigterm_ends_the_process_within_the_grace_period(self):
         """Guards against a process that the platform has to kill."""
         self.process.send_signal(signal.SIGTERM)
