Explain refused keys, limits, shares and waits for a place in sentences

Cause: the new log events lead from a refused request or a late job to its cause only for those who know all their fields. Change: explain puts a sentence before the fields of these events, and shows the events about the limit and the share of the job's organisation, also the one that began before the job's first line.

--- a/tests/test_command_line_explaining.py
+++ b/tests/test_command_line_explaining.py
@@ -39,6 +39,51 @@
         self.assertIn("how=failed", texts[3])
         self.assertEqual(len(event_lines), 4)
 
+    def explain(self, *lines):
+        """Return the lines of the output for the request ``abc``."""
+        return explaining.explain_request(lines, "abc")
+
+    def test_restriction_of_the_organisation_from_before_the_job_is_shown(self):
+        """Guards against a late job whose cause began before its first line."""
+        event_lines = self.explain(
+            make_line(1.0, "organisation over its share", organisation="alpha"),
+            make_line(2.0, "organisation within its share", organisation="alpha"),
+            make_line(3.0, "organisation at its limit", organisation="alpha"),
+            make_line(3.5, "organisation at its limit", organisation="beta"),
+            make_line(4.0, "job accepted", request="abc", organisation="alpha"),
+            make_line(5.0, "organisation below its limit", organisation="alpha"),
+            make_line(6.0, "job ended", request="abc"),
+            make_line(7.0, "organisation over its share", organisation="alpha"),
+        )
+        self.assertEqual(len(event_lines), 4)
+        self.assertTrue(event_lines[0].startswith("   -1.000"))
+        self.assertIn("organisation 'alpha' is at its limit", event_lines[0])
+        self.assertIn("below its limit again", event_lines[2])
+
+    def test_events_of_organisations_are_left_out_if_the_job_has_none(self):
+        """Guards against causes that have nothing to do with the job."""
+        event_lines = self.explain(
+            make_line(1.0, "job accepted", request="abc"),
+            make_line(2.0, "organisation at its limit", organisation="alpha"),
+            make_line(3.0, "job ended", request="abc"),
+        )
+        self.assertEqual(len(event_lines), 2)
+
+    def test_sentence_stands_before_the_fields(self):
+        """Guards against an explanation that hides the figures it rests on."""
+        (line,) = self.explain(
+            make_line(
+                1.0,
+                "request refused",
+                request="abc",
+                status=401,
+                configuration=7,
+                proof_age_s=0.4,
+            )
+        )
+        self.assertIn("a key that is not valid in configuration 7, proven", line)
+        self.assertTrue(line.endswith("(status=401 configuration=7 proof_age_s=0.4)"))
+
     def test_unknown_request_gives_an_error(self):
         """Guards against an empty output for a mistyped id."""
         result = testing.CliRunner().invoke(
