Run the soak with organisations behind a flag

Cause: keys, their withdrawal, limits and floods are to be tested under faults. Keys are added and withdrawn, also just after an instance was cut off or paused; the limit of one organisation is lowered, another one floods, and jobs are asked for and cancelled with keys of others. All of it is drawn from random streams of its own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 
-from soak import callers, faults, plan, proxy
+from soak import callers, faults, organisations, plan, proxy
 from standins.platform import local_deployment
 
 # Small numbers of instances, entry instances and callers keep a run at about a dozen
@@ -37,20 +37,28 @@
         Length of the phase with faults.
     directory : pathlib.Path
         Directory for settings, logs and the plan of the faults.
+    has_organisations : bool, default=False
+        Whether callers have keys of organisations, which change during the run.
     """
 
-    def __init__(self, *, seed, seconds, directory):
+    def __init__(self, *, seed, seconds, directory, has_organisations=False):
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
         self._proxy_thread = proxy.ProxyThread()
         self._service_proxies = {}
+        self._organisations = None
+        if has_organisations:
+            self._organisations = organisations.Organisations(
+                send_order=self._send_order, report_violation=self.add_violation
+            )
         self._deployment = local_deployment.LocalDeployment(
             directory=directory,
             pools=INSTANCES_BY_POOL,
             entry_count=ENTRY_COUNT,
             unguarded_pools=[UNGUARDED_POOL],
             make_settings=self._make_settings,
+            organisations=self._organisations and self._organisations.rows(),
         )
         self._callers = []
         self.violations = []
@@ -68,6 +76,9 @@
             settings[service] = f"127.0.0.1:{service_proxy.port}"
         return settings
 
+    def _send_order(self, name, **fields):
+        self._deployment.send_order(name, **fields)
+
     def add_violation(self, invariant, detail):
         """Record the violation of an invariant."""
         self.violations.append(f"{invariant}: {detail}")
@@ -76,6 +87,8 @@
         """Run the callers and the planned faults, then check the invariants."""
         try:
             self._deployment.start()
+            if self._organisations is not None:
+                self._organisations.on_published(self._organisations.rows())
             self._inject_faults()
             self._check_final_state()
         finally:
@@ -88,6 +101,10 @@
         self.planned_faults = plan.draw_faults(
             self._seed, seconds=self._seconds, entries=entries, instances=instances
         )
+        if self._organisations is not None:
+            self.planned_faults += organisations.draw_changes(
+                self._seed, seconds=self._seconds, entries=entries
+            )
         (self._directory / "plan").write_text(
             "".join(f"{f}\n" for f in self.planned_faults)
         )
@@ -96,15 +113,22 @@
             proxy_thread=self._proxy_thread,
             service_proxies=self._service_proxies,
             instances=instances,
+            run_organisations=self._organisations,
         )
         ports = [entry.front_port for entry in self._deployment.entries]
+        names = list(organisations.WEIGHTS)
         for number in range(1, CALLER_COUNT + 1):
+            organisation = ""
+            if self._organisations is not None:
+                organisation = names[(number - 1) % len(names)]
             caller = callers.Caller(
                 number=number,
                 seed=self._seed,
                 ports=ports,
                 pools=[pool for pool in INSTANCES_BY_POOL if pool != "spare"],
                 report_violation=self.add_violation,
+                organisation=organisation,
+                run_organisations=self._organisations,
             )
             self._callers.append(caller)
             caller.start()
@@ -205,13 +229,23 @@
         "--seconds", type=float, default=15.0, help="length of the phase with faults"
     )
     parser.add_argument("--logs", type=pathlib.Path, help="directory for the logs")
+    parser.add_argument(
+        "--organisations",
+        action="store_true",
+        help="callers have keys of organisations, which change during the run",
+    )
     options = parser.parse_args()
     is_violated = False
     for seed in range(options.seed, options.seed + options.count):
         directory = options.logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         directory = directory / f"seed-{seed}"
         directory.mkdir(parents=True, exist_ok=True)
-        run = SoakRun(seed=seed, seconds=options.seconds, directory=directory)
+        run = SoakRun(
+            seed=seed,
+            seconds=options.seconds,
+            directory=directory,
+            has_organisations=options.organisations,
+        )
         run.execute()
         is_violated = is_violated or bool(run.violations)
         print(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from soak import organisations
 from standins.platform import local_deployment
 
 HOST = "fleet.example"
@@ -77,6 +78,8 @@
     def is_refused(self):
         """Whether every attempt to submit the job got a response that refused it."""
         return bool(self.response_statuses) and set(self.response_statuses) <= {
+            401,
+            403,
             404,
             429,
             503,
@@ -98,13 +101,30 @@
         Pools to submit jobs to.
     report_violation : callable
         Takes the violated invariant and the detail, both str.
+    organisation : str, default=""
+        Organisation of the caller; empty for none.
+    run_organisations : organisations.Organisations or None
+        Provides the keys and checks the responses; None for a run without any.
     """
 
-    def __init__(self, *, number, seed, ports, pools, report_violation):
+    def __init__(
+        self,
+        *,
+        number,
+        seed,
+        ports,
+        pools,
+        report_violation,
+        organisation="",
+        run_organisations=None,
+    ):
         super().__init__(daemon=True)
         self._generator = random.Random(seed * 1000 + number)
         # Keeps the other jobs of a seed as they were before there were crashing ones.
         self._crash_generator = random.Random(f"crashing {seed} {number}")
+        self._key_generator = random.Random(f"keys {seed} {number}")
+        self._organisation = organisation
+        self._organisations = run_organisations
         self._number = number
         self._ports = ports
         self._pools = pools
@@ -119,17 +139,27 @@
 
     def run(self):
         """Submit jobs, cancel a few of them, and check the states of some."""
-        while not self._stop_requested.wait(self._generator.uniform(*PAUSE_RANGE_S)):
+        while not self._stop_requested.wait(self._draw_pause_s()):
             job = self._submit_job()
+            self._try_other_key(job)
             if job.is_accepted and self._generator.random() < CANCEL_PROBABILITY:
                 self._cancel_job(job)
             accepted = [j for j in self.jobs if j.is_accepted]
             if accepted:
                 self.check_state(self._generator.choice(accepted))
 
+    def _draw_pause_s(self):
+        pause_s = self._generator.uniform(*PAUSE_RANGE_S)
+        if self._organisations is None:
+            return pause_s
+        return pause_s * self._organisations.pause_factor(self._organisation)
+
     def _submit_job(self):
         generator = self._generator
         is_long_running = generator.random() < LONG_RUNNING_PROBABILITY
+        if self._organisation == organisations.LIMITED:
+            # A few long-running jobs would fill the limit for the rest of the run.
+            is_long_running = False
         step = {
             "count": generator.randint(1, 4),
             "ms": generator.randint(100, 900),
@@ -143,7 +173,9 @@
             steps = [{**step, "lasts": True, "unavailable": 1}]
         else:
             steps = [step, {**step, "after": [0]}][: generator.randint(1, 2)]
-        job_id, body = local_deployment.make_job_request(*steps, prefix=self._number)
+        job_id, body = local_deployment.make_job_request(
+            *steps, prefix=self._number, organisation=self._organisation
+        )
         job = Job(
             id=job_id,
             pool=generator.choice(self._pools),
@@ -203,7 +235,25 @@
         job.states.append(state)
         return state
 
-    def _send_request(self, method, job, body=None):
+    def _try_other_key(self, job):
+        """Now and then use a key of another organisation, which must not work.
+
+        A cancellation may be answered 200 while the controller cannot be reached; that
+        it cancels nothing is checked by the state of the job.
+        """
+        generator = self._key_generator
+        if (
+            self._organisations is None
+            or generator.random() > organisations.OTHER_KEY_PROBABILITY
+        ):
+            return
+        method = generator.choice(("GET", "DELETE"))
+        key = self._organisations.choose_other_key(self._organisation, generator)
+        status, _ = self._send_request(method, job, key=key)
+        if method == "GET" and status == 200:
+            self._report_violation("job shown to another organisation", job.id)
+
+    def _send_request(self, method, job, body=None, *, key=None):
         port = self._generator.choice(self._ports)
         connection = self._connections.pop(port, None)
         if connection is None:
@@ -211,6 +261,26 @@
                 "127.0.0.1", port, timeout=REQUEST_TIMEOUT_S
             )
         headers = {"Host": HOST, "Deadline-Ms": str(int(REQUEST_TIMEOUT_S * 1000))}
+        if self._organisations is not None:
+            return self._send_with_key(
+                connection, port, method, job, body, headers, key
+            )
+        return self._exchange(connection, port, method, job, body, headers)
+
+    def _send_with_key(self, connection, port, method, job, body, headers, key):
+        if key is None:
+            key = self._organisations.choose_key(
+                self._organisation, self._key_generator
+            )
+        headers["Authorization"] = f"Token {key}"
+        sent_at = time.monotonic()
+        result = self._exchange(connection, port, method, job, body, headers)
+        self._organisations.on_response(
+            key, sent_at=sent_at, status=result[0], detail=f"{method} {job.id}"
+        )
+        return result
+
+    def _exchange(self, connection, port, method, job, body, headers):
         try:
             connection.request(method, f"/{job.pool}/{job.id}", body, headers)
             response = connection.getresponse()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,7 +3,7 @@
 import itertools
 import signal
 
-from soak import proxy
+from soak import organisations, proxy
 
 # Delay of each response of a slow store: 75 times its usual 4 ms.
 SLOW_STORE_DELAY_S = 0.3
@@ -33,16 +33,26 @@
         Proxies between entry instances and services, by ``entry/service``.
     instances : list of str
         Names of the instances with executors.
+    run_organisations : organisations.Organisations or None
+        Organisations whose keys and limits change; None for a run without any.
     """
 
-    def __init__(self, *, deployment, proxy_thread, service_proxies, instances):
+    def __init__(
+        self,
+        *,
+        deployment,
+        proxy_thread,
+        service_proxies,
+        instances,
+        run_organisations=None,
+    ):
         self._deployment = deployment
         self._proxy_thread = proxy_thread
         self._service_proxies = service_proxies
         self._instances = instances
         self._entries = {entry.name: entry for entry in deployment.entries}
         self._wave_numbers = itertools.count(1)
-        self._configuration_versions = itertools.count(2)
+        self._organisations = run_organisations
 
     def begin(self, fault):
         """Start a fault.
@@ -192,11 +202,29 @@
 
     def configure(self, fault):
         """Publish the configuration under a new version."""
-        self._deployment.send_order(
-            "configure", version=next(self._configuration_versions)
-        )
+        self._deployment.send_order("configure")
+        return _end_nothing
+
+    def add_key(self, fault):
+        """Add a key of an organisation."""
+        self._organisations.add_key(fault.target)
         return _end_nothing
 
+    def withdraw_keys(self, fault):
+        """Withdraw all keys of an organisation but a new one."""
+        self._organisations.withdraw_keys(fault.target)
+        return _end_nothing
+
+    def lower_limit(self, fault):
+        """Lower the limit of an organisation; the end of the fault raises it again."""
+        self._organisations.set_limit(organisations.LOWERED_LIMIT_PROCESSORS)
+        return lambda: self._organisations.set_limit(organisations.LIMIT_PROCESSORS)
+
+    def flood(self, fault):
+        """Make an organisation send several times its usual load."""
+        self._organisations.set_flooding(True)
+        return lambda: self._organisations.set_flooding(False)
+
 
 def _end_nothing():
     """End a fault that needs no action to end."""
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -67,7 +67,7 @@
         self._pools = dict(_read_pool(text) for text in options.pool)
         self._checker = invariants.InvariantChecker()
         self._version = 0
-        self._organisations = None
+        self._organisations = options.organisations
         self._public_pools = ()
         self._store = store.Store(partitions=options.partitions)
         self._instances = instances.Instances(
@@ -227,6 +227,12 @@
         metavar="NAME",
         help="pool whose executors start what exceeds their capacity",
     )
+    parser.add_argument(
+        "--organisations",
+        type=json.loads,
+        metavar="JSON",
+        help="rows of the organisations; without them no keys are required",
+    )
     parser.add_argument("--partitions", type=int, default=8)
     parser.add_argument("--processors", type=int, default=16_000)
     parser.add_argument("--memory", type=int, default=32_768)
--- a/standins/platform/local_deployment.py
+++ b/standins/platform/local_deployment.py
@@ -98,6 +98,8 @@
     profile : pathlib.Path or None
         File to which the profile of the first entry instance is written; None for no
         profile.
+    organisations : list of dict or None
+        Rows of the organisations in the first configuration; None for no organisations.
 
     Attributes
     ----------
@@ -116,6 +118,7 @@
         unguarded_pools=(),
         make_settings=None,
         profile=None,
+        organisations=None,
     ):
         self._directory = pathlib.Path(directory)
         arguments = ["-m", "standins.platform", "--partitions", str(PARTITIONS)]
@@ -123,6 +126,8 @@
             arguments += ["--pool", f"{pool}={count}"]
         for pool in unguarded_pools:
             arguments += ["--unguarded", pool]
+        if organisations is not None:
+            arguments += ["--organisations", json.dumps(organisations)]
         self._platform = processes.ChildProcess(
             name="platform", arguments=arguments, directory=self._directory
         )
