--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -12,6 +12,7 @@
 from cranberryport import codec
 from cranberryport.control import (
     append_policy,
+    call_losses,
     executor_link,
     instance_manager,
     progress_writer,
@@ -23,6 +24,7 @@
     admission,
     load,
     records,
+    run_logs,
     scheduler,
     task_planner,
 )
@@ -94,6 +96,7 @@
     __slots__ = (
         "_advice_client",
         "_advice_pending",
+        "_call_losses",
         "_cancelled_jobs",
         "_decision_timer",
         "_done_instances_by_wave",
@@ -154,6 +157,7 @@
         self._planner = task_planner.TaskPlanner(state=self._scheduler)
         self._load_meter = load.LoadMeter(state=self._scheduler)
         self._links = {}
+        self._call_losses = call_losses.CallLosses()
         self._advice_client = advice_client
         self._advice_pending = set()
         self._waves_to_add = []
@@ -227,6 +231,11 @@
         """Whether the stored jobs and their progress are loaded."""
         return self._is_ready
 
+    @property
+    def state(self):
+        """State of all jobs and executors, for reports; None while it is loaded."""
+        return self._scheduler if self._is_ready else None
+
     @property
     def event_counts(self):
         """Numbers of events since the takeover, by name; for the metrics."""
@@ -258,6 +267,10 @@
         """
         self._has_configuration = True
         self._scheduler.set_queues(configuration.queues)
+        self._scheduler.set_organisations(
+            configuration.organisations or {},
+            limit_overshoot=self._settings.limit_overshoot,
+        )
         if self._instance_manager is not None:
             self._instance_manager.set_services(configuration.services)
 
@@ -578,6 +591,7 @@
             lease_s=self._lease_s,
             on_change=self.schedule_decision,
             on_superseded=self._on_superseded,
+            losses=self._call_losses,
         )
         self._links[executor.id] = link
         link.open()
@@ -715,42 +729,12 @@
             for run in self._scheduler.commit(batch, now)
             if run.executor in self._links
         ]
-        _log_starts(starts)
+        run_logs.log_starts(starts)
         for run in starts:
             self._links[run.executor].start(run)
         self.schedule_decision()
 
 
-def _log_starts(runs):
-    """Log the first runs of each step in one line, and each further run in its own."""
-    by_step = {}
-    for run in runs:
-        if run.number == 1:
-            by_step.setdefault(run.task.step_name, []).append(run)
-            continue
-        _logger.info(
-            "run start",
-            extra={
-                "request": run.task.job.id,
-                "task": run.task.name,
-                "run": run.number,
-                "executor": run.executor,
-                "pool": run.task.job.service,
-            },
-        )
-    for step_name, first_runs in by_step.items():
-        job = first_runs[0].task.job
-        _logger.info(
-            "step start",
-            extra={
-                "request": job.id,
-                "step": step_name,
-                "executors": {run.task.index: run.executor for run in first_runs},
-                "pool": job.service,
-            },
-        )
-
-
 def _log_deletion(result):
     if not isinstance(result, store.Appended):
         _logger.warning("deleting records failed", extra={"reason": str(result)})
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     ordering,
     rebalancing,
     records,
+    run_logs,
     stragglers,
     suspicion,
 )
@@ -124,6 +125,8 @@
         self._open_jobs = {}
         self._executors = {}
         self._queues = {}
+        self._organisations = {}
+        self._limit_overshoot = 0.0
         self._changed_jobs = {}
         self._planned_runs = []
         self._executors_to_acknowledge = {}
@@ -176,6 +179,29 @@
         """Rules of the queues by name."""
         return self._queues
 
+    @property
+    def organisations(self):
+        """Organisations of the newest configuration by name."""
+        return self._organisations
+
+    @property
+    def limit_overshoot(self):
+        """Share by which the platform allows limits of organisations to be exceeded."""
+        return self._limit_overshoot
+
+    @property
+    def restored_runs(self):
+        """Runs of previous controllers on executors that have not been found yet.
+
+        By id of the executor, then by name of the task and number of the run.
+        """
+        return self._restored_runs
+
+    def set_organisations(self, organisations, *, limit_overshoot=0.0):
+        """Replace the organisations by those of a configuration, by name."""
+        self._organisations = organisations
+        self._limit_overshoot = limit_overshoot
+
     def set_queues(self, queues):
         """Update the rules by a configuration; queues missing there keep theirs."""
         self._queues.update(queues)
@@ -408,7 +434,7 @@
         executor.clock_ms = None
         executor.lease_expires_at = None
         executor.has_accepted_epoch = False
-        executor.has_unknown_runs = False
+        executor.unknown_runs = ()
         executor.tickets = {}
         self._executors_to_acknowledge.pop(executor.id, None)
 
@@ -536,7 +562,7 @@
             self._record_crash(executor.id, aged_runs, host=executor.address[0])
         executor.lapsed_runs = []
         if runs:
-            _log_lost_runs(executor, runs, reason)
+            run_logs.log_lost_runs(executor, runs, reason)
             self._event_counts["executors_lost_with_runs"] += 1
         for run in runs:
             if not is_kept(run):
@@ -748,7 +774,7 @@
             )
             if was_confirmed or (run.state != model.STOPPING and has_start_expired):
                 self._remove_lost_run(run, "not in the executor's list")
-        executor.has_unknown_runs = bool(unknown)
+        executor.unknown_runs = tuple(unknown)
         return unknown
 
     def _update_run(self, run, entry, now):
@@ -826,7 +852,7 @@
                 self._stop_or_remove_run(run)
         self._mark_changed(job)
         if occurrence.remaining_counts[task.step_number] == 0:
-            _log_step_end(occurrence.tasks[task.step_number])
+            run_logs.log_step_end(occurrence.tasks[task.step_number])
             self._update_ready_steps(occurrence)
         if occurrence.is_done:
             job.done_occurrences.add(occurrence.number)
@@ -989,49 +1015,5 @@
         )
 
 
-def _log_lost_runs(executor, runs, reason):
-    """Log what ran on an executor that is lost, with the runs' ages in seconds.
-
-    A run without a known age is logged with its state.
-    """
-    unreachable_s = None
-    if executor.unreachable_since is not None:
-        unreachable_s = round(time.monotonic() - executor.unreachable_since, 3)
-    ages = {}
-    for run in runs:
-        age_s = executor.run_age_s(run)
-        ages[f"{run.task.name} {run.number}"] = (
-            run.state if age_s is None else round(age_s, 3)
-        )
-    _logger.info(
-        "executor lost with runs",
-        extra={
-            "executor": executor.id,
-            "pool": executor.service,
-            "state": executor.state,
-            "address": ":".join(map(str, executor.address)),
-            "reason": reason,
-            "is_listed": executor.has_store_entry,
-            "is_being_vacated": executor.is_being_vacated,
-            "unreachable_s": unreachable_s,
-            "age_s_by_run": ages,
-        },
-    )
-
-
-def _log_step_end(tasks):
-    """Log the end of a step, with its slowest task."""
-    slowest = max(tasks, key=lambda task: task.last_run_s or 0.0)
-    fields = {
-        "request": slowest.job.id,
-        "step": slowest.step_name,
-        "tasks": len(tasks),
-        "slowest": slowest.name,
-    }
-    if slowest.last_run_s is not None:
-        fields["slowest_s"] = round(slowest.last_run_s, 3)
-    _logger.info("step ended", extra=fields)
-
-
 def _is_unanswered(run):
     return run.state == model.ORDERED and run.confirmed_at is None
