--- a/cranberryport/platform/configuration.py
+++ b/cranberryport/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from cranberryport.callers import api_keys
 from cranberryport.platform import bodies
 from cranberryport.scheduling import ordering, organisations
 
@@ -69,10 +70,11 @@
         Organisations by name; None where the deployment has none, and then requests
         need no key.
     keys_by_organisation : dict of str to list of str
-        Keys of each organisation.
+        Keys of each organisation; emptied when ``key_table`` is made.
     """
 
     __slots__ = (
+        "_key_table",
         "_routes",
         "keys_by_organisation",
         "organisations",
@@ -95,12 +97,30 @@
         self.organisations = organisations
         self.keys_by_organisation = keys_by_organisation or {}
         self.queues = {route.queue.name: route.queue for route in routes}
+        self._key_table = None
         self._routes = {}
         for route in routes:
             self._routes.setdefault(route.host.lower(), []).append(route)
         for host_routes in self._routes.values():
             host_routes.sort(key=lambda route: -len(route.prefix))
 
+    @property
+    def key_table(self):
+        """Organisations by their keys; made at the first use."""
+        if self._key_table is None:
+            self._key_table = api_keys.KeyTable(
+                keys_by_organisation=self.keys_by_organisation
+            )
+            self.keys_by_organisation = {}
+        return self._key_table
+
+    @property
+    def has_keyed_routes(self):
+        """Whether there are requests that need a key of an organisation."""
+        return self.organisations is not None and any(
+            not route.is_public for routes in self._routes.values() for route in routes
+        )
+
     def find_route(self, host, path):
         """Return the route with the longest matching prefix, None if none matches.
 
