Tell when the last complete read was sent, and withhold queued records

A configuration is as old as the last read that cannot have missed a record. TopicReader.complete_read_sent_at is the time on the boot clock at which that read was sent. It is set after the callbacks, so that a record whose callback raises is not taken as applied, and not by an answer with a part of the records.

JobWriter checks may_send when it makes a batch: an append in progress can take seconds, so a check before write is not enough.

--- a/cranberryport/control/job_writer.py
+++ b/cranberryport/control/job_writer.py
@@ -6,6 +6,7 @@
 stored together by the next one.
 """
 
+import dataclasses
 import time
 import zlib
 
@@ -15,6 +16,11 @@
 BATCH_LIMIT_BYTES = 1_000_000
 
 
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Withheld:
+    """The record was not sent, since its request may not be served any more."""
+
+
 class JobWriter:
     """Appends records to the job topic.
 
@@ -70,7 +76,7 @@
             return 0
         return 1 + zlib.crc32(self._instance.encode()) % (self._partition_count - 1)
 
-    def write(self, record, *, timeout_s, callback):
+    def write(self, record, *, timeout_s, callback, may_send=None):
         """Add a record to the next append.
 
         Parameters
@@ -81,19 +87,30 @@
             Time limit in seconds, including the wait for the append in progress; an
             append has the longest limit of its records.
         callback : callable
-            Called once with the result of that append, or with ``NoResponse`` if it
-            was not sent before the limit.
+            Called once with the result of that append, with ``NoResponse`` if it was
+            not sent before the limit, or with ``Withheld``.
+        may_send : callable or None
+            Called without arguments directly before the append; False withholds the
+            record. None if it may always be sent.
         """
-        self._queued.append((record, time.monotonic() + timeout_s, callback))
+        deadline = time.monotonic() + timeout_s
+        self._queued.append((record, deadline, callback, may_send))
         if not self._is_appending:
             self._send_batch()
 
     def _send_batch(self):
         now = time.monotonic()
         expired = [entry for entry in self._queued if entry[1] <= now]
-        self._queued = [entry for entry in self._queued if entry[1] > now]
+        queued = [entry for entry in self._queued if entry[1] > now]
+        self._queued, withheld = [], []
+        for entry in queued:
+            # Checked here and not in ``write``, as an append in progress can take
+            # seconds.
+            may_send = entry[3]
+            is_withheld = may_send is not None and not may_send()
+            (withheld if is_withheld else self._queued).append(entry)
         size, count = 0, 0
-        for record, _, _ in self._queued:
+        for record, *_ in self._queued:
             size += len(record[1])
             if count and size > BATCH_LIMIT_BYTES:
                 break
@@ -102,16 +119,18 @@
         self._is_appending = bool(batch)
         if batch:
             self._append(batch, now)
-        for _, _, callback in expired:
+        for _, _, callback, _ in expired:
             callback(store.NoResponse(reason="no time left to append", was_sent=False))
+        for _, _, callback, _ in withheld:
+            callback(Withheld())
 
     def _append(self, batch, now):
         partition = self.partition
         self._store.append(
             store.JOB_TOPIC,
-            [record for record, _, _ in batch],
+            [record for record, *_ in batch],
             callback=lambda result: self._on_result(batch, partition, result),
-            timeout_s=max(deadline for _, deadline, _ in batch) - now,
+            timeout_s=max(deadline for _, deadline, *_ in batch) - now,
             partition=partition,
         )
 
@@ -121,5 +140,5 @@
             self._on_stored(partition, result.end)
         if self._queued:
             self._send_batch()
-        for _, _, callback in batch:
+        for _, _, callback, _ in batch:
             callback(result)
--- a/cranberryport/control/topic_reader.py
+++ b/cranberryport/control/topic_reader.py
@@ -6,6 +6,7 @@
 import logging
 import time
 
+from cranberryport import boot_clock
 from cranberryport.platform import store
 
 SNAPSHOT_TIMEOUT_S = 2.0
@@ -45,6 +46,7 @@
     """
 
     __slots__ = (
+        "_complete_read_sent_at",
         "_expected_end",
         "_has_read_failed",
         "_is_catching_up",
@@ -89,6 +91,7 @@
         self._is_catching_up = False
         self._last_read_sent_at = None
         self._requested_at = 0.0
+        self._complete_read_sent_at = None
         self._is_stopped = False
         self._has_read_failed = False
 
@@ -97,6 +100,16 @@
         """Monotonic time at which the last successful read was sent; None before it."""
         return self._last_read_sent_at
 
+    @property
+    def complete_read_sent_at(self):
+        """Time on the boot clock at which a read was sent that missed no record.
+
+        It is that of the last such read, None before the first one. Every record that
+        was stored before this time has been passed to the callbacks, as reads are
+        linearizable.
+        """
+        return self._complete_read_sent_at
+
     @property
     def has_read_failed(self):
         """Whether the last read failed."""
@@ -157,9 +170,11 @@
         if self._next_offset is None:
             return
         delivered_count = self._next_offset - read_offset
-        found = (
-            result.records[max(0, delivered_count) :] if delivered_count >= 0 else []
-        )
+        if delivered_count < 0:
+            # A snapshot with an earlier end was taken after this read was sent. The
+            # records in between are still to be read.
+            return
+        found = result.records[delivered_count:]
         self._next_offset = max(self._next_offset, result.next)
         if found:
             self._on_records(found)
@@ -172,10 +187,15 @@
         if self._is_stopped:
             return
         self._requested_at = time.monotonic()
+        sent_at = boot_clock.now_s()
+
+        def on_result(result):
+            self._on_result(result, sent_at)
+
         if self._next_offset is None:
             self._store.read_newest(
                 self._topic,
-                callback=self._on_result,
+                callback=on_result,
                 timeout_s=SNAPSHOT_TIMEOUT_S,
                 partition=self._partition,
             )
@@ -184,22 +204,39 @@
             self._store.read(
                 self._topic,
                 self._next_offset,
-                callback=self._on_result,
+                callback=on_result,
                 wait_s=self._long_poll_s,
                 partition=self._partition,
             )
 
-    def _on_result(self, result):
+    def _on_result(self, result, sent_at):
         if self._is_stopped:
             return
         if isinstance(result, store.NewestRecords):
             self._note_success()
             self._next_offset = result.end
             self._on_snapshot(result.records)
+            # Only now, so that a record whose callback raises is not taken as applied.
+            # Later pages of a snapshot are newer than the time at which it was sent.
+            self._complete_read_sent_at = sent_at
             self._send_read()
+        elif isinstance(result, store.Records) and _has_hole(result, self._read_offset):
+            _logger.error(
+                "records missing from a read",
+                extra={
+                    "topic": self._topic,
+                    "position": self._read_offset,
+                    "first": result.first,
+                    "end": result.end,
+                },
+            )
+            self._next_offset = None
+            self._timers.after(RETRY_DELAY_S, self._send_read)
         elif isinstance(result, store.Records):
             self._note_success()
             self._deliver(result, self._read_offset)
+            if result.next >= result.end:
+                self._complete_read_sent_at = sent_at
             elapsed_s = time.monotonic() - self._requested_at
             self._timers.after(self._min_interval_s - elapsed_s, self._send_read)
         elif isinstance(result, store.Expired):
@@ -225,3 +262,12 @@
                 "store topic not readable",
                 extra={"topic": self._topic, "reason": str(result)},
             )
+
+
+def _has_hole(result, read_offset):
+    """Return whether an answer shows that records before or after it are lost.
+
+    The protocol rules both out. A position after the end means that the store has lost
+    records and stores others at their offsets.
+    """
+    return result.first > read_offset or result.end < read_offset
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -297,6 +297,96 @@
         self.assertEqual(self.store.pop_call("read").arguments, ("t", 4))
 
 
+class CompleteReadTest(unittest.TestCase):
+    """Time until which all records are known, by the clock that never stops."""
+
+    def setUp(self):
+        """Make a reader with its snapshot, which was sent at 10 and answered at 12."""
+        patcher = unittest.mock.patch("cranberryport.boot_clock.now_s")
+        self.boot_now_s = patcher.start()
+        self.addCleanup(patcher.stop)
+        self.boot_now_s.return_value = 10.0
+        self.store = scripted.FakeStore()
+        self.timers = scripted.FakeTimers()
+        self.on_records = unittest.mock.Mock()
+        self.reader = topic_reader.TopicReader(
+            store_client=self.store,
+            timers=self.timers,
+            topic="t",
+            on_snapshot=lambda found: None,
+            on_records=self.on_records,
+            long_poll_s=1.0,
+            min_interval_s=0.0,
+        )
+        self.reader.start()
+        self.boot_now_s.return_value = 12.0
+        self.assertIsNone(self.reader.complete_read_sent_at)
+        self.store.pop_call("read_newest").callback(
+            store.NewestRecords(records=[("a", b"1")], end=4)
+        )
+
+    def _answer(self, result):
+        """Answer the read of 12 at 20."""
+        self.boot_now_s.return_value = 20.0
+        self.store.pop_call("read").callback(result)
+
+    def test_time_is_that_at_which_the_read_was_sent(self):
+        """Guards against a slow answer that counts from its arrival."""
+        self.assertEqual(self.reader.complete_read_sent_at, 10.0)
+        self._answer(store.Records(first=0, end=4, next=4, records=[]))
+        self.assertEqual(self.reader.complete_read_sent_at, 12.0)
+
+    def test_failed_read_proves_nothing(self):
+        """Guards against an instance without the store that seems to be current."""
+        for result in (
+            store.NoResponse(reason="reset"),
+            store.Refused(status=503),
+            store.Expired(first=90),
+        ):
+            with self.subTest(result=result):
+                self._answer(result)
+                self.assertEqual(self.reader.complete_read_sent_at, 10.0)
+                self.setUp()
+
+    def test_answer_with_a_part_of_the_records_proves_nothing(self):
+        """Guards against a newer record that did not fit into the answer."""
+        found = [("b", b"2")]
+        self._answer(store.Records(first=0, end=9, next=5, records=found))
+        self.on_records.assert_called_once_with(found)
+        self.assertEqual(self.reader.complete_read_sent_at, 10.0)
+
+    def test_catch_up_read_does_not_make_an_earlier_read_newer(self):
+        """Guards against the answer to one read that counts as that to another."""
+        self.reader.catch_up(6)
+        self.boot_now_s.return_value = 15.0
+        self.timers.run()
+        waiting, catch_up = self.store.pop_call("read"), self.store.pop_call("read")
+        catch_up.callback(store.Records(first=0, end=5, next=5, records=[("b", b"2")]))
+        self.assertEqual(self.reader.complete_read_sent_at, 10.0)
+        waiting.callback(store.Records(first=0, end=4, next=4, records=[]))
+        self.assertEqual(self.reader.complete_read_sent_at, 12.0)
+
+    def test_records_whose_callback_raises_are_not_taken_as_applied(self):
+        """Guards against a configuration that was read but not put in force."""
+        self.on_records.side_effect = ValueError
+        with self.assertRaises(ValueError):
+            self._answer(store.Records(first=0, end=5, next=5, records=[("b", b"2")]))
+        self.assertEqual(self.reader.complete_read_sent_at, 10.0)
+
+    def test_lost_records_lead_to_a_snapshot(self):
+        """Guards against records that a store without part of its history hides."""
+        for first, end in ((0, 3), (5, 9)):
+            with self.subTest(first=first, end=end):
+                with self.assertLogs(level="ERROR"):
+                    self._answer(
+                        store.Records(first=first, end=end, next=end, records=[])
+                    )
+                self.assertEqual(self.reader.complete_read_sent_at, 10.0)
+                self.timers.run()
+                self.store.pop_call("read_newest")
+                self.setUp()
+
+
 class SlowStoreTest(unittest.TestCase):
     """Recognition of a slow store by the controller's own appends."""
 
@@ -388,6 +478,27 @@
         expired = dict(self.results)["b"]
         self.assertFalse(expired.was_sent)
 
+    def test_record_that_may_not_be_sent_any_more_is_withheld(self):
+        """Guards against a record that is stored after its key was withdrawn.
+
+        The append in progress can take seconds, so a check before ``write`` is not
+        enough.
+        """
+        is_allowed = {"b": True, "c": True}
+        self._write("a")
+        for key in is_allowed:
+            self.writer.write(
+                (key, b"x"),
+                timeout_s=1.0,
+                callback=lambda result, key=key: self.results.append((key, result)),
+                may_send=lambda key=key: is_allowed[key],
+            )
+        is_allowed["b"] = False
+        self.store.pop_call("append").callback(store.Appended(offset=0, end=1))
+        second = self.store.pop_call("append")
+        self.assertEqual([key for key, _ in second.arguments[1]], ["c"])
+        self.assertIn(("b", job_writer.Withheld()), self.results)
+
     def test_end_of_the_partition_is_reported(self):
         """Guards against a controller that is not notified of stored records."""
         self._write("a")
