Ask for the keys of organisations

Where the configuration has organisations, a request on a route that is not public is served for a valid key only, and only while the configuration is proven to be younger than the limit: 503 without the proof, else 401, before the job's id or body is looked at. Key and proof are checked again at each reply of the controller, before each append or relay, and when a queued record is sent. The controller answers about foreign jobs as about unknown ones, submissions with their ids get 403, and foreign cancellations are ignored. The instance is not ready while keys are asked for without a proof.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -14,6 +14,7 @@
     append_policy,
     executor_link,
     instance_manager,
+    job_ownership,
     progress_writer,
     topic_reader,
 )
@@ -43,7 +44,6 @@
 # Jobs loaded at a time, after which other events are handled; 0.1 s at 0.4 ms each.
 LOAD_SLICE_JOBS = 250
 JOB_KEY_PREFIX = "j/"
-CANCEL_KEY_PREFIX = "c/"
 WAVE_KEY_PREFIX = "wave/"
 # The field ``job`` of a wave or orders record holds its key instead of a job id.
 ORDERS_KEY = "orders"
@@ -94,7 +94,7 @@
     __slots__ = (
         "_advice_client",
         "_advice_pending",
-        "_cancelled_jobs",
+        "_cancellations",
         "_decision_timer",
         "_done_instances_by_wave",
         "_epoch",
@@ -181,7 +181,7 @@
             )
         self._stored_progress = {}
         self._stored_crashes = {}
-        self._cancelled_jobs = set()
+        self._cancellations = job_ownership.Cancellations()
         self._has_configuration = False
         self._is_ready = False
         self._is_stopped = False
@@ -338,6 +338,7 @@
             answer is not known; the question is then repeated.
         """
         reply = messages.ControllerReply(number=question.number, is_leading=False)
+        jobs = self._scheduler.jobs
         if not self._is_ready or self._is_stopped:
             return reply
         if isinstance(question, messages.QueueQuestion):
@@ -346,10 +347,18 @@
             return reply
         if isinstance(question, messages.AdmissionQuestion):
             reply.is_leading = True
-            reply.retry_after_s = self._retry_after_s(question)
-            reply.state = append_policy.RELAYED if self._writer.is_slow else ""
+            reply.state = job_ownership.answer_submission(jobs, question)
+            if not reply.state:
+                reply.retry_after_s = self._retry_after_s(question)
+                reply.state = append_policy.RELAYED if self._writer.is_slow else ""
+            return reply
+        if question.is_submission:
+            reply.is_leading = True
+            reply.state = job_ownership.answer_submission(jobs, question)
             return reply
         state = self._scheduler.job_state(question.job)
+        if job_ownership.is_foreign(jobs.get(question.job), question.organisation):
+            state = None
         reply.is_leading = state is not None or self._are_jobs_current()
         reply.state = state or ""
         return reply
@@ -497,12 +506,18 @@
                 record = _decode(key, value, messages.JobStored)
                 if record is not None:
                     self._add_job(record, now_unix_s)
-            elif key.startswith(CANCEL_KEY_PREFIX):
-                self._cancel_job(key.removeprefix(CANCEL_KEY_PREFIX), now_unix_s)
+            elif key.startswith(job_ownership.CANCEL_KEY_PREFIX):
+                record = _decode(key, value, messages.CancelStored)
+                if record is not None:
+                    # It can be read before the record of its job.
+                    self._cancellations.add(key, record)
+                    self._apply_cancellations(record.job, now_unix_s)
         self.schedule_decision()
 
     def _add_job(self, record, now_unix_s):
-        if record.job in self._scheduler.jobs:
+        known = self._scheduler.jobs.get(record.job)
+        if known is not None:
+            job_ownership.log_foreign_record(known, record.organisation)
             return
         job = records.job_from_record(record)
         progress = self._stored_progress.get(record.job)
@@ -525,13 +540,11 @@
                     "chain_s": round(job.critical_path_s, 3),
                 },
             )
-        if record.job in self._cancelled_jobs:
-            self._scheduler.cancel_job(record.job, now_unix_s)
+        self._apply_cancellations(record.job, now_unix_s)
 
-    def _cancel_job(self, job_id, now_unix_s):
-        # The record of a cancellation can be read before that of its job.
-        self._cancelled_jobs.add(job_id)
-        self._scheduler.cancel_job(job_id, now_unix_s)
+    def _apply_cancellations(self, job_id, now_unix_s):
+        if self._cancellations.cancel(self._scheduler.jobs.get(job_id)):
+            self._scheduler.cancel_job(job_id, now_unix_s)
 
     # Executors
 
@@ -613,13 +626,11 @@
         _logger.info("ended jobs deleted", extra={"jobs": len(ended)})
         deleted = [(f"{JOB_KEY_PREFIX}{job_id}", b"") for job_id in ended]
         deleted += [
-            (f"{CANCEL_KEY_PREFIX}{job_id}", b"")
-            for job_id in ended
-            if job_id in self._cancelled_jobs
+            (key, b"") for job_id in ended for key in self._cancellations.keys(job_id)
         ]
         for job_id in ended:
             self._scheduler.remove_job(job_id)
-            self._cancelled_jobs.discard(job_id)
+            self._cancellations.discard(job_id)
         # A job that was submitted twice can be stored in two partitions. Records that
         # remain because an append fails are deleted by a later controller.
         for partition in range(self._settings.store_partitions):
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -17,6 +17,7 @@
 from circuits.core import pollers
 
 from cranberryport import boot_clock, node_settings, timers
+from cranberryport.callers import configuration_proof
 from cranberryport.control import (
     controller,
     controller_client,
@@ -30,6 +31,7 @@
 from cranberryport.platform import (
     advice,
     configuration,
+    configuration_follower,
     executors,
     front,
     machines,
@@ -82,7 +84,6 @@
         self._settings = settings
         self._settings_path = settings_path
         self._clock_watch = boot_clock.WallClockWatch()
-        self._configuration = None
         self._controller = None
         # Maintenance waves by number, for a controller in this process.
         self._waves = {}
@@ -137,11 +138,18 @@
             store_client=self._store,
             timers=self._timers,
             topic=store.OPERATOR_TOPIC,
-            on_snapshot=self._on_operator_records,
+            on_snapshot=self._on_operator_snapshot,
             on_records=self._on_operator_records,
             long_poll_s=CONFIGURATION_LONG_POLL_S,
             min_interval_s=CONFIGURATION_READ_INTERVAL_S,
         )
+        self._proof = configuration_proof.ConfigurationProof(
+            limit_s=settings.revocation_limit_ms / 1000,
+            last_read_sent_at=lambda: self._configuration_reader.complete_read_sent_at,
+        )
+        self._follower = configuration_follower.ConfigurationFollower(
+            proof=self._proof, on_applied=self._on_configuration_applied
+        )
         self._make_servers(settings)
 
     def _make_connection_pool(self, name):
@@ -157,12 +165,13 @@
             on_stored=self._notify_records_stored,
         )
         self._job_api = front.JobApi(
-            configuration=lambda: self._configuration,
+            configuration=lambda: self._follower.configuration,
             writer=self._job_writer,
             controller_client=self._controller_client,
             timers=self._timers,
             metrics=self._metrics,
             is_store_unreadable=lambda: self._configuration_reader.has_read_failed,
+            proof=self._proof,
         ).register(self)
         caller_limits = limits.Limits(connections=settings.connections)
         internal_limits = limits.Limits(connections=32)
@@ -193,7 +202,10 @@
     @property
     def is_ready(self):
         """Whether the balancer should send callers to this entry instance."""
-        if self._configuration is None or self._exit_deadline is not None:
+        current = self._follower.configuration
+        if current is None or self._exit_deadline is not None:
+            return False
+        if current.has_keyed_routes and not self._proof.is_fresh:
             return False
         last_read_sent_at = self._configuration_reader.last_read_sent_at
         return time.monotonic() - last_read_sent_at < STORE_SILENCE_LIMIT_S
@@ -205,11 +217,17 @@
         self._configuration_reader.start()
         self._membership.start()
 
+    def _on_operator_snapshot(self, records):
+        self._follower.add_snapshot(records)
+        self._add_waves(records)
+
     def _on_operator_records(self, records):
+        self._follower.add_records(records)
+        self._add_waves(records)
+
+    def _add_waves(self, records):
         for key, value in records:
-            if key == configuration.CONFIGURATION_KEY:
-                self._apply_configuration(value)
-            elif key.startswith(configuration.WAVE_PREFIX):
+            if key.startswith(configuration.WAVE_PREFIX):
                 self._add_wave(key, value)
 
     def _add_wave(self, key, value):
@@ -223,15 +241,7 @@
         if self._controller is not None:
             self._controller.add_wave(wave.copy())
 
-    def _apply_configuration(self, value):
-        received = configuration.parse(value)
-        if received is None:
-            _logger.error("unreadable configuration")
-            return
-        if self._configuration and received.version <= self._configuration.version:
-            return
-        self._configuration = received
-        _logger.info("configuration applied", extra={"version": received.version})
+    def _on_configuration_applied(self, received):
         if self._controller is not None:
             self._controller.set_configuration(received)
 
@@ -248,8 +258,8 @@
             has_clock_stepped=lambda: self._clock_watch.has_stepped,
             on_superseded=self._membership.step_down,
         )
-        if self._configuration is not None:
-            self._controller.set_configuration(self._configuration)
+        if self._follower.configuration is not None:
+            self._controller.set_configuration(self._follower.configuration)
         for wave in self._waves.values():
             self._controller.add_wave(wave.copy())
         self._controller.start()
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -2,7 +2,8 @@
 
 A job is accepted once its record is stored. Status 429 or 503 promises that the job
 will not run, so it is sent only if no append can have stored the record. If one may
-have stored it, the status is 504.
+have stored it, the status is 504. The same holds for status 401, for a request without
+a valid key of an organisation.
 """
 
 import logging
@@ -12,12 +13,19 @@
 from circuits.web import events as web_events
 
 from cranberryport import codec
-from cranberryport.control import append_policy, controller
+from cranberryport.callers import api_keys
+from cranberryport.control import append_policy, controller, job_ownership, job_writer
 from cranberryport.generated import messages
 from cranberryport.platform import bodies, store, submissions
 from cranberryport.scheduling import records
 
 DEADLINE_HEADER = b"deadline-ms"
+KEY_HEADER = b"authorization"
+KEY_SCHEME = b"token"
+# Value of WWW-Authenticate, which a response with status 401 must have.
+KEY_CHALLENGE = "Token"
+# The same text for a missing, a malformed and an unknown key.
+KEY_ERROR = "a valid key is needed; allowed: Authorization: Token KEY"
 DEFAULT_DEADLINE_S = 3.0
 # Subtracted from the caller's deadline, so that the response reaches it in time: at
 # most this, and at most this share. The last try of a caller has little time left.
@@ -54,13 +62,21 @@
     ``arrived`` and ``deadline`` are monotonic times in seconds. ``is_possibly_stored``
     is set after an append that may have stored the record without confirming it.
     ``previous_way`` is the way of the last append, see :mod:`append_policy`.
+    ``needs_key`` tells whether the request is served for a valid key only; then
+    ``key_digest`` is the digest of its key, None if it has none, and ``organisation``
+    the organisation that the key belonged to at the arrival. ``is_public`` tells
+    whether it needs no key although there are organisations.
     """
 
     __slots__ = (
         "arrived",
         "deadline",
         "is_possibly_stored",
+        "is_public",
         "job_id",
+        "key_digest",
+        "needs_key",
+        "organisation",
         "previous_way",
         "response",
     )
@@ -71,6 +87,10 @@
         self.arrived = arrived
         self.deadline = deadline
         self.is_possibly_stored = False
+        self.is_public = False
+        self.key_digest = None
+        self.needs_key = False
+        self.organisation = ""
         self.previous_way = None
 
 
@@ -91,6 +111,8 @@
         Counters and histograms.
     is_store_unreadable : callable
         Returns whether reads of the store fail.
+    proof : cranberryport.callers.configuration_proof.ConfigurationProof
+        Tells whether the configuration in force is proven to be recent.
     """
 
     channel = "front"
@@ -104,8 +126,10 @@
         timers,
         metrics,
         is_store_unreadable,
+        proof,
     ):
         super().__init__()
+        self._proof = proof
         self._is_store_unreadable = is_store_unreadable
         # Monotonic times until which own appends count as failing or slow.
         self._own_way_failing_until = 0.0
@@ -146,6 +170,15 @@
             self._respond(pending, 404, {"Error": f"no queue at {path!r}"})
             return True
         pending.job_id = path[len(route.prefix) :]
+        has_organisations = configuration.organisations is not None
+        pending.is_public = has_organisations and route.is_public
+        pending.needs_key = has_organisations and not route.is_public
+        if pending.needs_key:
+            pending.key_digest = _read_key_digest(request.raw_headers)
+            found = configuration.key_table.find_organisation(pending.key_digest)
+            pending.organisation = found or ""
+            if self._refuse_without_key(pending):
+                return True
         if not pending.job_id and request.method == "GET":
             self._report_queue_length(pending, route.queue)
         elif not submissions.ID_PATTERN.match(pending.job_id):
@@ -179,6 +212,7 @@
             self._respond(pending, 400, {"Error": str(error)})
             return
         job.failed_runs_limit = queue.failed_runs_limit
+        job.organisation = pending.organisation
         value = codec.encode(records.job_to_record(job))
         record = (controller.JOB_KEY_PREFIX + job.id, value)
 
@@ -190,6 +224,7 @@
                     "queue": queue.name,
                     "pool": queue.service,
                     "configuration": version,
+                    "organisation": job.organisation,
                     "ms": _elapsed_ms(pending),
                 },
             )
@@ -201,7 +236,11 @@
                 self._own_way_slow_until = (
                     time.monotonic() + append_policy.SLOWNESS_MEMORY_S
                 )
-            if reply is not None and reply.retry_after_s > 0:
+            if self._refuse_without_key(pending):
+                return
+            if reply is not None and reply.state == job_ownership.FOREIGN:
+                self._respond_foreign(pending)
+            elif reply is not None and reply.retry_after_s > 0:
                 reason = f"the pool of {queue.name!r} cannot serve the job in time"
                 self._respond_refused(
                     pending, 429, reason, retry_after_s=reply.retry_after_s
@@ -210,7 +249,21 @@
                 self._store_record(pending, record, on_stored)
 
         if job.repeats or any(step.is_lasting for step in job.steps):
-            self._store_record(pending, record, on_stored)
+            if pending.needs_key or pending.is_public:
+                # These are not refused for lack of capacity, but the id may belong to
+                # the job of another organisation.
+                self._controller_client.ask(
+                    lambda number: messages.JobQuestion(
+                        number=number,
+                        job=job.id,
+                        organisation=job.organisation,
+                        is_submission=True,
+                    ),
+                    on_admission_reply,
+                    timeout_s=ADMISSION_TIMEOUT_S,
+                )
+            else:
+                self._store_record(pending, record, on_stored)
             return
         work_millicore_s = sum(
             step.count * step.processors * step.estimate_s for step in job.steps
@@ -223,12 +276,15 @@
                 work=work_millicore_s / 1000,
                 chain_s=job.critical_path_s,
                 job=job.id,
+                organisation=job.organisation,
             ),
             on_admission_reply,
             timeout_s=ADMISSION_TIMEOUT_S,
         )
 
     def _store_record(self, pending, record, on_stored):
+        if self._refuse_without_key(pending):
+            return
         now = time.monotonic()
         choice = append_policy.choose_way(
             now=now,
@@ -248,7 +304,7 @@
         timer = self._timers.after(timeout_s, lambda: on_result(_NO_RESULT))
 
         def on_result(result):
-            if way == append_policy.OWN:
+            if way == append_policy.OWN and not isinstance(result, job_writer.Withheld):
                 self._update_own_way(result, now)
             is_timely = timer.is_pending or result is _NO_RESULT
             timer.cancel()
@@ -258,6 +314,10 @@
                 return
             if not is_timely:
                 return
+            if isinstance(result, job_writer.Withheld):
+                # The key is checked again, and the reason is sent to the caller.
+                self._store_record(pending, record, on_stored)
+                return
             if isinstance(result, store.NoResponse) and result.was_sent:
                 pending.is_possibly_stored = True
             _logger.warning(
@@ -284,7 +344,12 @@
                 record, callback=on_result, timeout_s=timeout_s
             )
         else:
-            self._writer.write(record, callback=on_result, timeout_s=timeout_s)
+            self._writer.write(
+                record,
+                callback=on_result,
+                timeout_s=timeout_s,
+                may_send=lambda: self._key_refusal(pending) is None,
+            )
 
     def _update_own_way(self, result, started_at):
         now = time.monotonic()
@@ -312,24 +377,35 @@
             self._respond_refused(pending, 503, "the store cannot be reached")
 
     def _cancel_job(self, pending):
-        value = codec.encode(messages.CancelStored(job=pending.job_id, at=time.time()))
-        record = (controller.CANCEL_KEY_PREFIX + pending.job_id, value)
+        key, message = job_ownership.make_cancellation(
+            job_id=pending.job_id,
+            at_unix_s=time.time(),
+            organisation=pending.organisation,
+            is_public=pending.is_public,
+        )
+        record = (key, codec.encode(message))
 
         def on_stored():
             _logger.info(
                 "cancellation accepted",
-                extra={"request": pending.job_id, "ms": _elapsed_ms(pending)},
+                extra={
+                    "request": pending.job_id,
+                    "organisation": pending.organisation,
+                    "ms": _elapsed_ms(pending),
+                },
             )
             self._respond(pending, 200, {})
 
         def on_reply(reply):
+            if self._refuse_without_key(pending):
+                return
             if reply is not None and not reply.state:
                 self._respond(pending, 410, {"Error": f"no job {pending.job_id!r}"})
             else:
                 self._store_record(pending, record, on_stored)
 
         self._controller_client.ask(
-            lambda number: messages.JobQuestion(number=number, job=pending.job_id),
+            lambda number: _make_state_question(number, pending),
             on_reply,
             # Leaves time to store the cancellation if the controller does not answer.
             timeout_s=min(0.8, pending.deadline - time.monotonic()),
@@ -337,6 +413,8 @@
 
     def _report_state(self, pending):
         def on_reply(reply):
+            if self._refuse_without_key(pending):
+                return
             if reply is None:
                 self._respond_refused(pending, 503, "the controller cannot be reached")
             elif not reply.state:
@@ -345,13 +423,15 @@
                 self._respond(pending, 200, {"State": STATES[reply.state]})
 
         self._controller_client.ask(
-            lambda number: messages.JobQuestion(number=number, job=pending.job_id),
+            lambda number: _make_state_question(number, pending),
             on_reply,
             timeout_s=pending.deadline - time.monotonic(),
         )
 
     def _report_queue_length(self, pending, queue):
         def on_reply(reply):
+            if self._refuse_without_key(pending):
+                return
             if reply is None:
                 self._respond_refused(pending, 503, "the controller cannot be reached")
             else:
@@ -363,19 +443,70 @@
             timeout_s=pending.deadline - time.monotonic(),
         )
 
+    # Keys
+
+    def _key_refusal(self, pending):
+        """Return status and reason if a request may not be served now, else None.
+
+        The proof comes first: without it an unknown key may have been added, and a
+        known one withdrawn.
+        """
+        configuration = self._configuration()
+        if not pending.needs_key or configuration.organisations is None:
+            return None
+        if not self._proof.is_fresh:
+            return 503, "the configuration is not proven to be recent"
+        if pending.key_digest is None:
+            return 401, "no key, or a malformed header"
+        found = configuration.key_table.find_organisation(pending.key_digest)
+        if found is None:
+            return 401, "unknown key"
+        if found != pending.organisation:
+            return 401, "the key belongs to another organisation now"
+        return None
+
+    def _refuse_without_key(self, pending):
+        """Respond to a request that may not be served now; return whether it is one."""
+        refusal = self._key_refusal(pending)
+        if refusal is None:
+            return False
+        status, reason = refusal
+        if pending.is_possibly_stored:
+            self._respond_store_failure(pending)
+        elif status == 503:
+            self._respond_refused(pending, status, reason)
+        else:
+            pending.response.headers["WWW-Authenticate"] = KEY_CHALLENGE
+            self._log_refusal(pending, status, reason)
+            self._respond(pending, status, {"Error": KEY_ERROR})
+        return True
+
+    def _respond_foreign(self, pending):
+        reason = f"id {pending.job_id!r} is not available; allowed: another id"
+        self._log_refusal(pending, 403, reason)
+        self._respond(pending, 403, {"Error": reason})
+
+    def _log_refusal(self, pending, status, reason):
+        fields = {
+            "request": pending.job_id,
+            "status": status,
+            "reason": reason,
+            "ms": _elapsed_ms(pending),
+        }
+        if pending.needs_key or pending.is_public:
+            age_s = self._proof.age_s
+            fields |= {
+                "organisation": pending.organisation,
+                "configuration": self._configuration().version,
+                "proof_age_s": None if age_s is None else round(age_s, 3),
+            }
+        _logger.info("request refused", extra=fields)
+
     # Responses
 
     def _respond_refused(self, pending, status, reason, *, retry_after_s=RETRY_AFTER_S):
         pending.response.headers["Retry-After"] = str(int(retry_after_s))
-        _logger.info(
-            "request refused",
-            extra={
-                "request": pending.job_id,
-                "status": status,
-                "reason": reason,
-                "ms": _elapsed_ms(pending),
-            },
-        )
+        self._log_refusal(pending, status, reason)
         self._respond(pending, status, {"Error": reason})
 
     def _respond(self, pending, status, fields):
@@ -389,6 +520,28 @@
         self.fire(web_events.response(pending.response), "web")
 
 
+def _make_state_question(number, pending):
+    return messages.JobQuestion(
+        number=number, job=pending.job_id, organisation=pending.organisation
+    )
+
+
+def _read_key_digest(raw_headers):
+    """Return the digest of the key in a request's headers.
+
+    None if there is no key, or if the header is malformed or given more than once.
+    """
+    values = [value for name, value in raw_headers if name == KEY_HEADER]
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].partition(b" ")
+    key = key.strip(b" ")
+    # The names of schemes are case-insensitive (RFC 9110, section 11.1).
+    if scheme.lower() != KEY_SCHEME or not key or len(key.split()) != 1:
+        return None
+    return api_keys.digest(key)
+
+
 def _elapsed_ms(pending):
     return round((time.monotonic() - pending.arrived) * 1000, 1)
 
--- a/tests/test_platform_refusals.py
+++ b/tests/test_platform_refusals.py
@@ -9,6 +9,7 @@
 import types
 import unittest
 
+from cranberryport.callers import configuration_proof
 from cranberryport.control import append_policy
 from cranberryport.generated import messages
 from cranberryport.observability import node_metrics
@@ -35,7 +36,7 @@
         self.results = list(results)
         self.records = []
 
-    def write(self, record, *, timeout_s, callback):
+    def write(self, record, *, timeout_s, callback, may_send=None):
         """Keep a record and pass the next result to the callback."""
         self.records.append(record)
         result = self.results.pop(0)
@@ -78,6 +79,9 @@
             timers=timers,
             metrics=node_metrics.NodeMetrics(),
             is_store_unreadable=lambda: False,
+            proof=configuration_proof.ConfigurationProof(
+                limit_s=0.0, last_read_sent_at=lambda: None
+            ),
         )
         fired = []
         component.fire = lambda event, *channels: fired.append(event)
