Ask the controller where a job would be placed now

Change: the page /placement (POST) of the controller's instance, and the command place. Errors quote the bad queue, organisation, file or address. The pages of the controller share their checks in command_line/controller_pages. Conclusion: limits, shares, tickets and waits for a place are left out and said so.

--- a/cranberryport/command_line/main.py
+++ b/cranberryport/command_line/main.py
@@ -20,6 +20,7 @@
     client,
     explaining,
     organisations,
+    placement,
     publishing,
     rendering,
 )
@@ -339,6 +340,35 @@
     _print_value(page, as_json, organisations.render_page)
 
 
+@app.command("place")
+def place(
+    address: ControllerArgument,
+    job: Annotated[
+        pathlib.Path,
+        typer.Argument(metavar="JOB.json", help="Body of the submission."),
+    ],
+    *,
+    queue: Annotated[str, typer.Option(metavar="NAME", help="Queue of the job.")],
+    organisation: Annotated[
+        str, typer.Option(metavar="NAME", help="Organisation that submits it.")
+    ] = "",
+    as_json: JsonOption = False,
+):
+    """Show where a job would be placed now and why, without submitting it."""
+    try:
+        text = job.read_text()
+        json.loads(text)
+    except OSError as error:
+        _fail(f"cannot read {job}: {error.strerror}", EXIT_FINDINGS)
+    except ValueError as error:
+        _fail(f"{job}: error: no JSON in UTF-8: {error}", EXIT_FINDINGS)
+    try:
+        page = placement.ask(address, job=text, queue=queue, organisation=organisation)
+    except client.RequestError as error:
+        _fail(str(error))
+    _print_value(page, as_json, placement.render_page)
+
+
 @app.command("explain")
 def explain(
     request: Annotated[str, typer.Argument(metavar="ID")],
--- a/cranberryport/command_line/organisations.py
+++ b/cranberryport/command_line/organisations.py
@@ -1,6 +1,6 @@
 """Reads and renders the page of the controller about the organisations."""
 
-from cranberryport.command_line import client, rendering
+from cranberryport.command_line import controller_pages, rendering
 from cranberryport.observability import operator_pages
 
 # Column of the table by figure of the page that needs no other form.
@@ -15,48 +15,10 @@
 
 
 def read_page(address):
-    """Return the page of an entry instance.
-
-    Parameters
-    ----------
-    address : client.Address
-        Metrics address of the entry instance that is the controller.
-
-    Returns
-    -------
-    dict
-        With ``organisations``, a list of dict.
-
-    Raises
-    ------
-    client.RequestError
-        If the instance cannot be reached or is not the controller, or if another
-        program answers. The message quotes the address.
-    """
-    path = operator_pages.ORGANISATIONS_PATH
-    response = client.send_request(address, "GET", path)
-    try:
-        page = response.json()
-    except client.RequestError as error:
-        raise client.RequestError(
-            f"{address} is not the metrics address of an entry instance: {error}",
-            may_have_run=False,
-        ) from None
-    is_object = isinstance(page, dict)
-    if response.status != 200:
-        reason = page.get("Error", "") if is_object else ""
-        raise client.RequestError(
-            f"{address} answered {path} with status {response.status}"
-            + (f": {reason}" if reason else ""),
-            may_have_run=False,
-        )
-    rows = page.get("organisations") if is_object else None
-    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
-        raise client.RequestError(
-            f"{address} answered {path} without a list of organisations",
-            may_have_run=False,
-        )
-    return page
+    """Return the page of an entry instance; see :func:`controller_pages.read_page`."""
+    return controller_pages.read_page(
+        address, operator_pages.ORGANISATIONS_PATH, list_name="organisations"
+    )
 
 
 def render_page(page):
--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -21,6 +21,7 @@
 from cranberryport.platform import advice, executors, store
 from cranberryport.scheduling import (
     admission,
+    explaining,
     load,
     records,
     scheduler,
@@ -232,6 +233,17 @@
         """State of all jobs and executors, for reports; None while it is loaded."""
         return self._scheduler if self._is_ready else None
 
+    def explain_placement(self, job):
+        """Return where a job would be placed now, see :mod:`explaining`."""
+        return explaining.explain_placement(
+            job,
+            state=self._scheduler,
+            load_meter=self._load_meter,
+            instances=self._instance_manager,
+            now=time.monotonic(),
+            now_unix_s=time.time(),
+        )
+
     @property
     def event_counts(self):
         """Numbers of events since the takeover, by name; for the metrics."""
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -274,16 +274,16 @@
 
     @handler("request", channel="metrics")
     def _on_metrics_request(self, request, response):
-        state = None if self._controller is None else self._controller.state
         if request.path in operator_pages.PATHS:
             operator_pages.respond(
                 request,
                 response,
-                state=state,
+                controller=self._controller,
                 controller_address=self._membership.controller_address,
             )
             return response
         gauges = {}
+        state = None if self._controller is None else self._controller.state
         if state is not None:
             gauges = organisation_report.make_report(state).to_gauges()
         self._metrics.replace_gauges(ORGANISATION_METRICS, gauges)
--- a/cranberryport/scheduling/explaining.py
+++ b/cranberryport/scheduling/explaining.py
@@ -88,7 +88,7 @@
         self.steps = steps
 
 
-def explain_placement(job, *, state, backlog_core_s, cores, now, now_unix_s):
+def explain_placement(job, *, state, load_meter, instances, now, now_unix_s):
     """Return where a job would be placed now.
 
     Parameters
@@ -97,8 +97,12 @@
         Job that is not part of the state.
     state : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs and executors; it is only read.
-    backlog_core_s, cores : float
-        See :func:`admission.retry_after_s`.
+    load_meter : cranberryport.scheduling.load.LoadMeter
+        Provides demand and backlog.
+    instances : object or None
+        Provides ``available_cores``, as the instance manager of the controller does;
+        None where the platform has no interface for instances, and then no job is
+        rejected.
     now : float
         Monotonic time in seconds.
     now_unix_s : float
@@ -112,14 +116,19 @@
     rules = state.queue_rules(job)
     occurrence = model.Occurrence(job=job, number=0, due_at=job.occurrence_due_at(0))
     retry_after_s = 0
+    is_asked_about = instances is not None and job.queue in state.queues
     # Long-running and recurring jobs are accepted without a question about the backlog.
-    if not job.repeats and not any(step.is_lasting for step in job.steps):
+    is_lasting = any(step.is_lasting for step in job.steps)
+    if is_asked_about and not job.repeats and not is_lasting:
+        demand = load_meter.demand(now, now_unix_s)
         retry_after_s = admission.retry_after_s(
             work_core_s=occurrence.remaining_core_s,
             critical_path_s=job.critical_path_s,
             rules=rules,
-            backlog_core_s=backlog_core_s,
-            cores=cores,
+            backlog_core_s=load_meter.backlog_core_s(
+                job.service, rules.priority, now, now_unix_s
+            ),
+            cores=instances.available_cores(job.service, demand),
         )
     pool = _Pool(job.service, state=state, now=now)
     return Placement(
--- a/standins/platform/local_deployment.py
+++ b/standins/platform/local_deployment.py
@@ -33,8 +33,9 @@
 
     Attributes
     ----------
-    front_port, readiness_port : int
-        Ports for callers and for the checks of the load balancer.
+    front_port, readiness_port, metrics_port : int
+        Ports for callers, for the checks of the load balancer, and for metrics and the
+        pages of the controller.
     process : standins.processes.ChildProcess
         The process.
     """
@@ -45,7 +46,7 @@
         self._port_sockets = [serving.reserve_port(HOST) for _ in range(4)]
         ports = [sock.getsockname()[1] for sock in self._port_sockets]
         self.name = name
-        self.front_port, self.readiness_port, peer_port, metrics_port = ports
+        self.front_port, self.readiness_port, peer_port, self.metrics_port = ports
         values = {
             "instance": name,
             "data_centre": "a",
@@ -53,7 +54,7 @@
             "readiness": f"{HOST}:{self.readiness_port}",
             "peer_host": HOST,
             "peer_port": peer_port,
-            "metrics_port": metrics_port,
+            "metrics_port": self.metrics_port,
             "grace_s": 6.0,
             "store_partitions": PARTITIONS,
             **settings,
--- a/tests/test_scheduling_explaining.py
+++ b/tests/test_scheduling_explaining.py
@@ -1,5 +1,6 @@
 """Tests of :mod:`cranberryport.scheduling.explaining`."""
 
+import types
 import unittest
 
 from cranberryport.scheduling import explaining, model
@@ -18,8 +19,11 @@
         return explaining.explain_placement(
             scheduling.make_job(*steps, job="ffffffffffffffff", **values),
             state=self.harness.scheduler,
-            backlog_core_s=backlog_core_s,
-            cores=cores,
+            load_meter=types.SimpleNamespace(
+                demand=lambda now, now_unix_s: {},
+                backlog_core_s=lambda *_: backlog_core_s,
+            ),
+            instances=types.SimpleNamespace(available_cores=lambda *_: cores),
             now=self.harness.now,
             now_unix_s=scheduling.NOW_UNIX_S,
         )
