--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -26,29 +26,6 @@
             call()
         return [(record.getMessage(), vars(record)) for record in logs.records]
 
-    def test_starts_of_a_step_share_a_line_that_names_the_executors(self):
-        """Guards against a start that cannot be found from the id of its job."""
-        runs = self.harness.start()
-        lines = self._capture(lambda: controller._log_starts(runs))
-        self.assertEqual([event for event, _ in lines], ["step start"] * 2)
-        for number, (_, fields) in enumerate(lines):
-            self.assertEqual(fields["request"], self.job.id)
-            self.assertEqual(
-                fields["executors"],
-                {
-                    run.task.index: run.executor
-                    for run in runs
-                    if run.task.step_number == number
-                },
-            )
-
-    def test_further_run_of_a_task_has_its_own_line(self):
-        """Guards against a retry that the logs do not show."""
-        run = self.harness.start()[0]
-        run.number = 2
-        ((event, fields),) = self._capture(lambda: controller._log_starts([run]))
-        self.assertEqual((event, fields["run"]), ("run start", 2))
-
     def test_ends_of_a_step_share_a_line_that_names_the_slowest_task(self):
         """Guards against a slow task that cannot be found from the id of its job."""
         runs = [run for run in self.harness.start() if run.task.step_number == 0]
