Count waiting work as demand only within its organisation's limit

Cause: an organisation at its limit with much waiting or arriving work would have got instances that nobody may use. Change: LoadMeter counts waiting tasks up to what the limit still allows, jobs in time before late ones, and arriving work up to the rest of the limit and the runs whose place it takes. The backlog before a new job counts all work. Measured: tests.test_scheduling_load, tests.test_scheduling_decisions and tests.test_scheduling_organisation_limits pass. Conclusion: rebalancing gets no instances for work that a limit holds back.

--- a/cranberryport/scheduling/load.py
+++ b/cranberryport/scheduling/load.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from cranberryport.scheduling import ordering, rebalancing
+from cranberryport.scheduling import ordering, organisation_limits, rebalancing
 
 # Sums up to this age are reused; storing and reading a job takes longer.
 MAX_AGE_S = 0.05
@@ -116,53 +116,93 @@
         if self._refreshed_at is not None and now - self._refreshed_at < MAX_AGE_S:
             return
         self._refreshed_at = now
-        long_running, running, memory = self._running_needs()
+        long_running, running, memory, short_runs = self._running_needs()
+        budget = organisation_limits.make_budget(self._state, now)
         waiting = collections.Counter()
         backlogs = collections.Counter()
+        late_occurrences = []
         for job in self._state.open_jobs.values():
             rules = self._state.queue_rules(job)
             for occurrence in job.occurrences.values():
                 urgency = ordering.sort_key(occurrence, rules, now_unix_s)[0]
-                needed_processors, needed_memory = _waiting_needs(occurrence)
-                if needed_processors:
-                    is_late = urgency in (ordering.LATE, ordering.ABANDONED)
-                    weight = rebalancing.LATE_TASK_WEIGHT if is_late else 1.0
-                    waiting[job.service] += needed_processors * weight
-                    memory[job.service] += needed_memory * weight
+                if urgency in (ordering.LATE, ordering.ABANDONED):
+                    late_occurrences.append(occurrence)
+                else:
+                    _add_waiting_needs(occurrence, budget, 1.0, waiting, memory)
                 if urgency in (ordering.LAST_CHANCE, ordering.IN_TIME, ordering.LATE):
                     backlogs[job.service, rules.priority] += occurrence.remaining_core_s
+        # What is left of an organisation's limit goes to its late jobs last.
+        for occurrence in late_occurrences:
+            weight = rebalancing.LATE_TASK_WEIGHT
+            _add_waiting_needs(occurrence, budget, weight, waiting, memory)
         arrival_rates = self._state.arrival_rates
+        arriving = {
+            service: _arriving_demand(service, arrival_rate, budget, short_runs, now)
+            for service, arrival_rate in arrival_rates.items()
+        }
         self._backlogs = backlogs
         self._memory_demand = memory
         self._demand = {
             service: long_running[service]
             + waiting[service]
-            + max(running[service], arrival_rates[service].sustained_demand(now))
+            + max(running[service], arriving.get(service, 0.0))
             for service in {*long_running, *running, *waiting, *arrival_rates}
         }
 
     def _running_needs(self):
-        """Return processors of long-running and other runs, and memory, by pool."""
+        """Return processors of long-running and other runs, and memory, by pool.
+
+        The last result has the processors of other runs by pool and organisation.
+        """
         long_running, running = collections.Counter(), collections.Counter()
-        memory = collections.Counter()
+        memory, short_runs = collections.Counter(), collections.Counter()
         for executor in self._state.executors.values():
             for run in executor.runs.values():
                 step = run.task.step
                 if not step.is_filling:
                     counts = long_running if step.is_lasting else running
                     counts[executor.service] += step.processors
+                    if counts is running and self._state.organisations:
+                        name = run.task.job.organisation
+                        short_runs[executor.service, name] += step.processors
                 memory[executor.service] += step.memory
-        return long_running, running, memory
+        return long_running, running, memory, short_runs
 
 
-def _waiting_needs(occurrence):
-    """Return the processors and the memory that an occurrence's waiting tasks need."""
+def _arriving_demand(service, arrival_rate, budget, short_runs, now):
+    """Return the demand of arriving work, which the organisations' limits bound.
+
+    It takes the place of the demand of the pool's short runs, if it is more.
+    """
+    if not budget.has_organisations:
+        return arrival_rate.sustained_demand(now)
+    processors = {
+        name: budget.remaining_processors(name) + short_runs[service, name]
+        for name in arrival_rate.organisations()
+    }
+    return arrival_rate.sustained_demand(now, processors)
+
+
+def _add_waiting_needs(occurrence, budget, weight, waiting, memory):
+    """Add what an occurrence's waiting tasks need to the demand of its pool."""
+    needed_processors, needed_memory = _waiting_needs(occurrence, budget)
+    if needed_processors:
+        service = occurrence.job.service
+        waiting[service] += needed_processors * weight
+        memory[service] += needed_memory * weight
+
+
+def _waiting_needs(occurrence, budget):
+    """Return the processors and the memory that an occurrence's waiting tasks need.
+
+    Tasks that may not start within the limits of their organisation do not count.
+    """
     needed_processors = needed_memory = 0
     for number in occurrence.ready_steps:
         step = occurrence.job.steps[number]
         if not step.is_filling:
-            waiting_count = sum(
-                not task.is_done and not task.runs for task in occurrence.tasks[number]
+            waiting_count = budget.reserve(
+                [t for t in occurrence.tasks[number] if not t.is_done and not t.runs]
             )
             needed_processors += step.processors * waiting_count
             needed_memory += step.memory * waiting_count
--- a/cranberryport/scheduling/rebalancing.py
+++ b/cranberryport/scheduling/rebalancing.py
@@ -49,7 +49,7 @@
     def __init__(self):
         self._recent = collections.deque()
 
-    def add_work(self, work_millicore_s, now):
+    def add_work(self, work_millicore_s, now, *, organisation=""):
         """Add work that became ready.
 
         Parameters
@@ -58,16 +58,21 @@
             Declared work in thousandths of a core-second.
         now : float
             Monotonic time in seconds.
+        organisation : str, default=""
+            Organisation whose work it is; empty for none.
         """
-        self._recent.append((now, work_millicore_s))
+        self._recent.append((now, work_millicore_s, organisation))
 
-    def sustained_demand(self, now):
+    def sustained_demand(self, now, processors_by_organisation=None):
         """Return the demand if work goes on arriving at this rate.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
+        processors_by_organisation : dict of str to float, optional
+            Thousandths of a core that an organisation may use for such work. Without
+            it, and for organisations that are missing, the work counts in full.
 
         Returns
         -------
@@ -79,11 +84,27 @@
         newest = [entry for entry in self._recent if now - entry[0] <= ONSET_WINDOW_S]
         older_count = len(self._recent) - len(newest)
         if len(newest) < max(ONSET_MIN_STEPS, ONSET_FACTOR * older_count):
-            total = sum(work_millicore_s for _, work_millicore_s in self._recent)
-            return total / ARRIVAL_WINDOW_S
+            return _demand(self._recent, ARRIVAL_WINDOW_S, processors_by_organisation)
         # The peak began with these steps, so the rest of the window says nothing.
         span_s = max(ONSET_MIN_SPAN_S, now - newest[0][0])
-        return sum(work_millicore_s for _, work_millicore_s in newest) / span_s
+        return _demand(newest, span_s, processors_by_organisation)
+
+    def organisations(self):
+        """Return the organisations whose work has become ready lately."""
+        return {entry[2] for entry in self._recent} - {""}
+
+
+def _demand(entries, span_s, processors_by_organisation):
+    """Return the demand of the work that became ready in a span of time."""
+    if not processors_by_organisation:
+        return sum(work_millicore_s for _, work_millicore_s, _ in entries) / span_s
+    work = collections.Counter()
+    for _, work_millicore_s, organisation in entries:
+        work[organisation] += work_millicore_s
+    return sum(
+        min(total / span_s, processors_by_organisation.get(organisation, math.inf))
+        for organisation, total in work.items()
+    )
 
 
 class PoolLoad:
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -326,7 +326,11 @@
                 if is_counted and not step.is_lasting and not step.is_filling:
                     work_millicore_s = step.processors * step.count * step.estimate_s
                     arrival_rate = self._arrival_rates[occurrence.job.service]
-                    arrival_rate.add_work(work_millicore_s, time.monotonic())
+                    arrival_rate.add_work(
+                        work_millicore_s,
+                        time.monotonic(),
+                        organisation=occurrence.job.organisation,
+                    )
 
     def _mark_changed(self, job):
         self._changed_jobs[job.id] = job
