Store the runs of an ended job of an organisation until they have ended

Cause: a job that was cancelled while executors were silent is stored without its runs. A controller that took over then did not count them against the limit, though they go on until their leases expire. Change: the record of such a job keeps the runs that are being stopped; the next controller restores and stops them. The record is stored again as they end. Jobs without an organisation are stored as before. A machine of random events checks limit, overshoot and one task against what simulated executors run. Measured: three of the new tests of organisation_usage failed before the change; the machine did not find this fault in 200 sequences of 50 events, it passes before and after. Conclusion: the fault needs two takeovers or a cancellation just before one; its own tests guard against it.

--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -74,13 +74,16 @@
     -------
     messages.ProgressStored
         Includes planned runs, as they are sent once the record is stored. Tasks that
-        never started, and all tasks of an ended job, are left out.
+        never started are left out, and so are the tasks of an ended job, except those
+        with runs that are being stopped if the job has an organisation.
     """
-    tasks = (
-        []
-        if job.has_ended
-        else [_task_to_row(t) for t in job.tasks() if _has_progress(t)]
-    )
+    if not job.has_ended:
+        tasks = [_task_to_row(t) for t in job.tasks() if _has_progress(t)]
+    elif job.organisation:
+        # The next controller has to count these runs against the organisation's limit.
+        tasks = [_task_to_row(t) for t in job.tasks() if t.runs]
+    else:
+        tasks = []
     return messages.ProgressStored(
         job=job.id,
         state=job.state,
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -268,12 +268,14 @@
                 if task.crash_history is not None:
                     self._crash_tasks[task.name] = task
         self._jobs[job.id] = job
+        for task in job.tasks():
+            for run in task.runs:
+                if job.has_ended:
+                    run.state = model.STOPPING
+                key = (task.name, run.number)
+                self._restored_runs.setdefault(run.executor, {})[key] = run
         if not job.has_ended:
             self._open_jobs[job.id] = job
-            for task in job.tasks():
-                for run in task.runs:
-                    key = (task.name, run.number)
-                    self._restored_runs.setdefault(run.executor, {})[key] = run
             for occurrence in job.occurrences.values():
                 self._update_ready_steps(occurrence, is_arrival=False)
             self._activate_due_occurrences(job, now_unix_s, is_restored=True)
@@ -669,8 +671,11 @@
             restored.pop((task.name, run.number), None)
         if run.checkpoint > task.checkpoint:
             task.checkpoint = run.checkpoint
-        if not task.is_done and not task.job.has_ended:
-            self._mark_changed(task.job)
+        job = task.job
+        # A successor counts the stored runs of an organisation, also of ended jobs.
+        is_counted = bool(job.organisation) and job.id in self._jobs
+        if is_counted or (not task.is_done and not job.has_ended):
+            self._mark_changed(job)
 
     def take_pending_stops(self):
         """Return the runs whose stop is to be sent now, and clear the list."""
--- a/tests/test_scheduling_organisation_usage.py
+++ b/tests/test_scheduling_organisation_usage.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cranberryport.scheduling import organisation_usage, records
+from cranberryport.scheduling import model, organisation_usage, records
 from tests import scheduling
 
 
@@ -150,3 +150,46 @@
         successor.now = 105.0
         successor.scheduler.process_due_events(successor.now, scheduling.NOW_UNIX_S)
         self.assertEqual(self._use(successor), {})
+
+    def test_runs_of_a_job_that_had_ended_count(self):
+        """Guards against starts beside runs of a job cancelled before the takeover.
+
+        Its executors were silent, so that the stops have not reached them.
+        """
+        self.harness.scheduler.cancel_job(self.job.id, scheduling.NOW_UNIX_S)
+        successor = self._take_over()
+        self.assertEqual(self._use(successor), {"red": [4000, 400, 0]})
+        executor = successor.add_executor("e1", processors=2000)
+        for run in list(executor.runs.values()):
+            successor.scheduler.on_stop_confirmed(run, successor.now)
+        successor.now += 0.1
+        successor.list_runs(executor)
+        self.assertEqual(self._use(successor), {"red": [2000, 200, 0]})
+
+    def test_restored_run_of_an_ended_job_is_stopped(self):
+        """Guards against a run that goes on although its job was cancelled."""
+        self.harness.scheduler.cancel_job(self.job.id, scheduling.NOW_UNIX_S)
+        successor = self._take_over()
+        executor = successor.scheduler.add_or_update_executor(
+            scheduling.make_executor("e1", processors=2000), successor.now
+        )
+        listed = [(r.task.name, 1) for r in self.runs if r.executor == "e1"]
+        unknown = successor.list_runs(executor, listed)
+        successor.scheduler.process_due_events(successor.now, scheduling.NOW_UNIX_S)
+        stops = successor.scheduler.take_pending_stops()
+        self.assertEqual(unknown, [])
+        self.assertEqual(
+            {(r.task.name, r.state) for r in stops},
+            {(name, model.STOPPING) for name, _ in listed},
+        )
+
+    def test_ended_job_is_stored_again_once_its_runs_have_ended(self):
+        """Guards against successors that count runs which ended long ago."""
+        self.harness.scheduler.cancel_job(self.job.id, scheduling.NOW_UNIX_S)
+        self.harness.scheduler.take_batch()
+        numbers = {"e1": 0, "e2": 0}
+        for run in self.runs:
+            numbers[run.executor] += 1
+            self.harness.finish(run, numbers[run.executor], "stopped")
+        batch = self.harness.scheduler.take_batch()
+        self.assertEqual([r.tasks for r in batch.progress_records], [[]])
