Do not send a start for which an executor has no room any more

Cause: an executor that reports less capacity while a planned run is being stored got the start all the same, so that its runs exceeded what it had last reported. Change: commit removes planned runs whose executor is overfull in a resource that they need, and the other planned members of a gang. Their tasks are planned again. Conclusion: a start never exceeds the last report at the time at which it is first sent. A start that is sent again after a lost answer is not checked again.

--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -330,6 +330,19 @@
         capacity = (self.processors, self.memory, self.accelerators)
         return [a - b for a, b in zip(capacity, self.used_resources(), strict=True)]
 
+    def is_overfull_for(self, step):
+        """Return whether its runs, one of a step among them, exceed its capacity.
+
+        Only the resources that the step needs count. This happens if the executor
+        reports less capacity than before.
+        """
+        processors = 0 if step.is_filling else step.processors
+        needs = (processors, step.memory, step.accelerators)
+        return any(
+            need and free < 0
+            for need, free in zip(needs, self.free_resources(), strict=True)
+        )
+
     def can_accept_runs(self, now):
         """Return whether new runs may be planned on this executor."""
         return (
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -955,6 +955,7 @@
                 executor.acknowledged_end_number = max(
                     executor.acknowledged_end_number, number
                 )
+        self._remove_runs_without_room(batch.planned_runs)
         starts = []
         for run in batch.planned_runs:
             if run.state != model.PLANNED or run not in run.task.runs:
@@ -969,6 +970,22 @@
             starts.append(run)
         return starts
 
+    def _remove_runs_without_room(self, planned_runs):
+        """Remove planned runs whose executors have reported less capacity since."""
+        gangs = set()
+        for run in planned_runs:
+            task, executor = run.task, self._executors.get(run.executor)
+            if run.state != model.PLANNED or run not in task.runs or executor is None:
+                continue
+            if executor.is_overfull_for(task.step):
+                self._remove_run(run)
+                if task.step.is_gang:
+                    gangs.add((task.occurrence, task.step_number))
+        for run in planned_runs:
+            # The rest of a gang would run without the member that has no room.
+            if (run.task.occurrence, run.task.step_number) in gangs:
+                self._remove_run(run)
+
     def mark_unplaceable(self, tasks, now):
         """Mark tasks of one step that have to start or move and find no executor.
 
