--- a/cranberryport/scheduling/organisation_limits.py
+++ b/cranberryport/scheduling/organisation_limits.py
@@ -100,7 +100,14 @@
         Organisations of which a task was not permitted to start.
     """
 
-    __slots__ = ("_awaited", "_organisations", "_overshoot", "_usage", "refused")
+    __slots__ = (
+        "_awaited",
+        "_organisations",
+        "_overshoot",
+        "_refused_needs",
+        "_usage",
+        "refused",
+    )
 
     def __init__(self, *, organisations, usage, overshoot=0.0):
         self._organisations = organisations
@@ -108,6 +115,9 @@
         # Needs of tasks that wait for an instance, by organisation.
         self._awaited = {}
         self._overshoot = overshoot
+        # Needs of the last refused task by organisation. What is in use only grows in a
+        # pass, so that no task that needs at least as much may start after it.
+        self._refused_needs = {}
         self.refused = set()
 
     @property
@@ -133,6 +143,19 @@
         limits = _NO_LIMITS if organisation is None else limits_of(organisation)
         return tuple(self._usage.get(name, _NO_USE)), limits
 
+    def is_refused(self, name, step):
+        """Return whether a refusal in this pass holds for a step as well.
+
+        This costs less than :meth:`select_startable` while thousands of tasks wait.
+        """
+        refused = self._refused_needs.get(name)
+        return (
+            refused is not None
+            and step.processors >= refused[0]
+            and step.memory >= refused[1]
+            and step.accelerators >= refused[2]
+        )
+
     def select_startable(self, tasks):
         """Return those of equal tasks that may start now.
 
@@ -148,12 +171,16 @@
         """
         if not tasks or not self._organisations:
             return tasks
-        name = tasks[0].occurrence.job.organisation
+        name, step = tasks[0].occurrence.job.organisation, tasks[0].step
+        if self.is_refused(name, step):
+            return []
         used = self._usage.get(name, _NO_USE)
-        count = self._count_startable(name, tasks[0].step, len(tasks), used)
+        count = self._count_startable(name, step, len(tasks), used)
         if count == len(tasks):
             return tasks
         self.refused.add(name)
+        if not count and not step.is_gang:
+            self._refused_needs[name] = organisation_usage.needs(step)
         return tasks[:count]
 
     def select_awaited(self, tasks):
@@ -191,10 +218,10 @@
 
         After a limit was lowered it could not, so the run had better go on.
         """
-        self.add(task.job, task.step, -1)
-        may_start = self.may_start(task)
-        self.add(task.job, task.step, 1)
-        return may_start
+        name = task.job.organisation
+        used = list(self._usage.get(name, _NO_USE))
+        _add_needs(used, task.step, -1)
+        return bool(self._count_startable(name, task.step, 1, used))
 
     def reserve(self, tasks):
         """Count those of equal tasks that may start as started; return their number."""
@@ -241,8 +268,9 @@
             return count if is_permitted else 0
         fitting = _fitting_count(used, limits, step, count)
         if fitting < count:
-            used = list(used)
-            _add_needs(used, step, fitting)
+            if fitting:
+                used = list(used)
+                _add_needs(used, step, fitting)
             # One task that does not fit may start; after it, the limit is passed.
             fitting += _is_under_half(used, limits)
         return fitting
@@ -293,23 +321,28 @@
 
 def _fitting_count(used, limits, step, count):
     """Return how many of some tasks stay within the limits."""
-    for u, limit, need in zip(
-        used, limits, organisation_usage.needs(step), strict=True
-    ):
+    needs = organisation_usage.needs(step)
+    for number in range(3):
+        limit = limits[number]
         if not limit:
             continue
-        if u > limit:
+        room = limit - used[number]
+        if room < 0:
             # Also a task that needs nothing of it starts above the limit.
             return 0
-        if need:
-            count = min(count, (limit - u) // need)
+        need = needs[number]
+        if need * count > room:
+            count = room // need
     return count
 
 
 def _is_under_half(used, limits):
     """Return whether less than half of each limited resource is used."""
-    return all(
-        not limit or 2 * u < limit for u, limit in zip(used, limits, strict=True)
+    # Each decision asks for every organisation at its limit, so no generator is used.
+    return not (
+        (limits[0] and 2 * used[0] >= limits[0])
+        or (limits[1] and 2 * used[1] >= limits[1])
+        or (limits[2] and 2 * used[2] >= limits[2])
     )
 
 
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -212,6 +212,8 @@
         is_covered = pool.unplaceable.covers(step)
         if is_covered and not step.is_lasting:
             return
+        if self._budget.is_refused(occurrence.job.organisation, step):
+            return
         waiting = self._waiting_tasks(occurrence, number, now)
         if not step.is_gang:
             waiting = [task for task in waiting if not crashes.is_suspect(task)]
