Strengthen the tests of limits for suspects and unfound executors

Cause: the tests passed on trial copies in which suspects of several jobs, or restored runs on executors that were not found yet, were not counted. Change: the random machine finds executors only when they first list their runs, and a test starts suspects of two jobs under one limit. The other machine finds all executors at once, as before.

--- a/tests/test_scheduling_interleavings.py
+++ b/tests/test_scheduling_interleavings.py
@@ -38,6 +38,9 @@
 class SchedulerMachine(RuleBasedStateMachine):
     """A controller and its successors, executors, and a store that never fails."""
 
+    # Executors whose entries a new controller has read before its first decision.
+    executors_found_at_once = EXECUTORS
+
     def __init__(self):
         super().__init__()
         self.now = 100.0
@@ -69,7 +72,7 @@
                 self.scheduler.restore_job(job, self.stored[job_id], NOW_UNIX_S)
             else:
                 self.scheduler.add_job(job, NOW_UNIX_S)
-        for name in EXECUTORS:
+        for name in self.executors_found_at_once:
             self.scheduler.add_or_update_executor(
                 scheduling.make_executor(name), self.now
             )
--- a/tests/test_scheduling_limit_interleavings.py
+++ b/tests/test_scheduling_limit_interleavings.py
@@ -20,7 +20,12 @@
 
 
 class LimitMachine(test_scheduling_interleavings.SchedulerMachine):
-    """The machine of the scheduler's interleavings, with limits and late orders."""
+    """The machine of the scheduler's interleavings, with limits and late orders.
+
+    A new controller finds an executor when it first lists its runs.
+    """
+
+    executors_found_at_once = ()
 
     def __init__(self):
         self.limits = [(0.0, 4000, 600)]
@@ -124,6 +129,10 @@
     def list_runs(self, name):
         """List an executor's runs, after which it refuses earlier controllers."""
         self.seen_epochs[name] = self.epoch
+        if name not in self.scheduler.executors:
+            self.scheduler.add_or_update_executor(
+                scheduling.make_executor(name), self.now
+            )
         super().list_runs(name)
 
     def _carry_out(self, run):
--- a/tests/test_scheduling_organisation_limits.py
+++ b/tests/test_scheduling_organisation_limits.py
@@ -366,6 +366,21 @@
         self.assertEqual(task.runs, [])
         self.assertIsNone(task.crash_history.waits_since)
 
+    def test_suspects_stay_within_the_limit(self):
+        """Guards against suspects that start beside the limit of other tasks."""
+        harness = scheduling.CrashHarness(count=9)
+        jobs = add_red_jobs(harness, 2, scheduling.make_step(2))
+        (name,) = {run.executor for run in harness.start()}
+        harness.list_all(0.01)
+        harness.crash(harness.scheduler.executors[name])
+        scheduling.set_limits(harness.scheduler, processors_limit=2000)
+        for _ in range(4):
+            harness.now += 0.3
+            harness.start()
+            self.assertLessEqual(use_of_red(harness)[0], 2000)
+        tasks = [task for job in jobs for task in job.tasks()]
+        self.assertEqual(sum(len(task.runs) for task in tasks), 2)
+
 
 class FailureTest(unittest.TestCase):
     """Takeovers, lost answers and late orders."""
