--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -268,12 +268,14 @@
                 if task.crash_history is not None:
                     self._crash_tasks[task.name] = task
         self._jobs[job.id] = job
+        for task in job.tasks():
+            for run in task.runs:
+                if job.has_ended:
+                    run.state = model.STOPPING
+                key = (task.name, run.number)
+                self._restored_runs.setdefault(run.executor, {})[key] = run
         if not job.has_ended:
             self._open_jobs[job.id] = job
-            for task in job.tasks():
-                for run in task.runs:
-                    key = (task.name, run.number)
-                    self._restored_runs.setdefault(run.executor, {})[key] = run
             for occurrence in job.occurrences.values():
                 self._update_ready_steps(occurrence, is_arrival=False)
             self._activate_due_occurrences(job, now_unix_s, is_restored=True)
@@ -326,7 +328,11 @@
                 if is_counted and not step.is_lasting and not step.is_filling:
                     work_millicore_s = step.processors * step.count * step.estimate_s
                     arrival_rate = self._arrival_rates[occurrence.job.service]
-                    arrival_rate.add_work(work_millicore_s, time.monotonic())
+                    arrival_rate.add_work(
+                        work_millicore_s,
+                        time.monotonic(),
+                        organisation=occurrence.job.organisation,
+                    )
 
     def _mark_changed(self, job):
         self._changed_jobs[job.id] = job
@@ -665,8 +671,11 @@
             restored.pop((task.name, run.number), None)
         if run.checkpoint > task.checkpoint:
             task.checkpoint = run.checkpoint
-        if not task.is_done and not task.job.has_ended:
-            self._mark_changed(task.job)
+        job = task.job
+        # A successor counts the stored runs of an organisation, also of ended jobs.
+        is_counted = bool(job.organisation) and job.id in self._jobs
+        if is_counted or (not task.is_done and not job.has_ended):
+            self._mark_changed(job)
 
     def take_pending_stops(self):
         """Return the runs whose stop is to be sent now, and clear the list."""
@@ -946,6 +955,7 @@
                 executor.acknowledged_end_number = max(
                     executor.acknowledged_end_number, number
                 )
+        self._remove_runs_without_room(batch.planned_runs)
         starts = []
         for run in batch.planned_runs:
             if run.state != model.PLANNED or run not in run.task.runs:
@@ -960,6 +970,22 @@
             starts.append(run)
         return starts
 
+    def _remove_runs_without_room(self, planned_runs):
+        """Remove planned runs whose executors have reported less capacity since."""
+        gangs = set()
+        for run in planned_runs:
+            task, executor = run.task, self._executors.get(run.executor)
+            if run.state != model.PLANNED or run not in task.runs or executor is None:
+                continue
+            if executor.is_overfull_for(task.step):
+                self._remove_run(run)
+                if task.step.is_gang:
+                    gangs.add((task.occurrence, task.step_number))
+        for run in planned_runs:
+            # The rest of a gang would run without the member that has no room.
+            if (run.task.occurrence, run.task.step_number) in gangs:
+                self._remove_run(run)
+
     def mark_unplaceable(self, tasks, now):
         """Mark tasks of one step that have to start or move and find no executor.
 
