Move the decoding of stored records out of the controller

Adds tests of the controller's answers and cancellations by organisation, in both orders of a cancellation and its job.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -9,13 +9,13 @@
 import logging
 import time
 
-from cranberryport import codec
 from cranberryport.control import (
     append_policy,
     executor_link,
     instance_manager,
     job_ownership,
     progress_writer,
+    stored_records,
     topic_reader,
 )
 from cranberryport.generated import messages
@@ -428,23 +428,23 @@
         orders = {}
         for key, value in result.records:
             if key.startswith(WAVE_KEY_PREFIX):
-                record = _decode(key, value, messages.WaveStored)
+                record = stored_records.decode(key, value, messages.WaveStored)
                 if record is not None:
                     number = int(key.removeprefix(WAVE_KEY_PREFIX))
                     self._done_instances_by_wave[number] = set(record.done)
                 continue
             if key in (ORDERS_KEY, UNANSWERED_ORDERS_KEY):
-                record = _decode(key, value, messages.OrdersStored)
+                record = stored_records.decode(key, value, messages.OrdersStored)
                 if record is not None:
                     orders[key] = record.sent
                 continue
             if key.startswith(records.CRASHES_KEY_PREFIX):
-                record = _decode(key, value, messages.CrashesStored)
+                record = stored_records.decode(key, value, messages.CrashesStored)
                 if record is not None:
                     job_id = key.removeprefix(records.CRASHES_KEY_PREFIX)
                     self._stored_crashes[job_id] = record
                 continue
-            record = _decode(key, value, messages.ProgressStored)
+            record = stored_records.decode(key, value, messages.ProgressStored)
             if record is not None:
                 self._stored_progress[key] = record
         if self._instance_manager is not None and ORDERS_KEY in orders:
@@ -503,11 +503,11 @@
             if not value:
                 continue
             if key.startswith(JOB_KEY_PREFIX):
-                record = _decode(key, value, messages.JobStored)
+                record = stored_records.decode(key, value, messages.JobStored)
                 if record is not None:
                     self._add_job(record, now_unix_s)
             elif key.startswith(job_ownership.CANCEL_KEY_PREFIX):
-                record = _decode(key, value, messages.CancelStored)
+                record = stored_records.decode(key, value, messages.CancelStored)
                 if record is not None:
                     # It can be read before the record of its job.
                     self._cancellations.add(key, record)
@@ -766,17 +766,3 @@
 def _log_deletion(result):
     if not isinstance(result, store.Appended):
         _logger.warning("deleting records failed", extra={"reason": str(result)})
-
-
-def _decode(key, value, expected):
-    if not value:
-        return None
-    try:
-        record = codec.decode(value)
-    except codec.DecodeError as error:
-        _logger.error("unreadable record", extra={"key": key, "reason": str(error)})
-        return None
-    if not isinstance(record, expected):
-        _logger.error("unexpected record type", extra={"key": key})
-        return None
-    return record
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -3,9 +3,12 @@
 import types
 import unittest
 
-from cranberryport.control import controller
-from cranberryport.platform import advice
-from tests import scheduling
+from cranberryport import codec
+from cranberryport.control import controller, job_ownership
+from cranberryport.generated import messages
+from cranberryport.platform import advice, store
+from cranberryport.scheduling import records
+from tests import scheduling, scripted
 
 
 class LogVolumeTest(unittest.TestCase):
@@ -95,3 +98,115 @@
         subject._decision_timer = object()
         subject._request_advice()
         self.assertEqual(asked, [names[: advice.EXECUTORS_PER_CALL_LIMIT]])
+
+
+class OwnershipTest(unittest.TestCase):
+    """Jobs of one organisation and questions and cancellations of another one."""
+
+    def setUp(self):
+        """Make a controller that has loaded its state."""
+        self.store = scripted.FakeStore()
+        self.subject = controller.Controller(
+            store_client=self.store,
+            timers=scripted.FakeTimers(),
+            executor_client=None,
+            epoch=1,
+            settings=types.SimpleNamespace(
+                lease_most_ms=4000, store_partitions=1, status_kept_s=5.0
+            ),
+            instance_client=None,
+            advice_client=None,
+            is_sole_controller=lambda: True,
+            has_clock_stepped=lambda: False,
+            on_superseded=self.fail,
+        )
+        self.subject._is_ready = True
+        for reader in self.subject._jobs_readers:
+            reader.start()
+            self.store.pop_call("read_newest").callback(
+                store.NewestRecords(records=[], end=0)
+            )
+        self.job = scheduling.make_job(scheduling.make_step(1))
+
+    def _read_job(self, organisation):
+        self.job.organisation = organisation
+        record = codec.encode(records.job_to_record(self.job))
+        self.subject._on_job_records([("j/" + self.job.id, record)])
+
+    def _read_cancellation(self, organisation):
+        key, message = job_ownership.make_cancellation(
+            job_id=self.job.id,
+            at_unix_s=5.0,
+            organisation=organisation,
+            is_public=False,
+        )
+        self.subject._on_job_records([(key, codec.encode(message))])
+
+    def _ask(self, organisation, **fields):
+        question = messages.JobQuestion(
+            number=1, job=self.job.id, organisation=organisation, **fields
+        )
+        return self.subject.answer(question)
+
+    def test_foreign_job_is_answered_like_an_unknown_one(self):
+        """Guards against a reply that shows that a foreign job exists."""
+        unknown = self._ask("b")
+        self._read_job("a")
+        self.assertEqual(self._ask("b"), unknown)
+        self.assertEqual(self._ask(""), unknown)
+        self.assertEqual(self._ask("a").state, "accepted")
+
+    def test_foreign_job_is_not_unknown_before_all_jobs_are_read(self):
+        """Guards against a foreign job that is told from an unknown one by a delay."""
+        self._read_job("a")
+        self.subject._jobs_readers[0]._last_read_sent_at = None
+        self.assertFalse(self._ask("b").is_leading)
+        self.assertTrue(self._ask("a").is_leading)
+
+    def test_submission_with_a_foreign_id_is_found(self):
+        """Guards against a record that replaces the job of another organisation."""
+        self._read_job("a")
+        admission = messages.AdmissionQuestion(
+            number=1, queue="q", service="s", work=1.0, chain_s=1.0, job=self.job.id
+        )
+        for organisation, state in (("b", job_ownership.FOREIGN), ("a", "")):
+            admission.organisation = organisation
+            self.assertEqual(self.subject.answer(admission).state, state)
+            reply = self._ask(organisation, is_submission=True)
+            self.assertEqual((reply.is_leading, reply.state), (True, state))
+
+    def test_foreign_cancellation_is_ignored_in_any_order(self):
+        """Guards against a job that another organisation cancels in advance."""
+        for is_cancellation_first in (True, False):
+            with self.subTest(is_cancellation_first=is_cancellation_first):
+                self.setUp()
+                steps = [self._read_cancellation, self._read_job]
+                if not is_cancellation_first:
+                    steps.reverse()
+                names = {self._read_cancellation: "b", self._read_job: "a"}
+                with self.assertLogs(level="WARNING"):
+                    for step in steps:
+                        step(names[step])
+                self.assertEqual(self._ask("a").state, "accepted")
+                self._read_cancellation("a")
+                self.assertEqual(self._ask("a").state, "cancelled")
+
+    def test_own_cancellation_that_is_read_first_cancels_the_job(self):
+        """Guards against an acknowledged cancellation that is forgotten."""
+        self._read_cancellation("a")
+        self._read_job("a")
+        self.assertEqual(self._ask("a").state, "cancelled")
+
+    def test_unreadable_cancellation_is_logged_and_ignored(self):
+        """Guards against a damaged record that ends the reading of jobs."""
+        self._read_job("a")
+        with self.assertLogs(level="ERROR"):
+            self.subject._on_job_records([("c/" + self.job.id, b"\xff")])
+        self.assertEqual(self._ask("a").state, "accepted")
+
+    def test_record_with_a_foreign_id_does_not_replace_the_job(self):
+        """Guards against a job that is taken over while no controller answers."""
+        self._read_job("a")
+        with self.assertLogs(level="WARNING"):
+            self._read_job("b")
+        self.assertEqual(self._ask("a").state, "accepted")
