--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,9 +8,13 @@
 import subprocess
 import sys
 import tempfile
+import time
+import types
 import unittest
 
 from cranberryport import node
+from cranberryport.platform import configuration
+from tests import keyed_front
 
 # Ends a test that hangs; no test depends on the value.
 HANG_LIMIT_S = 30.0
@@ -113,6 +117,33 @@
         self.assertEqual(self.process.wait(HANG_LIMIT_S), 0)
 
 
+class ReadinessTest(unittest.TestCase):
+    """Readiness of an instance whose configuration is not proven to be recent."""
+
+    def test_instance_without_a_proof_is_not_ready_while_keys_are_asked_for(self):
+        """Guards against callers that are sent to an instance that refuses them."""
+        keyed = keyed_front.make_configuration(1, a=["k"])
+        public = keyed.replace(b'"/q/"', b'"/q/", "Public": true')
+        for value, is_fresh, is_ready in (
+            (keyed, True, True),
+            (keyed, False, False),
+            (public, False, True),
+            (keyed.replace(b"Tenants", b"Others"), False, True),
+        ):
+            with self.subTest(value=value, is_fresh=is_fresh):
+                fake = types.SimpleNamespace(
+                    _follower=types.SimpleNamespace(
+                        configuration=configuration.parse(value)
+                    ),
+                    _exit_deadline=None,
+                    _proof=types.SimpleNamespace(is_fresh=is_fresh),
+                    _configuration_reader=types.SimpleNamespace(
+                        last_read_sent_at=time.monotonic()
+                    ),
+                )
+                self.assertIs(node.Node.is_ready.fget(fake), is_ready)
+
+
 class SettingsTest(unittest.TestCase):
     """Start with settings that cannot be used."""
 
--- a/tests/test_platform_keys.py
+++ b/tests/test_platform_keys.py
@@ -7,7 +7,7 @@
 from cranberryport.control import job_ownership, job_writer
 from cranberryport.generated import messages
 from cranberryport.platform import store
-from tests import keyed_front
+from tests import keyed_front, loopback
 
 KEY = b"Token secret-a"
 APPENDED = store.Appended(offset=0, end=1)
@@ -289,3 +289,20 @@
         self.front.answer_read(*values)
         self.assertIsNone(self.front.request("GET", b"Token k49").status)
         self.assertEqual(self.front.request("GET", b"Token k48").status, 401)
+
+    def test_open_connection_does_not_keep_a_withdrawn_key_valid(self):
+        """Guards against a caller that is served as long as it stays connected."""
+        del self.front.api.fire
+        self.front.controller.ask = lambda make_question, callback, *, timeout_s: (
+            callback(reply(state="active"))
+        )
+        server = loopback.ServerThread([self.front.api])
+        self.addCleanup(server.stop)
+        target = f"GET /q/{keyed_front.JOB_ID} HTTP/1.1\r\nHost: h\r\n".encode()
+        statuses = []
+        with server.connect() as sock:
+            for _ in range(2):
+                sock.sendall(target + b"Authorization: " + KEY + b"\r\n\r\n")
+                statuses.append(loopback.read_response(sock)[0])
+                self.withdraw_keys()
+        self.assertEqual(statuses, [200, 401])
