--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -15,7 +15,7 @@
 DEFAULT_LIFETIME_S = 600.0
 
 
-def configuration(pools, spare, version):
+def configuration(pools, spare, version, keys=None):
     """Return a configuration of the platform, with one queue for each pool in use.
 
     Parameters
@@ -26,6 +26,8 @@
         Name of the pool on standby, which gets no queue.
     version : int
         Version of the configuration.
+    keys : dict of str to list of str, or None
+        Keys of each organisation; None for a configuration without organisations.
     """
     routes = [
         {
@@ -42,7 +44,13 @@
         if pool != spare
     ]
     services = [{"Name": pool, "Standby": pool == spare} for pool in pools]
-    return {"Version": version, "Routes": routes, "Services": services}
+    found = {"Version": version, "Routes": routes, "Services": services}
+    if keys is not None:
+        found["Tenants"] = [
+            {"Name": name, "ApiKeys": listed, "Weight": 1}
+            for name, listed in keys.items()
+        ]
+    return found
 
 
 class Platform:
@@ -102,8 +110,8 @@
         for task in periodic_tasks:
             task.cancel()
 
-    def _write_configuration(self, version):
-        value = configuration(self._pools, self._options.spare, version)
+    def _write_configuration(self, version, keys=None):
+        value = configuration(self._pools, self._options.spare, version, keys)
         self._store.put("keyed.op", "config", json.dumps(value).encode())
 
     async def _handle_operator_request(self, request):
@@ -130,9 +138,9 @@
     # POST /control looks up the method _order_NAME for the order NAME; the other fields
     # of the order are its arguments.
 
-    def _order_configure(self, version):
-        """Write the configuration under a new version."""
-        self._write_configuration(version)
+    def _order_configure(self, version, keys=None):
+        """Write the configuration under a new version, with keys of organisations."""
+        self._write_configuration(version, keys)
 
     def _order_wave(self, number, names, duration_s, maximum):
         """Request upkeep of instances, see ``Instances.add_wave``."""
