--- a/tests/test_callers_configuration_proof.py
+++ b/tests/test_callers_configuration_proof.py
@@ -234,7 +234,7 @@
 class RevocationPropertyTest(unittest.TestCase):
     """No order of events lets a request with a withdrawn key succeed."""
 
-    @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
     @hypothesis.given(SEEDS)
     def test_no_request_succeeds_later_than_the_limit_after_the_withdrawal(self, seed):
         """Guards against proofs that count from the answer, or skip a version."""
