Let work beyond an organisation's share wait for the others

Cause: one organisation's flood makes the jobs of all others late, as the order is by urgency alone.

The planner measures use and demand of each organisation, divides the capacity by weight, and demotes what an organisation over its share demands beyond it, but only while that delays another organisation.

--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -11,7 +11,7 @@
 from cranberryport.scheduling import (
     crashes,
     isolation,
-    ordering,
+    organisation_shares,
     packing,
     stragglers,
     suspicion,
@@ -83,12 +83,15 @@
     ----------
     state : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs, to which the planned runs are added.
+    shares : organisation_shares.OrganisationShares, optional
+        Shares of the organisations; by default, new ones for this state.
     """
 
-    __slots__ = ("_advice_requests", "_state", "_stragglers_checked_at")
+    __slots__ = ("_advice_requests", "_shares", "_state", "_stragglers_checked_at")
 
-    def __init__(self, *, state):
+    def __init__(self, *, state, shares=None):
         self._state = state
+        self._shares = shares or organisation_shares.OrganisationShares(state=state)
         self._stragglers_checked_at = -math.inf
         self._advice_requests = {}
 
@@ -102,6 +105,7 @@
         now_unix_s : float
             Unix time in seconds.
         """
+        self._shares.update(now, now_unix_s)
         checks_stragglers = (
             now - self._stragglers_checked_at >= STRAGGLER_CHECK_INTERVAL_S
         )
@@ -176,12 +180,8 @@
         ]
 
     def _plan_pool(self, occurrences, pool, now, now_unix_s):
-        occurrences_in_order = sorted(
-            occurrences,
-            key=lambda o: ordering.sort_key(
-                o, self._state.queue_rules(o.job), now_unix_s
-            ),
-        )
+        processors = sum(executor.processors for executor, _ in pool.all_candidates)
+        occurrences_in_order = self._shares.order(occurrences, processors, now_unix_s)
         for occurrence in occurrences_in_order if self._state.has_suspects else ():
             for number in sorted(occurrence.ready_steps):
                 if not occurrence.job.steps[number].is_gang:
