Answer submissions by the share of their organisation

Cause: a flood's backlog rejects the jobs of all organisations.

A job of an organisation over its share waits for its own backlog on its own share of the cores. For others such a backlog counts as far as its share is served meanwhile. What an organisation demands beyond its share adds less to the demand for instances. The decision moves from the controller to admission.JobAdmission.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -22,6 +22,7 @@
 from cranberryport.scheduling import (
     admission,
     load,
+    organisation_shares,
     records,
     scheduler,
     task_planner,
@@ -92,6 +93,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_advice_client",
         "_advice_pending",
         "_cancelled_jobs",
@@ -114,6 +116,7 @@
         "_planner",
         "_scheduler",
         "_settings",
+        "_shares",
         "_started_at",
         "_store",
         "_stored_crashes",
@@ -151,8 +154,14 @@
         self._scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self._started_at + lease_wait_s
         )
-        self._planner = task_planner.TaskPlanner(state=self._scheduler)
-        self._load_meter = load.LoadMeter(state=self._scheduler)
+        self._shares = organisation_shares.OrganisationShares(state=self._scheduler)
+        self._planner = task_planner.TaskPlanner(
+            state=self._scheduler, shares=self._shares
+        )
+        self._load_meter = load.LoadMeter(state=self._scheduler, shares=self._shares)
+        self._admission = admission.JobAdmission(
+            state=self._scheduler, load_meter=self._load_meter, shares=self._shares
+        )
         self._links = {}
         self._advice_client = advice_client
         self._advice_pending = set()
@@ -232,6 +241,11 @@
         """Numbers of events since the takeover, by name; for the metrics."""
         return self._scheduler.event_counts
 
+    @property
+    def organisation_statuses(self):
+        """Status of each organisation by name; for the metrics."""
+        return self._shares.statuses()
+
     def start(self):
         """Fence earlier controllers, load the stored state and then start deciding."""
         self._writer.fence(self._read_progress)
@@ -278,43 +292,14 @@
 
     def _retry_after_s(self, question):
         """Return when to submit a refused job again, in seconds; 0 not to refuse it."""
-        rules = self._scheduler.queues.get(question.queue)
-        if self._instance_manager is None or rules is None:
-            return 0
-        if question.job in self._scheduler.jobs:
-            # A repeated submission of an accepted job is not refused.
+        if self._instance_manager is None:
             return 0
-        now, now_unix_s = time.monotonic(), time.time()
-        demand = self._load_meter.demand(now, now_unix_s)
-        cores = self._instance_manager.available_cores(question.service, demand)
-        backlog = self._load_meter.backlog_core_s(
-            question.service, rules.priority, now, now_unix_s
+        return self._admission.retry_after_s(
+            question,
+            self._instance_manager.available_cores,
+            time.monotonic(),
+            time.time(),
         )
-        retry_after_s = admission.retry_after_s(
-            work_core_s=question.work,
-            critical_path_s=question.chain_s,  # chain_s is the sent name
-            rules=rules,
-            backlog_core_s=backlog,
-            cores=cores,
-        )
-        if retry_after_s:
-            _logger.info(
-                "job refused",
-                extra={
-                    "request": question.job,
-                    "queue": question.queue,
-                    "pool": question.service,
-                    "backlog_core_s": round(backlog, 1),
-                    "cores": round(cores, 1),
-                    "chain_s": round(question.chain_s, 3),
-                    "retry_after_s": retry_after_s,
-                },
-            )
-        else:
-            self._load_meter.add_admitted_job(
-                question.service, rules.priority, question.work
-            )
-        return retry_after_s
 
     def _save_wave(self, wave):
         self._done_instances_by_wave[wave.number] = set(wave.done_instances)
--- a/cranberryport/scheduling/load.py
+++ b/cranberryport/scheduling/load.py
@@ -6,10 +6,13 @@
 
 import collections
 
-from cranberryport.scheduling import ordering, rebalancing
+from cranberryport.scheduling import ordering, organisation_shares, rebalancing
 
 # Sums up to this age are reused; storing and reading a job takes longer.
 MAX_AGE_S = 0.05
+# Largest share of organisations over their shares; the others wait for at most ten
+# times their own backlog.
+LARGEST_OVER_SHARE = 0.9
 
 
 class LoadMeter:
@@ -19,16 +22,34 @@
     ----------
     state : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs.
+    shares : organisation_shares.OrganisationShares, optional
+        Shares of the organisations; by default, new ones for this state.
     """
 
-    __slots__ = ("_backlogs", "_demand", "_memory_demand", "_refreshed_at", "_state")
-
-    def __init__(self, *, state):
+    __slots__ = (
+        "_backlogs",
+        "_demand",
+        "_memory_demand",
+        "_organisation_backlogs",
+        "_over_backlogs",
+        "_over_share",
+        "_refreshed_at",
+        "_shares",
+        "_state",
+    )
+
+    def __init__(self, *, state, shares=None):
         self._state = state
+        self._shares = shares or organisation_shares.OrganisationShares(state=state)
         self._refreshed_at = None
         self._demand = {}
         self._memory_demand = {}
+        # Core-seconds by pool and priority: of all jobs, of each organisation, and of
+        # the organisations over their shares, which together may have _over_share.
         self._backlogs = {}
+        self._organisation_backlogs = {}
+        self._over_backlogs = {}
+        self._over_share = 0.0
 
     def demand(self, now, now_unix_s):
         """Return the processors that each pool needs now or soon.
@@ -68,7 +89,7 @@
         self._refresh(now, now_unix_s)
         return self._memory_demand
 
-    def backlog_core_s(self, service, priority, now, now_unix_s):
+    def backlog_core_s(self, service, priority, now, now_unix_s, organisation=""):
         """Return the core-seconds in a pool that are served before a new job.
 
         Parameters
@@ -81,6 +102,11 @@
             Monotonic time in seconds.
         now_unix_s : float
             Unix time in seconds.
+        organisation : str, default=""
+            Organisation of the new job; empty for none. If it is over its share, only
+            its own backlog counts, which its share of the cores has to serve. For the
+            others, those over their shares count only as far as their shares are served
+            meanwhile.
 
         Returns
         -------
@@ -88,13 +114,19 @@
             Core-seconds.
         """
         self._refresh(now, now_unix_s)
-        return sum(
-            work_core_s
-            for (pool, queue_priority), work_core_s in self._backlogs.items()
-            if pool == service and queue_priority <= priority
-        )
-
-    def add_admitted_job(self, service, priority, work_core_s):
+        if organisation in self._shares.over:
+            own = self._organisation_backlogs.get(organisation, {})
+            return _sum_backlogs(own, service, priority)
+        backlog = _sum_backlogs(self._backlogs, service, priority)
+        over_backlog = _sum_backlogs(self._over_backlogs, service, priority)
+        if not over_backlog:
+            return backlog
+        others_backlog = backlog - over_backlog
+        others_share = 1 - self._over_share
+        served_meanwhile = others_backlog * self._over_share / others_share
+        return others_backlog + min(over_backlog, served_meanwhile)
+
+    def add_admitted_job(self, service, priority, work_core_s, organisation=""):
         """Add a job that was not refused to the backlog until the next refresh.
 
         It becomes part of the state only once it is stored and read.
@@ -107,18 +139,30 @@
             Priority of the job's queue.
         work_core_s : float
             Declared core-seconds of the job.
+        organisation : str, default=""
+            Its organisation; empty for none.
         """
-        self._backlogs[service, priority] = (
-            self._backlogs.get((service, priority), 0.0) + work_core_s
-        )
+        backlogs = [self._backlogs]
+        if organisation:
+            own = self._organisation_backlogs.setdefault(organisation, {})
+            backlogs.append(own)
+        if organisation in self._shares.over:
+            backlogs.append(self._over_backlogs)
+        for sums in backlogs:
+            work_sum = sums.get((service, priority), 0.0) + work_core_s
+            sums[service, priority] = work_sum
 
     def _refresh(self, now, now_unix_s):
         if self._refreshed_at is not None and now - self._refreshed_at < MAX_AGE_S:
             return
         self._refreshed_at = now
+        self._shares.update(now, now_unix_s)
+        over = self._shares.over
         long_running, running, memory = self._running_needs()
-        waiting = collections.Counter()
+        waiting, all_waiting = collections.Counter(), collections.Counter()
+        reduced = collections.Counter()
         backlogs = collections.Counter()
+        own_backlogs = collections.defaultdict(collections.Counter)
         for job in self._state.open_jobs.values():
             rules = self._state.queue_rules(job)
             for occurrence in job.occurrences.values():
@@ -127,17 +171,40 @@
                 if needed_processors:
                     is_late = urgency in (ordering.LATE, ordering.ABANDONED)
                     weight = rebalancing.LATE_TASK_WEIGHT if is_late else 1.0
+                    all_waiting[job.service] += needed_processors
+                    if job.organisation in over and urgency >= ordering.LAST_CHANCE:
+                        # Its excess waits behind others, so it is not urgent either.
+                        excess_ratio = self._shares.excess_ratio(job.organisation)
+                        reduction = excess_ratio * (1 - rebalancing.LATE_TASK_WEIGHT)
+                        reduced[job.service] += needed_processors * reduction
+                        weight = min(weight, 1 - reduction)
                     waiting[job.service] += needed_processors * weight
                     memory[job.service] += needed_memory * weight
                 if urgency in (ordering.LAST_CHANCE, ordering.IN_TIME, ordering.LATE):
-                    backlogs[job.service, rules.priority] += occurrence.remaining_core_s
+                    key = job.service, rules.priority
+                    backlogs[key] += occurrence.remaining_core_s
+                    if job.organisation:
+                        own_backlogs[job.organisation][key] += (
+                            occurrence.remaining_core_s
+                        )
         arrival_rates = self._state.arrival_rates
         self._backlogs = backlogs
+        self._organisation_backlogs = own_backlogs
+        self._over_backlogs = collections.Counter()
+        for name in over:
+            self._over_backlogs.update(own_backlogs.get(name, {}))
+        over_share = sum(self._shares.share(name) for name in over)
+        self._over_share = min(LARGEST_OVER_SHARE, over_share)
         self._memory_demand = memory
         self._demand = {
             service: long_running[service]
             + waiting[service]
-            + max(running[service], arrival_rates[service].sustained_demand(now))
+            + max(
+                running[service],
+                arrival_rates[service].sustained_demand(now)
+                # What arrives is reduced like what waits.
+                * (1 - reduced[service] / max(1, all_waiting[service])),
+            )
             for service in {*long_running, *running, *waiting, *arrival_rates}
         }
 
@@ -155,6 +222,14 @@
         return long_running, running, memory
 
 
+def _sum_backlogs(backlogs, service, priority):
+    return sum(
+        work_core_s
+        for (pool, queue_priority), work_core_s in backlogs.items()
+        if pool == service and queue_priority <= priority
+    )
+
+
 def _waiting_needs(occurrence):
     """Return the processors and the memory that an occurrence's waiting tasks need."""
     needed_processors = needed_memory = 0
