--- a/cranberryport/scheduling/load.py
+++ b/cranberryport/scheduling/load.py
@@ -114,7 +114,8 @@
             Core-seconds.
         """
         self._refresh(now, now_unix_s)
-        if organisation in self._shares.over:
+        if organisation in self._shares.exceeding:
+            # One that is alone has all cores for its backlog.
             own = self._organisation_backlogs.get(organisation, {})
             return _sum_backlogs(own, service, priority)
         backlog = _sum_backlogs(self._backlogs, service, priority)
@@ -146,7 +147,7 @@
         if organisation:
             own = self._organisation_backlogs.setdefault(organisation, {})
             backlogs.append(own)
-        if organisation in self._shares.over:
+        if organisation in self._shares.exceeding:
             backlogs.append(self._over_backlogs)
         for sums in backlogs:
             work_sum = sums.get((service, priority), 0.0) + work_core_s
@@ -191,9 +192,10 @@
         self._backlogs = backlogs
         self._organisation_backlogs = own_backlogs
         self._over_backlogs = collections.Counter()
-        for name in over:
+        exceeding = self._shares.exceeding
+        for name in exceeding:
             self._over_backlogs.update(own_backlogs.get(name, {}))
-        over_share = sum(self._shares.share(name) for name in over)
+        over_share = sum(self._shares.share(name) for name in exceeding)
         self._over_share = min(LARGEST_OVER_SHARE, over_share)
         self._memory_demand = memory
         self._demand = {
--- a/cranberryport/scheduling/organisation_shares.py
+++ b/cranberryport/scheduling/organisation_shares.py
@@ -97,6 +97,7 @@
         "_budgets",
         "_capacity",
         "_demand",
+        "_is_alone",
         "_level",
         "_log_times",
         "_memory_factor",
@@ -108,6 +109,7 @@
         "_unlogged_count",
         "_updated_at",
         "_use",
+        "_waiting_sum",
         "_window_share",
     )
 
@@ -119,12 +121,15 @@
         self._service = {}
         self._use = {}
         self._demand = {}
+        self._waiting_sum = 0.0
         # Part of the fading mean that has been observed, from 0 to 1.
         self._window_share = 0.0
         # Thousandths of a core that can be divided between organisations, and those for
         # each unit of weight.
         self._capacity = 0.0
         self._level = math.inf
+        # Whether at most one organisation, and no job without one, demands anything.
+        self._is_alone = True
         # Thousandths of a core that each organisation over its share may add now.
         self._budgets = {}
         # Thousandths of a core that count for each mebibyte.
@@ -137,7 +142,15 @@
 
     @property
     def over(self):
-        """Names of the organisations over their share at the last update."""
+        """Names of the organisations over their share at the last update.
+
+        An organisation alone in its demand is never over its share.
+        """
+        return frozenset() if self._is_alone else self._budgets.keys()
+
+    @property
+    def exceeding(self):
+        """Names of the organisations in :attr:`over`, or of one that is alone."""
         return self._budgets.keys()
 
     def update(self, now, now_unix_s):
@@ -166,6 +179,7 @@
             self._capacity,
         )
         self._budgets = self._find_budgets(weights, counts)
+        self._waiting_sum = sum(map(self._waiting, self._demand))
         self._log_changes(now)
 
     def order(self, occurrences, processors, now_unix_s):
@@ -213,7 +227,8 @@
             is_useful = ordering.LONG_RUNNING < keys[occurrence][0] < ordering.ABANDONED
             if name not in budgets or not is_useful:
                 continue
-            if budgets[name] <= 0 and not _has_started(occurrence):
+            is_new = not (occurrence.job.has_started and _has_started(occurrence))
+            if budgets[name] <= 0 and is_new:
                 excess.add(occurrence)
             else:
                 budgets[name] -= _waiting_needs(occurrence, self._memory_factor)
@@ -240,7 +255,7 @@
         return min(1.0, self._level * weight / self._capacity)
 
     def excess_ratio(self, name):
-        """Return the part of an organisation's demand that is beyond its share.
+        """Return the part of an organisation's demand that others wait for.
 
         Parameters
         ----------
@@ -250,13 +265,17 @@
         Returns
         -------
         float
-            From 0 to 1; 0 for an organisation that is not over its share.
+            From 0 to 1; 0 for an organisation that is not over its share, and while no
+            other organisation has waiting tasks.
         """
-        if name not in self._budgets:
+        if name not in self.over or self._waiting(name) == self._waiting_sum:
             return 0.0
         allowed = self.share(name) * self._capacity
         return max(0.0, 1 - allowed / self._demand[name])
 
+    def _waiting(self, name):
+        return max(0.0, self._demand.get(name, 0.0) - self._use.get(name, 0.0))
+
     def count_rejection(self, name):
         """Count a rejected job of an organisation, if the configuration has it."""
         if name in self._state.organisations:
@@ -275,9 +294,9 @@
                 share=self.share(name),
                 service=self._service.get(name, 0.0),
                 received_core_s=self._received_core_s[name],
-                waiting=max(0.0, self._demand.get(name, 0.0) - self._use.get(name, 0)),
+                waiting=self._waiting(name),
                 rejected_count=self._rejected_counts[name],
-                is_over=name in self._budgets,
+                is_over=name in self.over,
             )
             for name in self._state.organisations
         }
@@ -361,6 +380,8 @@
             needed * min(1.0, pool_processors[pool] / pool_demand[pool])
             for pool, needed in shared_demand.items()
         )
+        has_others = pool_demand.total() > shared_demand.total()
+        self._is_alone = len(demand) <= 1 and not has_others
         self._demand = demand
         return counts
 
@@ -368,30 +389,24 @@
         """Return what each organisation over its share may add to its use."""
         if self._level == math.inf:
             return {}
-        waiting = {
-            name: max(0.0, demand - self._use.get(name, 0.0))
-            for name, demand in self._demand.items()
-        }
-        waiting_sum = sum(waiting.values())
         budgets = {}
         for name, weight in weights.items():
             share = self._level * weight
             job_size = self._demand[name] / counts[name]
             limit = share + job_size
-            if name not in self._budgets:
+            if name not in self.over:
                 limit = OVER_FACTOR * share + OVER_JOBS * job_size
-            # An organisation is never over its share while no other one waits.
-            if self._demand[name] > limit and waiting_sum > waiting[name]:
+            if self._demand[name] > limit:
                 used = max(self._use.get(name, 0.0), self._service.get(name, 0.0))
-                budgets[name] = share + job_size - used
+                budgets[name] = share - used
         return budgets
 
     def _log_changes(self, now):
-        for name in self._budgets:
+        for name in self.over:
             if name not in self._over_last_at:
                 self._log("organisation over its share", name, now)
             self._over_last_at[name] = now
-        if len(self._over_last_at) > len(self._budgets):
+        if len(self._over_last_at) > len(self.over):
             for name, last_at in list(self._over_last_at.items()):
                 if now - last_at >= RETURN_LOG_DELAY_S:
                     del self._over_last_at[name]
