--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -11,9 +11,9 @@
 from cranberryport.scheduling import (
     crashes,
     isolation,
-    ordering,
     organisation_limit_log,
     organisation_limits,
+    organisation_shares,
     packing,
     stragglers,
     suspicion,
@@ -85,18 +85,22 @@
     ----------
     state : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs, to which the planned runs are added.
+    shares : organisation_shares.OrganisationShares, optional
+        Shares of the organisations; by default, new ones for this state.
     """
 
     __slots__ = (
         "_advice_requests",
         "_budget",
         "_limit_log",
+        "_shares",
         "_state",
         "_stragglers_checked_at",
     )
 
-    def __init__(self, *, state):
+    def __init__(self, *, state, shares=None):
         self._state = state
+        self._shares = shares or organisation_shares.OrganisationShares(state=state)
         self._stragglers_checked_at = -math.inf
         self._advice_requests = {}
         # What each organisation may still start; renewed at each decision.
@@ -113,6 +117,7 @@
         now_unix_s : float
             Unix time in seconds.
         """
+        self._shares.update(now, now_unix_s)
         checks_stragglers = (
             now - self._stragglers_checked_at >= STRAGGLER_CHECK_INTERVAL_S
         )
@@ -192,12 +197,8 @@
         ]
 
     def _plan_pool(self, occurrences, pool, now, now_unix_s):
-        occurrences_in_order = sorted(
-            occurrences,
-            key=lambda o: ordering.sort_key(
-                o, self._state.queue_rules(o.job), now_unix_s
-            ),
-        )
+        processors = sum(executor.processors for executor, _ in pool.all_candidates)
+        occurrences_in_order = self._shares.order(occurrences, processors, now_unix_s)
         for occurrence in occurrences_in_order if self._state.has_suspects else ():
             for number in sorted(occurrence.ready_steps):
                 if not occurrence.job.steps[number].is_gang:
