--- a/tests/test_scheduling_organisation_shares.py
+++ b/tests/test_scheduling_organisation_shares.py
@@ -352,6 +352,23 @@
         self.assertEqual(replayed.stopped_count, 0)
         self.assertGreaterEqual(replayed.in_time_ratios(from_s=4.0)["b"], 0.95)
 
+    def test_service_counts_over_all_pools(self):
+        """Guards against an organisation that gets a share of each pool it uses."""
+        arrivals = [
+            organisation_load.Arrival(
+                at=number / 20, organisation=name, count=4, service=pool
+            )
+            for name, pool in (("a", "one"), ("a", "two"), ("b", "two"))
+            for number in range(140)
+        ]
+        values = {"executor_count": 2, "until_s": 7.0, "pools": ("one", "two")}
+        replayed = replay(arrivals, {"a": 1, "b": 1}, **values)
+        # Either may have 32 of the 64 cores. As only a uses the first pool, the second
+        # one is left to b; by urgency alone b would get 0.47 of it.
+        received = replayed.received_core_s
+        self.assertGreater(received["a"], 0.8 * 32 * 7.0)
+        self.assertGreater(received["b"], 0.7 * 32 * 7.0)
+
     def test_shares_hold_after_a_takeover(self):
         """Guards against a flood that a new controller serves first."""
         weights = dict.fromkeys("abcdefgh", 10)
