Let started jobs of a flood wait like its others

Cause: exempt from the order, they keep the pool for a flood.

A restored run in the replay is no longer taken for lost, which the test of the takeover showed once these jobs wait.

--- a/cranberryport/scheduling/organisation_shares.py
+++ b/cranberryport/scheduling/organisation_shares.py
@@ -12,19 +12,20 @@
 from cranberryport.scheduling import ordering
 
 # Time constant with which received service fades. Runs take about a second. Without
-# such a memory floods cost the others 0.01 to 0.04 more of their jobs in time.
+# this memory the worst tenth of 20 organisations got 0.66 of the mean instead of 0.85,
+# with 4 s 0.78 (while jobs that had started were exempt).
 FADING_S = 1.0
 # An organisation goes over its share once it demands more than this multiple of it and
-# of the mean size of its jobs, and returns once it demands at most one of each. In
-# replays at 0.95 of the capacity, half an organisation of 20 does so without a flood;
-# with 2 jobs it were 1.5.
+# of the mean size of its jobs, and returns once it demands at most one of each. In four
+# replays at 0.95 of the capacity, two of 20 organisations went over without a flood;
+# with 2 jobs six did.
 OVER_FACTOR = 2.0
 OVER_JOBS = 3.0
 # What waits beyond the share waits for others once one of these would lose this part of
 # its slack. By declared run times, which are off by 50 %, more makes others late: with
 # 1.0 a flood cost the others 0.13 of their jobs in time, with 0.25 0.01.
 SLACK_PART = 0.25
-# Between decisions of this time the use changes by a few per cent.
+# With 0.05 s organisations add to a use that is out of date: the worst tenth got 0.79.
 UPDATE_INTERVAL_S = 0.02
 # A return is logged once an organisation has been within its share for this time, as
 # one in a flood alternates around its share.
@@ -188,8 +189,8 @@
         What an organisation demands beyond its share comes after all others that are
         of use to their callers, but only if an occurrence of another organisation
         would be late in the order by urgency. Long-running jobs stay first. Occurrences
-        that have started keep their place: they are bounded by the service that their
-        organisation has received, and to delay them would waste that service.
+        that have started wait as well: their organisation's share serves them first, as
+        they are the most urgent, and more of them would keep the pool for a flood.
 
         Parameters
         ----------
@@ -227,8 +228,7 @@
             is_useful = ordering.LONG_RUNNING < keys[occurrence][0] < ordering.ABANDONED
             if name not in budgets or not is_useful:
                 continue
-            is_new = not (occurrence.job.has_started and _has_started(occurrence))
-            if budgets[name] <= 0 and is_new:
+            if budgets[name] <= 0:
                 excess.add(occurrence)
             else:
                 budgets[name] -= _waiting_needs(occurrence, self._memory_factor)
@@ -506,11 +506,3 @@
         for task in occurrence.tasks[number]
         if not task.runs and not task.is_done and not task.step.is_filling
     )
-
-
-def _has_started(occurrence):
-    steps = occurrence.job.steps
-    return any(
-        remaining < step.count
-        for remaining, step in zip(occurrence.remaining_counts, steps, strict=True)
-    ) or any(occurrence.tasks[number][0].runs for number in occurrence.ready_steps)
--- a/tests/organisation_load.py
+++ b/tests/organisation_load.py
@@ -218,6 +218,8 @@
         for executor in self.scheduler.executors.values():
             for key, run in executor.runs.items():
                 self.scheduler.on_run_started(run, self.now)
+                # Lists of this replay have no running tasks, so none proves an end.
+                run.start_expires_at = self.now
                 runs[key] = run
         self._ends = [
             (at, runs[run.task.name, run.number])
