Reject jobs that can never run within the limits at once

Cause: a gang that needs more than the limit of its organisation with the overshoot and one task was accepted, stored and never started. Change: an entry instance checks the steps of a submission against the limits in the configuration in force and the setting limit_overshoot, before it asks the controller. Conclusion: such a job is neither asked about nor stored. A repeated submission of a gang that was accepted under a higher limit is rejected too, although the earlier one may run.

--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -179,6 +179,7 @@
             metrics=self._metrics,
             is_store_unreadable=lambda: self._configuration_reader.has_read_failed,
             proof=self._proof,
+            limit_overshoot=settings.limit_overshoot,
         ).register(self)
         caller_limits = limits.Limits(connections=settings.connections)
         internal_limits = limits.Limits(connections=32)
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -17,7 +17,7 @@
 from cranberryport.control import append_policy, controller, job_ownership, job_writer
 from cranberryport.generated import messages
 from cranberryport.platform import bodies, store, submissions
-from cranberryport.scheduling import records
+from cranberryport.scheduling import admission, organisation_limits, records
 
 DEADLINE_HEADER = b"deadline-ms"
 KEY_HEADER = b"authorization"
@@ -113,6 +113,9 @@
         Returns whether reads of the store fail.
     proof : cranberryport.callers.configuration_proof.ConfigurationProof
         Tells whether the configuration in force is proven to be recent.
+    limit_overshoot : float
+        Share by which the platform's rule allows the limit of an organisation to be
+        exceeded.
     """
 
     channel = "front"
@@ -127,8 +130,10 @@
         metrics,
         is_store_unreadable,
         proof,
+        limit_overshoot,
     ):
         super().__init__()
+        self._limit_overshoot = limit_overshoot
         self._proof = proof
         self._is_store_unreadable = is_store_unreadable
         # Monotonic times until which own appends count as failing or slow.
@@ -186,7 +191,7 @@
             self._respond(pending, 400, {"Error": reason})
         elif request.method == "POST":
             self._submit_job(
-                pending, route.queue, request.body.getvalue(), configuration.version
+                pending, route.queue, request.body.getvalue(), configuration
             )
         elif request.method == "GET":
             self._report_state(pending)
@@ -199,7 +204,7 @@
 
     # Requests
 
-    def _submit_job(self, pending, queue, body, version):
+    def _submit_job(self, pending, queue, body, configuration):
         try:
             job = submissions.parse_job(
                 pending.job_id,
@@ -213,6 +218,17 @@
             return
         job.failed_runs_limit = queue.failed_runs_limit
         job.organisation = pending.organisation
+        reason = organisation_limits.refusal_reason(
+            job.steps,
+            (configuration.organisations or {}).get(job.organisation),
+            self._limit_overshoot,
+        )
+        if reason is not None:
+            # No backlog has to fall first: only a higher limit would help.
+            self._respond_refused(
+                pending, 429, reason, retry_after_s=admission.LONGEST_RETRY_AFTER_S
+            )
+            return
         value = codec.encode(records.job_to_record(job))
         record = (controller.JOB_KEY_PREFIX + job.id, value)
 
@@ -223,7 +239,7 @@
                     "request": job.id,
                     "queue": queue.name,
                     "pool": queue.service,
-                    "configuration": version,
+                    "configuration": configuration.version,
                     "organisation": job.organisation,
                     "ms": _elapsed_ms(pending),
                 },
--- a/tests/keyed_front.py
+++ b/tests/keyed_front.py
@@ -13,19 +13,24 @@
 JOB_ID = "0123456789abcdef"
 BODY = json.dumps({"Spec": "work", "Steps": [{"Count": 1, "Cpu": 100}]}).encode()
 LIMIT_S = 5.0
+LIMIT_OVERSHOOT = 0.1
 
 
-def make_configuration(version, **keys):
+def make_configuration(version, *, maximum=None, **keys):
     """Return a record of the configuration with organisations and their keys.
 
-    It has the public route ``/open/`` and the route ``/q/``, which needs a key.
+    It has the public route ``/open/`` and the route ``/q/``, which needs a key. The
+    limits ``maximum`` are those of each organisation.
     """
     routes = [
         {"Name": "r", "Host": "h", "PathPrefix": "/q/", "Service": "s"},
         {"Name": "p", "Host": "h", "PathPrefix": "/open/", "Service": "s"},
     ]
     routes[1]["Public"] = True
-    rows = [{"Name": name, "ApiKeys": found} for name, found in keys.items()]
+    rows = [
+        {"Name": name, "ApiKeys": found, "Maximum": maximum or {}}
+        for name, found in keys.items()
+    ]
     return json.dumps({"Version": version, "Routes": routes, "Tenants": rows}).encode()
 
 
@@ -108,6 +113,7 @@
             metrics=self.metrics,
             is_store_unreadable=lambda: False,
             proof=self.proof,
+            limit_overshoot=LIMIT_OVERSHOOT,
         )
         self.api.fire = lambda event, *channels: None
         self.reader.start()
--- a/tests/test_platform_keys.py
+++ b/tests/test_platform_keys.py
@@ -1,5 +1,6 @@
 """Tests for cranberryport.platform.front: requests with keys of organisations."""
 
+import json
 import unittest
 from unittest import mock
 
@@ -163,6 +164,60 @@
         self.assertEqual(self.front.writer.writes, [])
 
 
+class LimitTest(KeysTestCase):
+    """Jobs that can never run within the limits of their organisation."""
+
+    def setUp(self):
+        """Limit both organisations to one core."""
+        super().setUp()
+        self.read_limit(2, 1000)
+
+    def read_limit(self, version, processors):
+        """Read a configuration with this limit in thousandths of a core."""
+        self.front.answer_read(
+            keyed_front.make_configuration(
+                version, maximum={"Cpu": processors}, a=["secret-a"], b=["secret-b"]
+            )
+        )
+
+    def submit_gang(self, count, *authorization, path="/q/"):
+        """Submit a gang of tasks of one core; return the response."""
+        step = {"Count": count, "Cpu": 1000, "Gang": True}
+        body = json.dumps({"Spec": "w", "Steps": [step]}).encode()
+        return self.front.request("POST", *authorization, path=path, body=body)
+
+    def test_gang_beyond_the_limit_is_rejected_at_once(self):
+        """Guards against a gang that is accepted and never starts."""
+        with self.assertLogs(level="INFO") as logs:
+            response = self.submit_gang(3, KEY)
+        self.assertEqual(response.status, 429)
+        self.assertGreaterEqual(int(response.headers["Retry-After"]), 1)
+        error = json.loads(response.body)["Error"]
+        self.assertIn("3 tasks at once, which need 3 cores", error)
+        self.assertEqual(self.front.controller.questions, [])
+        self.assertEqual(self.front.writer.writes, [])
+        (fields,) = [vars(record) for record in logs.records]
+        self.assertEqual((fields["reason"], fields["organisation"]), (error, "a"))
+
+    def test_gang_within_overshoot_and_one_task_is_asked_about(self):
+        """Guards against a rejection that ignores the setting of the overshoot."""
+        self.assertIsNone(self.submit_gang(2, KEY).status)
+        self.assertEqual(len(self.front.controller.questions), 1)
+        self.read_limit(3, 1900)
+        # 3 tasks of one core are within 1.9 cores x 1.1 and one task.
+        self.assertIsNone(self.submit_gang(3, KEY).status)
+
+    def test_limit_of_the_configuration_in_force_counts(self):
+        """Guards against a rejection after the limit was raised or removed."""
+        self.assertEqual(self.submit_gang(3, KEY).status, 429)
+        self.read_limit(3, 0)
+        self.assertIsNone(self.submit_gang(3, KEY).status)
+
+    def test_job_of_a_public_route_has_no_limit(self):
+        """Guards against a limit on jobs without an organisation."""
+        self.assertIsNone(self.submit_gang(3, path="/open/").status)
+
+
 class WithdrawnKeyTest(KeysTestCase):
     """Keys that are withdrawn while their requests are served, or before."""
 
--- a/tests/test_platform_refusals.py
+++ b/tests/test_platform_refusals.py
@@ -82,6 +82,7 @@
             proof=configuration_proof.ConfigurationProof(
                 limit_s=0.0, last_read_sent_at=lambda: None
             ),
+            limit_overshoot=0.0,
         )
         fired = []
         component.fire = lambda event, *channels: fired.append(event)
