Report the use of organisations as the limits count it

Cause: the operators' page and the metrics summed the runs of all executors by themselves. Runs restored at a takeover and runs that only an executor lists were missing, so an organisation at its limit seemed to use little. Change: read_rows takes the use from organisation_usage.measure; its own sum and Resources.add are removed. Conclusion: page and limits show the same use.

--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -296,7 +296,8 @@
         gauges = {}
         state = None if self._controller is None else self._controller.state
         if state is not None:
-            gauges = organisation_report.make_report(state).to_gauges()
+            report = organisation_report.make_report(state, time.monotonic())
+            gauges = report.to_gauges()
         self._metrics.replace_gauges(ORGANISATION_METRICS, gauges)
         self._metrics.gauge("store.calls", self._store.call_count)
         self._metrics.gauge("front.in_progress", self._job_api.in_progress_count)
--- a/cranberryport/observability/operator_pages.py
+++ b/cranberryport/observability/operator_pages.py
@@ -50,7 +50,8 @@
 
 
 def _make_organisations_page(_, controller):
-    return 200, organisation_report.make_report(controller.state).to_page()
+    report = organisation_report.make_report(controller.state, time.monotonic())
+    return 200, report.to_page()
 
 
 def _make_placement_page(request, controller):
--- a/cranberryport/observability/organisation_report.py
+++ b/cranberryport/observability/organisation_report.py
@@ -7,6 +7,8 @@
 import collections
 import urllib.parse
 
+from cranberryport.scheduling import organisation_limits, organisation_usage
+
 # The metrics name this many organisations, so that the page does not grow with the
 # configuration: 20 are expected, and a customer with 2,000 would have 20,000 lines.
 NAMED_METRICS_LIMIT = 32
@@ -34,12 +36,6 @@
         self.memory = memory
         self.accelerators = accelerators
 
-    def add(self, other):
-        """Add the resources of a run, a step or another sum to these."""
-        self.processors += other.processors
-        self.memory += other.memory
-        self.accelerators += other.accelerators
-
     def to_dict(self):
         """Return the values by name."""
         return {
@@ -168,13 +164,15 @@
         return gauges | {f"{OTHER}.{figure}": value for figure, value in sums.items()}
 
 
-def read_rows(state, *, shares=None, received=None, rejected=None):
+def read_rows(state, now, *, shares=None, received=None, rejected=None):
     """Return the rows of all organisations that are configured or have open jobs.
 
     Parameters
     ----------
     state : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs and executors.
+    now : float
+        Monotonic time in seconds.
     shares : dict of str to float, optional
         Share of each organisation; by default its part of the sum of all weights.
     received : dict of str to float, optional
@@ -185,12 +183,12 @@
     Returns
     -------
     list of OrganisationRow
-        Runs count as in use from the decision to start them until their end is listed.
+        The use is that which the limits count, see :mod:`organisation_usage`.
     """
-    use = collections.defaultdict(Resources)
-    for executor in state.executors.values():
-        for run in executor.runs.values():
-            use[run.task.job.organisation].add(run.task.step)
+    use = {
+        name: _make_resources(amounts)
+        for name, amounts in organisation_usage.measure(state, now).items()
+    }
     waiting = collections.Counter(
         job.organisation for job in state.open_jobs.values() if not job.has_started
     )
@@ -210,11 +208,7 @@
         organisation = configured.get(name)
         if organisation is not None:
             row.weight = organisation.weight
-            row.limits = Resources(
-                processors=organisation.processors_limit,
-                memory=organisation.memory_limit,
-                accelerators=organisation.accelerators_limit,
-            )
+            row.limits = _make_resources(organisation_limits.limits_of(organisation))
             if total_weight:
                 row.share = organisation.weight / total_weight
         if shares is not None:
@@ -223,6 +217,11 @@
     return rows
 
 
+def _make_resources(amounts):
+    processors, memory, accelerators = amounts
+    return Resources(processors=processors, memory=memory, accelerators=accelerators)
+
+
 def _figures(row):
     """Return the figures of a row that can be summed; unknown ones are left out."""
     values = {f"{name}_in_use": value for name, value in row.use.to_dict().items()}
@@ -236,17 +235,19 @@
     return values | {k: v for k, v in optional.items() if v is not None}
 
 
-def make_report(state):
+def make_report(state, now):
     """Return the report on the present state of a scheduler.
 
     Parameters
     ----------
     state : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs and executors.
+    now : float
+        Monotonic time in seconds.
 
     Returns
     -------
     OrganisationReport
         What :func:`read_rows` finds.
     """
-    return OrganisationReport(read_rows(state))
+    return OrganisationReport(read_rows(state, now))
--- a/tests/test_organisation_report.py
+++ b/tests/test_organisation_report.py
@@ -3,7 +3,7 @@
 import unittest
 
 from cranberryport.observability import node_metrics, organisation_report
-from cranberryport.scheduling import organisations
+from cranberryport.scheduling import organisations, records
 from tests import scheduling
 
 
@@ -32,7 +32,9 @@
 
     def read(self, **values):
         """Return the rows by name."""
-        rows = organisation_report.read_rows(self.harness.scheduler, **values)
+        rows = organisation_report.read_rows(
+            self.harness.scheduler, self.harness.now, **values
+        )
         return {row.name: row for row in rows}
 
     def test_configured_values_and_share_by_weight(self):
@@ -55,6 +57,23 @@
         self.assertEqual(row.use.memory, 300)
         self.assertEqual(row.waiting, 0)
 
+    def test_runs_restored_at_a_takeover_are_in_use(self):
+        """Guards against an organisation at its limit that seems to use nothing."""
+        job = self.harness.add_job(
+            scheduling.make_job(scheduling.make_step(2), organisation="a")
+        )
+        self.harness.start()
+        self.harness = scheduling.SchedulerHarness(
+            count=0, previous_leases_expire_at=104.0
+        )
+        self.harness.scheduler.restore_job(
+            records.job_from_record(records.job_to_record(job)),
+            records.progress_to_record(job),
+            scheduling.NOW_UNIX_S,
+        )
+        use = self.read()["a"].use.to_dict()
+        self.assertEqual(use, {"processors": 2000, "memory": 200, "accelerators": 0})
+
     def test_waiting_jobs_of_an_organisation_that_was_removed_are_shown(self):
         """Guards against work that nobody can find after a change of configuration."""
         self.harness.add_job(scheduling.make_job(organisation="gone"))
