Apply limits of organisations to where a job would be placed

Cause: the command place named executors for tasks that the limit of their organisation holds back, and admitted jobs that a submission would not be. Change: explain_placement asks the planner's own Budget which tasks may start, counts the tasks that it places, and tells how many the limit holds back. A job that can never run is rejected for the reason limit. Measured: the new tests fail without the change; one compares the answer with the planner for 5 limits and 4 steps. test_scheduling_explaining, test_command_line_placement and test_operator_pages pass (27 tests). Conclusion: answer and decision about limits agree.

--- a/cranberryport/command_line/placement.py
+++ b/cranberryport/command_line/placement.py
@@ -61,6 +61,9 @@
         lines.append(f"  away from the rack of their data: {step['remote']}")
     if waiting_count:
         lines.append(f"  tasks that would wait: {waiting_count}")
+    if step.get("limited"):
+        text = "of these held back by the limit of the organisation"
+        lines.append(f"  {text}: {step['limited']}")
     ruled_out = {k: v for k, v in step.get("ruled_out", {}).items() if v}
     if ruled_out:
         counts = ", ".join(f"{reason} {count}" for reason, count in ruled_out.items())
--- a/cranberryport/observability/operator_pages.py
+++ b/cranberryport/observability/operator_pages.py
@@ -97,6 +97,7 @@
                 "step": step.number,
                 "executors": step.executor_ids,
                 "remote": step.remote_count,
+                "limited": step.limited_count,
                 "ruled_out": step.ruled_out,
             }
             for step in placement.steps
--- a/cranberryport/scheduling/explaining.py
+++ b/cranberryport/scheduling/explaining.py
@@ -1,9 +1,9 @@
 """Where a job would be placed now, and why, without submitting it.
 
 Question addressed: an operator asks during a peak why a job is rejected or waits. The
-answer uses the functions that decide (``admission``, ``suspicion``, ``isolation``,
-``packing``, ``ordering``) on the present state, and changes neither the state nor the
-job's place in any order.
+answer uses the functions that decide (``admission``, ``organisation_limits``,
+``suspicion``, ``isolation``, ``packing``, ``ordering``) on the present state, and
+changes neither the state nor the job's place in any order.
 
 The answer holds for the job alone: :attr:`Placement.jobs_ahead` tells how many waiting
 jobs of its pool are served before it and may take the places that are named. Executors
@@ -18,6 +18,7 @@
     isolation,
     model,
     ordering,
+    organisation_limits,
     packing,
     stragglers,
     suspicion,
@@ -33,6 +34,9 @@
 SPREAD = "spread"
 ROOM = "room"
 RULED_OUT_REASONS = (STATE, BACKOFF, UNTRUSTED, ISOLATED, LABEL, SPREAD, ROOM)
+# Reasons for which a job is rejected.
+BACKLOG = "backlog"
+LIMIT = "limit"
 
 
 class StepPlacement:
@@ -49,11 +53,23 @@
     ruled_out : dict of str to int
         Number of executors of the pool by the reason for which they cannot run the
         first task that would wait or, if none would, the first task.
+    limited_count : int, default=0
+        Number of tasks that the limit of the organisation holds back, whatever room
+        there is.
     """
 
-    __slots__ = ("executor_ids", "number", "remote_count", "ruled_out")
+    __slots__ = (
+        "executor_ids",
+        "limited_count",
+        "number",
+        "remote_count",
+        "ruled_out",
+    )
 
-    def __init__(self, *, number, executor_ids, remote_count, ruled_out):
+    def __init__(
+        self, *, number, executor_ids, remote_count, ruled_out, limited_count=0
+    ):
+        self.limited_count = limited_count
         self.number = number
         self.executor_ids = executor_ids
         self.remote_count = remote_count
@@ -69,7 +85,8 @@
         Seconds after which the rejected job should be submitted again; 0 if it would be
         accepted.
     reason : str
-        Why it would be rejected; empty if it would be accepted.
+        Why it would be rejected, ``BACKLOG`` or ``LIMIT``; empty if it would be
+        accepted.
     jobs_ahead : int
         Number of waiting occurrences of jobs in the pool that are served before it.
     executor_count : int
@@ -115,11 +132,18 @@
     """
     rules = state.queue_rules(job)
     occurrence = model.Occurrence(job=job, number=0, due_at=job.occurrence_due_at(0))
-    retry_after_s = 0
+    retry_after_s, reason = 0, ""
+    organisation = state.organisations.get(job.organisation)
+    is_too_large = any(
+        organisation_limits.can_never_run(step, organisation, state.limit_overshoot)
+        for step in job.steps
+    )
     is_asked_about = instances is not None and job.queue in state.queues
     # Long-running and recurring jobs are accepted without a question about the backlog.
     is_lasting = any(step.is_lasting for step in job.steps)
-    if is_asked_about and not job.repeats and not is_lasting:
+    if is_too_large:
+        retry_after_s, reason = admission.LONGEST_RETRY_AFTER_S, LIMIT
+    elif is_asked_about and not job.repeats and not is_lasting:
         demand = load_meter.demand(now, now_unix_s)
         retry_after_s = admission.retry_after_s(
             work_core_s=occurrence.remaining_core_s,
@@ -130,14 +154,16 @@
             ),
             cores=instances.available_cores(job.service, demand),
         )
+        reason = BACKLOG if retry_after_s else ""
+    budget = organisation_limits.make_budget(state, now)
     pool = _Pool(job.service, state=state, now=now)
     return Placement(
         retry_after_s=retry_after_s,
-        reason="backlog" if retry_after_s else "",
+        reason=reason,
         jobs_ahead=_count_jobs_ahead(occurrence, state, now_unix_s),
         executor_count=pool.executor_count,
         steps=[
-            pool.place_step(number, step)
+            pool.place_step(number, occurrence, budget)
             for number, step in enumerate(job.steps)
             if step.count and occurrence.are_dependencies_done(number)
         ],
@@ -203,13 +229,18 @@
         """Number of known executors of the pool."""
         return len(self._ruled_out)
 
-    def place_step(self, number, step):
-        """Place the tasks of a step, and take up the free resources that they need."""
+    def place_step(self, number, occurrence, budget):
+        """Place the tasks of a step, and take up the free resources that they need.
+
+        The tasks that are placed are counted in the budget as well.
+        """
+        step = occurrence.job.steps[number]
+        startable_count = len(budget.select_startable(occurrence.tasks[number]))
         candidates = [(executor, list(free)) for executor, free in self._candidates]
         task_counts, used_racks = collections.Counter(), set()
         chosen = []
         ruled_out = self._count_ruled_out(step, candidates, task_counts)
-        for _ in range(step.count):
+        for _ in range(startable_count):
             executor = packing.choose_executor(
                 step,
                 candidates,
@@ -220,7 +251,6 @@
                 busy_s=None if step.is_gang else self._busy_s,
             )
             if executor is None:
-                ruled_out = self._count_ruled_out(step, candidates, task_counts)
                 break
             chosen.append(executor)
             task_counts[executor.id] += 1
@@ -230,17 +260,21 @@
                     packing.reserve(step, free)
             if not step.is_gang:
                 self._add_run(step, executor)
+        if len(chosen) < step.count:
+            ruled_out = self._count_ruled_out(step, candidates, task_counts)
         if step.is_gang and len(chosen) < step.count:
             # A gang starts as a whole or not at all.
             chosen = []
         else:
             self._candidates = candidates
+        budget.add(occurrence.job, step, len(chosen))
         waiting = [None] * (step.count - len(chosen))
         return StepPlacement(
             number=number,
             executor_ids=[executor.id for executor in chosen] + waiting,
             remote_count=sum(bool(step.rack) and e.rack != step.rack for e in chosen),
             ruled_out=ruled_out,
+            limited_count=step.count - startable_count,
         )
 
     def _add_run(self, step, executor):
--- a/tests/test_command_line_placement.py
+++ b/tests/test_command_line_placement.py
@@ -21,8 +21,9 @@
     "steps": [
         {
             "step": 0,
-            "executors": ["e1", None],
+            "executors": ["e1", None, None],
             "remote": 1,
+            "limited": 1,
             "ruled_out": {"state": 0, "room": 4},
         }
     ],
@@ -50,7 +51,8 @@
                 "waiting jobs that are served first: 3",
                 "step 0: e1",
                 "  away from the rack of their data: 1",
-                "  tasks that would wait: 1",
+                "  tasks that would wait: 2",
+                "  of these held back by the limit of the organisation: 1",
                 "  ruled out of 5 executors: room 4",
             ],
         )
--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -40,7 +40,11 @@
         """Record a question and answer it."""
         self.asked.append(job)
         step = explaining.StepPlacement(
-            number=0, executor_ids=["e1"], remote_count=0, ruled_out={"room": 1}
+            number=0,
+            executor_ids=["e1"],
+            remote_count=0,
+            ruled_out={"room": 1},
+            limited_count=4,
         )
         return explaining.Placement(
             retry_after_s=2,
@@ -83,6 +87,7 @@
         self.assertEqual((job.organisation, job.service), ("alpha", "pool"))
         self.assertEqual((fields["is_admitted"], fields["retry_after_s"]), (False, 2))
         self.assertEqual(fields["steps"][0]["executors"], ["e1"])
+        self.assertEqual(fields["steps"][0]["limited"], 4)
 
     def test_bad_values_are_quoted_with_the_valid_ones(self):
         """Guards against errors that do not say what to correct."""
--- a/tests/test_scheduling_explaining.py
+++ b/tests/test_scheduling_explaining.py
@@ -120,6 +120,67 @@
         self.assertEqual(placement.reason, "backlog")
         self.assertEqual(self.explain().retry_after_s, 0)
 
+    def test_tasks_above_the_limit_wait(self):
+        """Guards against a task that is said to start although a limit holds it."""
+        scheduling.set_limits(self.harness.scheduler, processors_limit=3000)
+        self.harness.add_job(scheduling.make_red_job(scheduling.make_step(1)))
+        self.harness.plan()
+        first, second = self.explain(
+            scheduling.make_step(1), scheduling.make_step(2), organisation="red"
+        ).steps
+        self.assertEqual((first.executor_ids.count(None), first.limited_count), (0, 0))
+        self.assertEqual(second.executor_ids.count(None), 1)
+        self.assertEqual(second.limited_count, 1)
+
+    def test_planner_applies_the_same_limit(self):
+        """Guards against an answer about the limit that differs from the decision."""
+        for limit in (1000, 1900, 2000, 3000, 4000):
+            for step in (
+                scheduling.make_step(3),
+                scheduling.make_step(2, processors=1500),
+                scheduling.make_step(3, is_gang=True),
+                scheduling.make_step(3, is_filling=True),
+            ):
+                with self.subTest(limit=limit, step=step):
+                    self.setUp()
+                    scheduling.set_limits(
+                        self.harness.scheduler, processors_limit=limit
+                    )
+                    placement = self.explain(step, organisation="red")
+                    expected = placement.steps[0].executor_ids
+                    job = scheduling.make_red_job(step, job="ffffffffffffffff")
+                    self.harness.add_job(job)
+                    self.harness.start()
+                    found = [
+                        task.runs[0].executor if task.runs else None
+                        for task in job.tasks()
+                    ]
+                    self.assertEqual(found, expected)
+
+    def test_limit_does_not_hide_missing_room(self):
+        """Guards against an operator who raises a limit that holds no task back."""
+        scheduling.set_limits(self.harness.scheduler, processors_limit=9000)
+        (step,) = self.explain(scheduling.make_step(6), organisation="red").steps
+        self.assertEqual((step.executor_ids.count(None), step.limited_count), (2, 0))
+        self.assertEqual(step.ruled_out[explaining.ROOM], 2)
+
+    def test_question_uses_up_no_limit(self):
+        """Guards against a question that holds back work of the organisation."""
+        scheduling.set_limits(self.harness.scheduler, processors_limit=2000)
+        for _ in range(2):
+            (step,) = self.explain(scheduling.make_step(2), organisation="red").steps
+            self.assertEqual(step.limited_count, 0)
+
+    def test_rejection_for_the_limit(self):
+        """Guards against a gang that is said to wait although it is rejected."""
+        scheduling.set_limits(self.harness.scheduler, processors_limit=1000)
+        gang = scheduling.make_step(3, is_gang=True)
+        placement = self.explain(gang, organisation="red", backlog_core_s=400.0)
+        self.assertGreater(placement.retry_after_s, 0)
+        self.assertEqual(placement.reason, "limit")
+        self.assertEqual(placement.steps[0].limited_count, 3)
+        self.assertEqual(self.explain(gang, organisation="blue").retry_after_s, 0)
+
     def test_long_running_job_is_not_rejected(self):
         """Guards against a rejection that a submission would not get."""
         step = scheduling.make_step(1, is_lasting=True)
