--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -179,6 +179,7 @@
             metrics=self._metrics,
             is_store_unreadable=lambda: self._configuration_reader.has_read_failed,
             proof=self._proof,
+            limit_overshoot=settings.limit_overshoot,
         ).register(self)
         caller_limits = limits.Limits(connections=settings.connections)
         internal_limits = limits.Limits(connections=32)
@@ -295,7 +296,8 @@
         gauges = {}
         state = None if self._controller is None else self._controller.state
         if state is not None:
-            gauges = organisation_report.make_report(state).to_gauges()
+            report = organisation_report.make_report(state, time.monotonic())
+            gauges = report.to_gauges()
         self._metrics.replace_gauges(ORGANISATION_METRICS, gauges)
         self._metrics.gauge("store.calls", self._store.call_count)
         self._metrics.gauge("front.in_progress", self._job_api.in_progress_count)
