--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -24,6 +24,7 @@
     load,
     records,
     scheduler,
+    step_logs,
     task_planner,
 )
 
@@ -716,42 +717,12 @@
             for run in self._scheduler.commit(batch, now)
             if run.executor in self._links
         ]
-        _log_starts(starts)
+        step_logs.log_starts(starts)
         for run in starts:
             self._links[run.executor].start(run)
         self.schedule_decision()
 
 
-def _log_starts(runs):
-    """Log the first runs of each step in one line, and each further run in its own."""
-    by_step = {}
-    for run in runs:
-        if run.number == 1:
-            by_step.setdefault(run.task.step_name, []).append(run)
-            continue
-        _logger.info(
-            "run start",
-            extra={
-                "request": run.task.job.id,
-                "task": run.task.name,
-                "run": run.number,
-                "executor": run.executor,
-                "pool": run.task.job.service,
-            },
-        )
-    for step_name, first_runs in by_step.items():
-        job = first_runs[0].task.job
-        _logger.info(
-            "step start",
-            extra={
-                "request": job.id,
-                "step": step_name,
-                "executors": {run.task.index: run.executor for run in first_runs},
-                "pool": job.service,
-            },
-        )
-
-
 def _log_deletion(result):
     if not isinstance(result, store.Appended):
         _logger.warning("deleting records failed", extra={"reason": str(result)})
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     ordering,
     rebalancing,
     records,
+    step_logs,
     stragglers,
     suspicion,
 )
@@ -836,7 +837,7 @@
                 self._stop_or_remove_run(run)
         self._mark_changed(job)
         if occurrence.remaining_counts[task.step_number] == 0:
-            _log_step_end(occurrence.tasks[task.step_number])
+            step_logs.log_step_end(occurrence.tasks[task.step_number])
             self._update_ready_steps(occurrence)
         if occurrence.is_done:
             job.done_occurrences.add(occurrence.number)
@@ -1029,19 +1030,5 @@
     )
 
 
-def _log_step_end(tasks):
-    """Log the end of a step, with its slowest task."""
-    slowest = max(tasks, key=lambda task: task.last_run_s or 0.0)
-    fields = {
-        "request": slowest.job.id,
-        "step": slowest.step_name,
-        "tasks": len(tasks),
-        "slowest": slowest.name,
-    }
-    if slowest.last_run_s is not None:
-        fields["slowest_s"] = round(slowest.last_run_s, 3)
-    _logger.info("step ended", extra=fields)
-
-
 def _is_unanswered(run):
     return run.state == model.ORDERED and run.confirmed_at is None
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -5,6 +5,7 @@
 
 from cranberryport.control import controller
 from cranberryport.platform import advice
+from cranberryport.scheduling import step_logs
 from tests import scheduling
 
 
@@ -29,7 +30,7 @@
     def test_starts_of_a_step_share_a_line_that_names_the_executors(self):
         """Guards against a start that cannot be found from the id of its job."""
         runs = self.harness.start()
-        lines = self._capture(lambda: controller._log_starts(runs))
+        lines = self._capture(lambda: step_logs.log_starts(runs))
         self.assertEqual([event for event, _ in lines], ["step start"] * 2)
         for number, (_, fields) in enumerate(lines):
             self.assertEqual(fields["request"], self.job.id)
@@ -46,7 +47,7 @@
         """Guards against a retry that the logs do not show."""
         run = self.harness.start()[0]
         run.number = 2
-        ((event, fields),) = self._capture(lambda: controller._log_starts([run]))
+        ((event, fields),) = self._capture(lambda: step_logs.log_starts([run]))
         self.assertEqual((event, fields["run"]), ("run start", 2))
 
     def test_ends_of_a_step_share_a_line_that_names_the_slowest_task(self):
