Let tasks wait for a local place while that costs less than a remote run

Cause: a task started at once wherever there was room, although it takes 1.5 or 3 times as long away from its data, or from the other tasks of its step. Run times of remote runs and learnt slowdowns counted nowhere, and a slow executor that got no work never recovered.

Change: locality has remote factor, expected run times, and expected room with what is promised to waiting tasks; place_waits weighs a wait against a remote start. Coupled steps and gangs prefer a rack with room for all. A slow executor is the last choice, is probed by one task every 4 s, and its recovery counts faster.

Without a rack and a learnt slowdown, decisions are the same at factor 1 and 3.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -152,7 +152,9 @@
         self._scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self._started_at + lease_wait_s
         )
-        self._planner = task_planner.TaskPlanner(state=self._scheduler)
+        self._planner = task_planner.TaskPlanner(
+            state=self._scheduler, remote_factor=settings.remote_factor
+        )
         self._load_meter = load.LoadMeter(state=self._scheduler)
         self._links = {}
         self._advice_client = advice_client
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -5,6 +5,8 @@
 running twice, once its lease has expired.
 """
 
+import math
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -96,6 +98,8 @@
         that the advice service does not permit here.
     slowdown : float
         Smoothed ratio of measured to declared run times.
+    slowdown_measured_at : float
+        Monotonic time of the newest measurement; minus infinity if there is none.
     """
 
     __slots__ = (
@@ -126,6 +130,7 @@
         "runs",
         "service",
         "slowdown",
+        "slowdown_measured_at",
         "started_at_ms",
         "state",
         "suspected_until",
@@ -181,6 +186,7 @@
         self.recent_failures = []
         self.tickets = {}
         self.slowdown = 1.0
+        self.slowdown_measured_at = -math.inf
 
     @property
     def is_empty(self):
--- a/cranberryport/scheduling/load.py
+++ b/cranberryport/scheduling/load.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from cranberryport.scheduling import ordering, rebalancing
+from cranberryport.scheduling import ordering, place_waits, rebalancing
 
 # Sums up to this age are reused; storing and reading a job takes longer.
 MAX_AGE_S = 0.05
@@ -123,7 +123,7 @@
             rules = self._state.queue_rules(job)
             for occurrence in job.occurrences.values():
                 urgency = ordering.sort_key(occurrence, rules, now_unix_s)[0]
-                needed_processors, needed_memory = _waiting_needs(occurrence)
+                needed_processors, needed_memory = _waiting_needs(occurrence, now)
                 if needed_processors:
                     is_late = urgency in (ordering.LATE, ordering.ABANDONED)
                     weight = rebalancing.LATE_TASK_WEIGHT if is_late else 1.0
@@ -155,14 +155,20 @@
         return long_running, running, memory
 
 
-def _waiting_needs(occurrence):
-    """Return the processors and the memory that an occurrence's waiting tasks need."""
+def _waiting_needs(occurrence, now):
+    """Return the processors and the memory that an occurrence's waiting tasks need.
+
+    Tasks that wait for a local place have room elsewhere and call for no instance.
+    """
     needed_processors = needed_memory = 0
     for number in occurrence.ready_steps:
         step = occurrence.job.steps[number]
         if not step.is_filling:
             waiting_count = sum(
-                not task.is_done and not task.runs for task in occurrence.tasks[number]
+                not task.is_done
+                and not task.runs
+                and not (task.place_wait and place_waits.is_waiting(task, now))
+                for task in occurrence.tasks[number]
             )
             needed_processors += step.processors * waiting_count
             needed_memory += step.memory * waiting_count
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -182,6 +182,10 @@
         in use, in thousandths of a core.
     ticket : str
         Proof that the advice service permits this start; empty if none is needed.
+    remote_factor : float or None
+        Factor by which the run takes longer because it is away from its data or from
+        the other tasks of its step; 1 for a local run. None for a run that a previous
+        controller started, until it is worked out again.
     """
 
     __slots__ = (
@@ -197,6 +201,7 @@
         "percent_per_s",
         "progress_percent",
         "progressed_at",
+        "remote_factor",
         "reported_load",
         "start_expires_at",
         "state",
@@ -224,6 +229,7 @@
         self.pace = 100
         self.reported_load = 0
         self.ticket = ""
+        self.remote_factor = None
 
 
 class Task:
@@ -265,6 +271,8 @@
     crash_history : crashes.CrashHistory or None
         Crashes of executors under the task; None if there was none since its last
         proven run.
+    place_wait : place_waits.PlaceWait or None
+        Its wait for a local place; None if this controller has begun none.
     retry_at : float
         Monotonic time before which the task is not started again.
     """
@@ -280,6 +288,7 @@
         "name",
         "next_run_number",
         "occurrence",
+        "place_wait",
         "replacements",
         "retry_at",
         "runs",
@@ -303,6 +312,7 @@
         self.runs = []
         self.avoided_executors = ()
         self.crash_history = None
+        self.place_wait = None
         self.retry_at = 0.0
 
     @property
@@ -341,6 +351,8 @@
 
     __slots__ = (
         "_remaining_cache",
+        "_remote_factors",
+        "_step_ended_at",
         "due_at",
         "job",
         "number",
@@ -351,6 +363,10 @@
 
     def __init__(self, *, job, number, due_at):
         self._remaining_cache = None
+        # Only for steps with remote runs, by number.
+        self._remote_factors = {}
+        # Unix time of the end of steps under this controller, by number.
+        self._step_ended_at = {}
         self.job = job
         self.number = number
         self.due_at = due_at
@@ -368,7 +384,10 @@
 
     @property
     def remaining_critical_path_s(self):
-        """Declared seconds of the critical path through the uncompleted steps."""
+        """Seconds of the critical path through the uncompleted steps.
+
+        The declared times, multiplied by the factor of a step's remote runs.
+        """
         return self._remaining()[0]
 
     @property
@@ -380,9 +399,13 @@
         # Every decision reads the values, which change only when a task is completed.
         if self._remaining_cache is None:
             steps = list(zip(self.job.steps, self.remaining_counts, strict=True))
+            factors = self._remote_factors
             critical_path_s = _critical_path_s(
-                (step.depends_on, step.estimate_s if count else 0.0)
-                for step, count in steps
+                (
+                    step.depends_on,
+                    step.estimate_s * factors.get(number, 1.0) if count else 0.0,
+                )
+                for number, (step, count) in enumerate(steps)
             )
             core_s = sum(
                 count * step.processors * step.estimate_s / 1000
@@ -391,10 +414,37 @@
             self._remaining_cache = critical_path_s, core_s
         return self._remaining_cache
 
-    def mark_task_done(self, number):
+    def mark_task_done(self, number, now_unix_s):
         """Count a task of the step with this number as completed."""
         self.remaining_counts[number] -= 1
         self._remaining_cache = None
+        if not self.remaining_counts[number]:
+            self._step_ended_at[number] = now_unix_s
+
+    def update_remote_factor(self, number):
+        """Take the largest factor of a step's runs into the remaining critical path."""
+        factor = max(
+            (
+                run.remote_factor or 1.0
+                for task in self.tasks[number]
+                for run in task.runs
+            ),
+            default=1.0,
+        )
+        if factor != self._remote_factors.get(number, 1.0):
+            self._remote_factors[number] = factor
+            self._remaining_cache = None
+
+    def ready_since(self, number):
+        """Return the Unix time since which a step is ready.
+
+        The ends of steps that a previous controller has seen are not known. Then the
+        time is earlier than the true one, so that no wait is begun anew.
+        """
+        ended_at = self._step_ended_at
+        depends_on = self.job.steps[number].depends_on
+        began_at = max(self.job.accepted_at, self.due_at)
+        return max(began_at, *(ended_at.get(d, 0.0) for d in depends_on), 0.0)
 
     def are_dependencies_done(self, number):
         """Return whether the steps that a step depends on are completed."""
--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -8,6 +8,8 @@
 
 import math
 
+from cranberryport.scheduling import locality
+
 # The times by which a task would prolong the use of executors are rounded to multiples
 # of this before they are compared. Declared run times are off by 50 %, so smaller
 # differences mean nothing.
@@ -143,7 +145,10 @@
 
 
 def busy_for_s(executor, now):
-    """Return for how long an executor is busy, by the declared run times.
+    """Return for how long an executor is busy.
+
+    The times are the declared ones, multiplied by the learnt slowdown of the executor
+    and by the remote factor of the run.
 
     Parameters
     ----------
@@ -158,12 +163,14 @@
         Seconds; infinite for an executor with a long-running task.
     """
     longest = 0.0
+    slowdown = locality.learnt_slowdown(executor)
     for run in executor.runs.values():
         step = run.task.step
         if step.is_lasting:
             return math.inf
         began = now if run.confirmed_at is None else run.confirmed_at
-        longest = max(longest, began + step.estimate_s - now)
+        expected_s = step.estimate_s * (run.remote_factor or 1.0) * slowdown
+        longest = max(longest, began + expected_s - now)
     return longest
 
 
@@ -176,13 +183,15 @@
     avoided_executors,
     long_running_counts,
     busy_s=None,
+    remote_factor=1.0,
 ):
     """Choose the best executor with room for one task.
 
-    An executor is better if, in this order, it is not among the avoided executors, it
-    is on the right rack, it has fewer long-running tasks that a best-effort task would
-    disturb, it already has long-running tasks if this task is long-running, the task
-    prolongs its use by less, and less of it stays free.
+    An executor is better if, in this order, it is not among the avoided executors, the
+    task is expected to take less time there, as the executor is not known to be slow
+    and the task is not remote, it is on the right rack, it has fewer long-running tasks
+    that a best-effort task would disturb, it already has long-running tasks if this
+    task is long-running, the task prolongs its use by less, and less of it stays free.
 
     Parameters
     ----------
@@ -200,6 +209,8 @@
         Number of long-running tasks by executor, which best-effort tasks would disturb.
     busy_s : dict of str to float, optional
         Result of :func:`busy_for_s` by executor; without it busy times are ignored.
+    remote_factor : float, default=1.0
+        Factor by which a remote run takes longer than a local one.
 
     Returns
     -------
@@ -213,10 +224,10 @@
         if not has_room(step, executor, free):
             continue
         free_share = (free[0] - step.processors) / max(1, executor.processors)
-        is_remote = bool(step.rack) and executor.rack != step.rack
-        splits_racks = (
-            step.is_coupled and bool(used_racks) and executor.rack not in used_racks
-        )
+        is_remote = locality.is_remote(step, executor.rack, used_racks, remote_factor)
+        run_factor = locality.learnt_slowdown(executor)
+        if is_remote:
+            run_factor *= remote_factor
         long_running = long_running_counts.get(executor.id, 0)
         disturbs = long_running if step.is_filling else 0
         # Long-running tasks go to executors that have some already, and all tasks to
@@ -224,11 +235,13 @@
         joins_long_running = -min(1, long_running) if step.is_lasting else 0
         rounded_extension = 0
         if busy_s is not None and not step.is_lasting:
-            extension_s = max(0.0, step.estimate_s - busy_s.get(executor.id, 0.0))
+            run_s = step.estimate_s * run_factor
+            extension_s = max(0.0, run_s - busy_s.get(executor.id, 0.0))
             rounded_extension = round(extension_s / EXTENSION_RESOLUTION_S)
         key = (
             executor.id in avoided_executors,
-            is_remote or splits_racks,
+            run_factor,
+            is_remote,
             disturbs,
             joins_long_running,
             rounded_extension,
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -799,6 +799,7 @@
         if job.has_ended or task.is_done:
             return
         suspicion.update_recent_failures(executor, job.id, end.how, now)
+        stragglers.update_slowdown_by_end(executor, run, end.how, now)
         if end.how == "done":
             self._finish_task(task, now_unix_s)
         elif end.how == "failed":
@@ -832,7 +833,7 @@
         for member in members:
             if not member.is_done:
                 member.is_done = True
-                occurrence.mark_task_done(task.step_number)
+                occurrence.mark_task_done(task.step_number, now_unix_s)
             for run in list(member.runs):
                 self._stop_or_remove_run(run)
         self._mark_changed(job)
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -5,14 +5,17 @@
 """
 
 import collections
+import functools
 import logging
 import math
 
 from cranberryport.scheduling import (
     crashes,
     isolation,
+    locality,
     ordering,
     packing,
+    place_waits,
     stragglers,
     suspicion,
 )
@@ -32,6 +35,10 @@
         Executors that accept runs, with the free resources of each.
     pool_isolation : isolation.Isolation
         Division of these executors between suspects and other tasks.
+    slow_executor_ids : set of str
+        Result of :func:`stragglers.slow_executors`.
+    probes : dict of str to list of int
+        Free resources of slow executors that may get one task, by id.
     now : float
         Monotonic time in seconds.
 
@@ -45,6 +52,8 @@
         Seconds for which each executor is busy.
     long_running : dict of str to int
         Number of long-running tasks on each executor.
+    places : locality.Places
+        Room that is expected on these executors.
     unplaceable : packing.UnplaceableNeeds
         Needs for which no executor had room.
     """
@@ -55,10 +64,12 @@
         "candidates",
         "isolation",
         "long_running",
+        "places",
+        "probes",
         "unplaceable",
     )
 
-    def __init__(self, *, candidates, pool_isolation, now):
+    def __init__(self, *, candidates, pool_isolation, slow_executor_ids, probes, now):
         self.all_candidates = candidates
         self.isolation = pool_isolation
         self.candidates = pool_isolation.ordinary
@@ -67,13 +78,21 @@
             executor.id: sum(run.task.step.is_lasting for run in executor.runs.values())
             for executor, _ in candidates
         }
+        self.places = locality.Places(
+            candidates=self.candidates, excluded_ids=slow_executor_ids, now=now
+        )
+        self.probes = probes
         self.unplaceable = packing.UnplaceableNeeds()
 
-    def add_planned_run(self, step, executor):
+    def add_planned_run(self, step, executor, used_racks=(), remote_factor=1.0):
         """Count a planned run of a step in the state of an executor."""
         self.long_running[executor.id] += step.is_lasting
-        planned_s = math.inf if step.is_lasting else step.estimate_s
+        planned_s = locality.expected_run_s(step, executor, used_racks, remote_factor)
         self.busy_s[executor.id] = max(self.busy_s[executor.id], planned_s)
+        self.places.add_run(step, executor, planned_s)
+        if executor.id in self.probes:
+            # One task shows whether the executor has recovered.
+            self.probes.pop(executor.id)[:] = (-1, -1, -1)
 
 
 class TaskPlanner:
@@ -83,12 +102,20 @@
     ----------
     state : cranberryport.scheduling.scheduler.Scheduler
         State of all jobs, to which the planned runs are added.
+    remote_factor : float, default=1.0
+        Factor by which a task takes longer away from the rack of its data or of the
+        other tasks of its step.
+    wait_policy : object, optional
+        See :class:`place_waits.PlaceWaits`.
     """
 
-    __slots__ = ("_advice_requests", "_state", "_stragglers_checked_at")
+    __slots__ = ("_advice_requests", "_place_waits", "_state", "_stragglers_checked_at")
 
-    def __init__(self, *, state):
+    def __init__(self, *, state, remote_factor=1.0, wait_policy=None):
         self._state = state
+        self._place_waits = place_waits.PlaceWaits(
+            state=state, remote_factor=remote_factor, policy=wait_policy
+        )
         self._stragglers_checked_at = -math.inf
         self._advice_requests = {}
 
@@ -107,6 +134,7 @@
         )
         if checks_stragglers:
             self._stragglers_checked_at = now
+        self._place_waits.begin_decision(now, now_unix_s)
         ready, waiting = {}, {}
         for job in self._state.open_jobs.values():
             for occurrence in job.occurrences.values():
@@ -128,6 +156,10 @@
                 [executor for executor, _ in candidates]
             )
             trusted = suspicion.filter_trusted(candidates, now, slow_executor_ids)
+            probes = {}
+            if slow_executor_ids and len(trusted) < len(candidates):
+                probes = stragglers.probes(candidates, slow_executor_ids, now)
+                trusted += [c for c in candidates if c[0].id in probes]
             occurrences = waiting.get(service, ())
             pool_isolation = isolation.Isolation(
                 candidates=trusted,
@@ -136,12 +168,24 @@
                 now=now,
             )
             pool = _PoolState(
-                candidates=trusted, pool_isolation=pool_isolation, now=now
+                candidates=trusted,
+                pool_isolation=pool_isolation,
+                slow_executor_ids=slow_executor_ids,
+                probes=probes,
+                now=now,
             )
+            if checks_stragglers and self._place_waits.is_active:
+                locality.set_missing_remote_factors(
+                    candidates, self._state.executors, self._place_waits.remote_factor
+                )
+            self._place_waits.update_queue_weight(service, occurrences, trusted)
             self._plan_pool(occurrences, pool, now, now_unix_s)
             if checks_stragglers:
                 self._replace_stragglers(
-                    ready[service], pool.candidates, slow_executor_ids, now
+                    ready[service],
+                    [c for c in pool.candidates if c[0].id not in probes],
+                    slow_executor_ids,
+                    now,
                 )
 
     def _has_waiting_task(self, occurrence, now):
@@ -206,29 +250,65 @@
             return
         task_counts, used_racks = self._count_placements(tasks)
         permitted = self._permitted_candidates(occurrence, number, pool.candidates, now)
+        if pool.probes and not stragglers.can_probe(step):
+            permitted = [c for c in permitted if c[0].id not in pool.probes]
         if step.is_gang:
             self._plan_gang(tasks, waiting, permitted, pool, now)
             return
-        for position, task in enumerate(waiting):
-            executor = packing.choose_executor(
+
+        def choose(candidates, task=waiting[0], *, is_promised_kept=True):
+            if is_promised_kept:
+                candidates = pool.places.unpromised(
+                    candidates, step, used_racks, self._place_waits.remote_factor
+                )
+            return packing.choose_executor(
                 step,
-                permitted,
+                candidates,
                 task_counts=task_counts,
                 used_racks=used_racks,
                 avoided_executors=task.avoided_executors,
                 long_running_counts=pool.long_running,
                 busy_s=pool.busy_s,
+                remote_factor=self._place_waits.remote_factor,
+            )
+
+        offered, is_waiting = permitted, False
+        is_coupled = self._place_waits.is_active and step.is_coupled
+        if is_coupled and not step.is_lasting:
+            offered, is_waiting = self._place_waits.choose_rack(
+                waiting, choose, permitted, pool.places, task_counts, used_racks
             )
+        for position, task in enumerate(waiting):
+            if is_coupled:
+                executor = choose(offered, task)
+                if executor is None and not is_waiting and offered is not permitted:
+                    executor = choose(permitted, task)
+            else:
+                executor, is_waiting = self._place_waits.choose(
+                    task,
+                    functools.partial(choose, task=task),
+                    permitted,
+                    pool.places,
+                    task_counts,
+                    used_racks,
+                )
+            if is_waiting and executor is None:
+                continue
             if executor is None:
                 if step.is_lasting:
                     has_advice = permitted is not pool.candidates
                     # The advice service may not permit the instances that are added.
                     unplaced = [task] if has_advice else waiting[position:]
                     self._state.mark_unplaceable(unplaced, now)
-                if permitted is pool.candidates:
+                if permitted is pool.candidates and (
+                    not pool.places.has_promises
+                    or choose(permitted, task, is_promised_kept=False) is None
+                ):
                     pool.unplaceable.add(step)
                 return
-            pool.add_planned_run(step, executor)
+            pool.add_planned_run(
+                step, executor, used_racks, self._place_waits.remote_factor
+            )
             self._plan_run(
                 task, executor, task.next_run_number, permitted, task_counts, used_racks
             )
@@ -300,10 +380,18 @@
             used_racks=used_racks,
             avoided_executors=task.avoided_executors,
             long_running_counts={},
+            remote_factor=self._place_waits.remote_factor,
         )
         previous_executor = self._state.executors.get(run.executor)
         if executor is None or previous_executor is None:
             return
+        rerun_factor = locality.learnt_slowdown(executor)
+        if self._place_waits.is_remote(task.step, executor, used_racks):
+            rerun_factor *= self._place_waits.remote_factor
+        if not stragglers.is_worth_replacing(
+            run, now, {run.executor}, rerun_factor=rerun_factor
+        ):
+            return
         if previous_executor.is_silent(now) and not task.step.may_copy:
             # The progress of the run is not known, and a stop would not arrive.
             return
@@ -408,8 +496,36 @@
         """Plan a run of every task of a gang if there is room for all of them."""
         if len(waiting) != sum(not task.is_done for task in tasks):
             return
+        placements, is_split = self._place_waits.place_gang(
+            waiting,
+            lambda offered: self._place_gang(tasks, waiting, offered, pool, now),
+            candidates,
+            pool.places,
+        )
+        if placements is None:
+            return
+        number = max(task.next_run_number for task in tasks)
+        checkpoint = max(task.checkpoint for task in tasks)
+        for task, executor in placements:
+            task.checkpoint = checkpoint
+            if crashes.is_suspect(task):
+                pool.isolation.add_planned_run(task, executor)
+            self._plan_run(
+                task,
+                executor,
+                number,
+                pool.all_candidates,
+                collections.Counter(),
+                set(),
+                is_split=is_split,
+            )
+
+    def _place_gang(self, tasks, waiting, candidates, pool, now):
+        """Return the members of a gang with their executors, None without room."""
         step = tasks[0].step
+        remote_factor = self._place_waits.remote_factor
         task_counts, used_racks = self._count_placements(tasks)
+        candidates = pool.places.unpromised(candidates, step, used_racks, remote_factor)
         trial_candidates = [(executor, list(free)) for executor, free in candidates]
         suspects = [task for task in waiting if crashes.is_suspect(task)]
         placements = []
@@ -431,9 +547,10 @@
                 used_racks=used_racks,
                 avoided_executors=task.avoided_executors,
                 long_running_counts={},
+                remote_factor=remote_factor,
             )
             if executor is None:
-                return
+                return None
             if task in suspects:
                 used_by_suspects.add(executor.id)
                 trial_candidates = [c for c in trial_candidates if c[0] is not executor]
@@ -443,24 +560,25 @@
             task_counts[executor.id] += 1
             used_racks.add(executor.rack)
             placements.append((task, executor))
-        number = max(task.next_run_number for task in tasks)
-        checkpoint = max(task.checkpoint for task in tasks)
-        for task, executor in placements:
-            task.checkpoint = checkpoint
-            if task in suspects:
-                pool.isolation.add_planned_run(task, executor)
-            self._plan_run(
-                task,
-                executor,
-                number,
-                pool.all_candidates,
-                collections.Counter(),
-                set(),
-            )
-
-    def _plan_run(self, task, executor, number, candidates, task_counts, used_racks):
+        return placements
+
+    def _plan_run(
+        self,
+        task,
+        executor,
+        number,
+        candidates,
+        task_counts,
+        used_racks,
+        *,
+        is_split=False,
+    ):
         """Plan a run and subtract its needs from the free resources."""
         self._state.plan_run(task, executor, number)
+        is_remote = self._place_waits.is_remote(task.step, executor, used_racks)
+        self._place_waits.on_planned(
+            task.runs[-1], executor, is_remote=is_remote or is_split
+        )
         for candidate, free in candidates:
             if candidate is executor:
                 packing.reserve(task.step, free)
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -95,18 +95,28 @@
         Number of failed runs of a task after which its job fails.
     previous_leases_expire_at : float
         See the scheduler.
+    remote_factor : float
+        Factor by which a task takes longer on another rack.
     **values
         Attributes of the executors.
     """
 
     def __init__(
-        self, *, count=1, failed_runs_limit=2, previous_leases_expire_at=0.0, **values
+        self,
+        *,
+        count=1,
+        failed_runs_limit=2,
+        previous_leases_expire_at=0.0,
+        remote_factor=1.0,
+        **values,
     ):
         self.now = 100.0
         self.scheduler = scheduler.Scheduler(
             previous_leases_expire_at=previous_leases_expire_at
         )
-        self.planner = task_planner.TaskPlanner(state=self.scheduler)
+        self.planner = task_planner.TaskPlanner(
+            state=self.scheduler, remote_factor=remote_factor
+        )
         rules = ordering.QueueRules(
             name="queue",
             service="pool",
