Decide on waits without weighing each wait anew at every decision

Change: a wait keeps its place while it is still expected within 0.25 s of its time; a pool in which all waiting tasks are idle is not planned until their place has a new end; steps for which only promised room is left are not searched for again.

--- a/cranberryport/scheduling/locality.py
+++ b/cranberryport/scheduling/locality.py
@@ -8,6 +8,7 @@
 import bisect
 import heapq
 import math
+import operator
 
 from cranberryport.scheduling import model, stragglers
 
@@ -167,7 +168,15 @@
         Monotonic time in seconds.
     """
 
-    __slots__ = ("_events", "_excluded_ids", "_free", "_groups", "_now", "_promised")
+    __slots__ = (
+        "_events",
+        "_excluded_ids",
+        "_free",
+        "_groups",
+        "_now",
+        "_promised",
+        "_used_ids",
+    )
 
     def __init__(self, *, candidates, excluded_ids, now):
         self._free = {executor.id: free for executor, free in candidates}
@@ -175,6 +184,7 @@
         self._now = now
         self._events = {}
         self._promised = {}
+        self._used_ids = set()
         self._groups = (candidates, None)
 
     @property
@@ -201,6 +211,7 @@
 
     def add_run(self, step, executor, run_s):
         """Count the expected end of a run that is planned now."""
+        self._used_ids.add(executor.id)
         if executor.id in self._events and math.isfinite(run_s):
             self._add_event(executor.id, run_s, step, 1)
 
@@ -222,23 +233,32 @@
         """
         if step.label and step.label not in executor.labels:
             return math.inf
-        free = list(self._free[executor.id])
         needs = _needs(step)
-        room_at = 0.0 if _fits(needs, free) else None
+        processors, memory, accelerators = map(
+            operator.sub, self._free[executor.id], needs
+        )
+        room_at = 0.0
+        if processors < 0 or memory < 0 or accelerators < 0:
+            room_at = math.inf
         for at_s, _, changes in self._events_of(executor):
-            free = [a + b for a, b in zip(free, changes, strict=True)]
-            if not _fits(needs, free):
-                room_at = None
-            elif room_at is None:
+            processors += changes[0]
+            memory += changes[1]
+            accelerators += changes[2]
+            if processors < 0 or memory < 0 or accelerators < 0:
+                room_at = math.inf
+            elif room_at == math.inf:
                 room_at = at_s
-        return math.inf if room_at is None else room_at
+        return room_at
 
     def promise(self, step, executor, in_s, run_s):
         """Promise room on an executor to a task from a time in the future on."""
-        self._events_of(executor)
-        self._add_event(executor.id, in_s, step, -1)
-        self._add_event(executor.id, in_s + run_s, step, 1)
-        self._promised[executor.id] = self._promised.get(executor.id, 0) + 1
+        self._promised.setdefault(executor.id, []).append((in_s, step, run_s))
+        if executor.id in self._events:
+            self._add_promise(executor.id, in_s, step, run_s)
+
+    def is_untouched(self, executor):
+        """Return whether room on an executor was neither used nor looked at so far."""
+        return executor.id not in self._events and executor.id not in self._used_ids
 
     def places(self, step, candidates, count, *, run_s, limit_s, task_counts):
         """Return where and when several tasks of a step are expected to have room.
@@ -313,19 +333,25 @@
             candidate
             for candidate in candidates
             if candidate[0].id not in self._promised
-            or self._leaves_promises(
-                step,
-                candidate[0],
-                expected_run_s(step, candidate[0], used_racks, remote_factor),
-            )
+            or self._leaves_promises(step, candidate[0], used_racks, remote_factor)
         ]
 
-    def _leaves_promises(self, step, executor, run_s):
-        needs = _needs(step)
-        free = list(self._free[executor.id])
-        for at_s, _, changes in self._events[executor.id]:
-            free = [a + b for a, b in zip(free, changes, strict=True)]
-            if at_s < run_s and min(changes) < 0 and not _fits(needs, free):
+    def _leaves_promises(self, step, executor, used_racks, remote_factor):
+        processors, memory, accelerators = map(
+            operator.sub, self._free[executor.id], _needs(step)
+        )
+        if processors < 0 or memory < 0 or accelerators < 0:
+            # There is no room now, so that the rest makes no difference.
+            return False
+        run_s = expected_run_s(step, executor, used_racks, remote_factor)
+        for at_s, sign, changes in self._events_of(executor):
+            if at_s >= run_s:
+                break
+            processors += changes[0]
+            memory += changes[1]
+            accelerators += changes[2]
+            is_promise = sign > 0
+            if is_promise and (processors < 0 or memory < 0 or accelerators < 0):
                 return False
         return True
 
@@ -339,21 +365,24 @@
                     events.append(_event(remaining_s, run.task.step, 1))
             events.sort()
             self._events[executor.id] = events
+            for promise in self._promised.get(executor.id, ()):
+                self._add_promise(executor.id, *promise)
         return events
 
+    def _add_promise(self, executor_id, in_s, step, run_s):
+        self._add_event(executor_id, in_s, step, -1)
+        self._add_event(executor_id, in_s + run_s, step, 1)
+
     def _add_event(self, executor_id, at_s, step, sign):
         bisect.insort(self._events[executor_id], _event(at_s, step, sign))
 
 
 def _event(at_s, step, sign):
     # Ends precede starts at the same time.
-    return (at_s, -sign, [sign * needed for needed in _needs(step)])
+    processors, memory, accelerators = _needs(step)
+    return (at_s, -sign, (sign * processors, sign * memory, sign * accelerators))
 
 
 def _needs(step):
     processors = 0 if step.is_filling else step.processors
     return (processors, step.memory, step.accelerators)
-
-
-def _fits(needs, free):
-    return needs[0] <= free[0] and needs[1] <= free[1] and needs[2] <= free[2]
--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -113,10 +113,11 @@
     shrink while runs are planned.
     """
 
-    __slots__ = ("_unplaceable",)
+    __slots__ = ("_promised", "_unplaceable")
 
     def __init__(self):
         self._unplaceable = []
+        self._promised = []
 
     def add(self, step):
         """Record that no executor has room for a task of a step.
@@ -126,16 +127,27 @@
         if not step.spread:
             self._unplaceable.append(_needs(step))
 
+    def add_promised(self, step):
+        """Record that only promised room is left for a task of a step.
+
+        Shorter tasks, and those with another rack, may still end in time.
+        """
+        if not step.spread:
+            self._promised.append((step.rack, step.estimate_s, _needs(step)))
+
     def covers(self, step):
         """Return whether some added step needs no more than this one.
 
         Then no executor has room for this step either.
         """
-        label, *needs = _needs(step)
-        return any(
-            other[0] in ("", label)
-            and all(a >= b for a, b in zip(needs, other[1:], strict=True))
-            for other in self._unplaceable
+        needs = _needs(step)
+        if any(_needs_as_much(needs, other) for other in self._unplaceable):
+            return True
+        return not step.is_lasting and any(
+            rack == step.rack
+            and estimate_s <= step.estimate_s
+            and _needs_as_much(needs, other)
+            for rack, estimate_s, other in self._promised
         )
 
 
@@ -144,6 +156,12 @@
     return step.label, processors, step.memory, step.accelerators
 
 
+def _needs_as_much(needs, other):
+    return other[0] in ("", needs[0]) and all(
+        a >= b for a, b in zip(needs[1:], other[1:], strict=True)
+    )
+
+
 def busy_for_s(executor, now):
     """Return for how long an executor is busy.
 
--- a/cranberryport/scheduling/place_waits.py
+++ b/cranberryport/scheduling/place_waits.py
@@ -7,7 +7,7 @@
 
 import logging
 
-from cranberryport.scheduling import locality, ordering
+from cranberryport.scheduling import locality, ordering, packing
 
 # No task waits longer than this for a place: the objectives of jobs are about 2 s, and
 # expected ends are off by half, so that later places are mostly a guess.
@@ -18,9 +18,12 @@
 WAIT_ERROR_FACTOR = 1 + locality.ESTIMATE_ERROR
 # What queued tasks lose by a slot-second counts at most as much as a second of the job.
 QUEUE_WEIGHT_LIMIT = 1.0
-# Interval at which the choice of a waiting task is weighed anew; ends are listed about
-# once a second. A local place that is free now is taken at every decision.
+# Interval at which a waiting task is looked at if nothing else in its pool is to be
+# decided. The end of a run at its place is acted on at once.
 RECHECK_INTERVAL_S = 0.1
+# A place that is expected this much later than before is not weighed anew; expected
+# ends of runs without progress move by as much between two lists.
+LATENESS_TOLERANCE_S = 0.25
 # The weight of a pool's queue is computed once in this time, as it reads all tasks.
 QUEUE_WEIGHT_AGE_S = 0.1
 
@@ -54,7 +57,9 @@
         Seconds by which the task is expected to end earlier than by a remote start at
         the beginning of the wait.
     recheck_at : float
-        Monotonic time at which the choice is weighed anew.
+        Monotonic time by which the task is looked at again.
+    end_number : int
+        Number of the last listed end of ``executor`` when it was last weighed.
     is_over : bool
         Whether the task was placed or has given up. No other wait is begun then.
     """
@@ -62,6 +67,7 @@
     __slots__ = (
         "began_at",
         "counted_from",
+        "end_number",
         "executor",
         "expected_at",
         "is_over",
@@ -76,6 +82,7 @@
         self.expected_at = began_at
         self.saved_s = 0.0
         self.recheck_at = began_at
+        self.end_number = 0
         self.is_over = False
 
 
@@ -200,6 +207,21 @@
         if self._started_at_unix_s is None:
             self._started_at_unix_s = now_unix_s
 
+    def is_idle(self, task):
+        """Return whether a task waits for a place and nothing has changed there.
+
+        A pool in which all waiting tasks are idle needs no decision before the next
+        time at which they are weighed.
+        """
+        wait = task.place_wait
+        return (
+            wait is not None
+            and not wait.is_over
+            and self._now < wait.recheck_at
+            and wait.executor.received_end_number == wait.end_number
+            and wait.executor.can_accept_runs(self._now)
+        )
+
     def update_queue_weight(self, service, occurrences, candidates):
         """Update what queued tasks lose while the pool is full.
 
@@ -262,15 +284,12 @@
         groups = places.racks(permitted)
         local = [c for rack in racks for c in groups.get(rack, ())]
         wait = task.place_wait
-        if wait is not None and not wait.is_over and self._now < wait.recheck_at:
-            executor = choose(local)
-            if executor is not None:
-                return executor, False
-            in_s = max(0.0, wait.expected_at - self._now)
-            is_candidate = any(e is wait.executor for e, _ in local)
-            if is_candidate and places.room_in_s(step, wait.executor) <= in_s:
-                run_s = self._run_s(step, wait.executor)
-                places.promise(step, wait.executor, in_s, run_s)
+        if wait is not None and not wait.is_over:
+            if any(packing.has_room(step, e, free) for e, free in local):
+                executor = choose(local)
+                if executor is not None:
+                    return executor, False
+            if self._keep_waiting([task], local, places):
                 return None, True
         executor = choose(permitted)
         if executor is None or not self.is_remote(step, executor, used_racks):
@@ -301,11 +320,14 @@
         Returns
         -------
         candidates : list of (executors.Executor, list of int)
-            Candidates for the tasks now.
+            Candidates for the tasks now; empty if no executor has room.
         is_waiting : bool
             Whether tasks without room there wait for it.
         """
         step = tasks[0].step
+        executor = choose(permitted)
+        if executor is None:
+            return [], False
         groups = places.racks(permitted)
         local_racks = self._local_racks(step, used_racks)
         if local_racks is None:
@@ -314,9 +336,11 @@
         roomy = _racks_with_room(step, local, len(tasks), task_counts)
         if roomy:
             return roomy, False
-        executor = choose(permitted)
-        if executor is None:
-            return permitted, False
+        wait = tasks[0].place_wait
+        if wait is not None and not wait.is_over:
+            candidates = local.get(wait.executor.rack, ())
+            if self._keep_waiting(tasks, candidates, places):
+                return candidates, True
         if not self._is_wait_over(tasks[0]):
             found = self._earliest_rack(tasks, local, places, task_counts)
             if self._weigh(tasks, found, executor, places):
@@ -363,6 +387,11 @@
                 best, best_factor = placements, factor
             if best_factor == 1:
                 return best, False
+        wait = tasks[0].place_wait
+        if best is None and wait is not None and not wait.is_over:
+            candidates = local.get(wait.executor.rack, ())
+            if self._keep_waiting(tasks, candidates, places):
+                return None, True
         remote = place(permitted)
         if remote is None:
             return best, False
@@ -458,6 +487,47 @@
     def _is_wait_over(self, task):
         return task.place_wait is not None and task.place_wait.is_over
 
+    def _keep_waiting(self, tasks, candidates, places):
+        """Promise waiting tasks their places again if these are still expected.
+
+        Parameters
+        ----------
+        tasks : list of model.Task
+            Waiting tasks of one step.
+        candidates : list of (executors.Executor, list of int)
+            Executors that they may wait for.
+        places : locality.Places
+            Expected room in the pool.
+
+        Returns
+        -------
+        bool
+            False if the choice has to be weighed anew.
+        """
+        ids = {executor.id for executor, _ in candidates}
+        rooms = []
+        for task in tasks:
+            wait = task.place_wait
+            if wait is None or wait.is_over or wait.executor.id not in ids:
+                return False
+            if self.is_idle(task) and places.is_untouched(wait.executor):
+                rooms.append(max(0.0, wait.expected_at - self._now))
+                continue
+            in_s = places.room_in_s(task.step, wait.executor)
+            latest_at = min(
+                wait.expected_at + LATENESS_TOLERANCE_S,
+                wait.counted_from + LONGEST_WAIT_S,
+            )
+            if self._now + in_s > latest_at:
+                return False
+            rooms.append(max(in_s, wait.expected_at - self._now))
+            self._set_recheck(wait)
+        for task, in_s in zip(tasks, rooms, strict=True):
+            executor = task.place_wait.executor
+            run_s = self._run_s(task.step, executor)
+            places.promise(task.step, executor, in_s, run_s)
+        return True
+
     def _weigh(self, tasks, found, executor, places):
         """Decide whether tasks wait for the places found, and record it.
 
@@ -542,6 +612,10 @@
             )
         wait.executor = executor
         wait.expected_at = self._now + in_s
+        self._set_recheck(wait)
+
+    def _set_recheck(self, wait):
+        wait.end_number = wait.executor.received_end_number
         wait.recheck_at = self._now + RECHECK_INTERVAL_S
 
     def _record_given_up(self, task, reason, waited_s, offer=None):
@@ -602,11 +676,14 @@
 
 
 def _room(step, free, task_count):
-    needs = (0 if step.is_filling else step.processors, step.memory, step.accelerators)
-    rooms = [a // n for n, a in zip(needs, free, strict=True) if n]
-    if step.spread:
-        rooms.append(step.spread - task_count)
-    return max(0, min(rooms, default=step.count))
+    room = step.spread - task_count if step.spread else step.count
+    if step.processors and not step.is_filling:
+        room = min(room, free[0] // step.processors)
+    if step.memory:
+        room = min(room, free[1] // step.memory)
+    if step.accelerators:
+        room = min(room, free[2] // step.accelerators)
+    return max(0, room)
 
 
 def _fields(task):
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -135,14 +135,18 @@
         if checks_stragglers:
             self._stragglers_checked_at = now
         self._place_waits.begin_decision(now, now_unix_s)
-        ready, waiting = {}, {}
+        ready, waiting, due_services = {}, {}, set()
         for job in self._state.open_jobs.values():
             for occurrence in job.occurrences.values():
                 if occurrence.ready_steps:
                     ready.setdefault(job.service, []).append(occurrence)
                     if self._has_waiting_task(occurrence, now):
                         waiting.setdefault(job.service, []).append(occurrence)
-        services = ready if checks_stragglers else waiting
+                        if job.service not in due_services and not self._is_idle(
+                            occurrence, now
+                        ):
+                            due_services.add(job.service)
+        services = ready if checks_stragglers else due_services
         pools = {}
         for executor in self._state.executors.values():
             if executor.service in services and executor.can_accept_runs(now):
@@ -195,6 +199,15 @@
             for task in occurrence.tasks[number]
         )
 
+    def _is_idle(self, occurrence, now):
+        """Return whether all waiting tasks wait for places that have not changed."""
+        return self._place_waits.is_active and all(
+            self._place_waits.is_idle(task)
+            for number in occurrence.ready_steps
+            for task in occurrence.tasks[number]
+            if not task.runs and not task.is_done and task.retry_at <= now
+        )
+
     def _waiting_suspects(self, occurrences, now):
         if not self._state.has_suspects:
             return []
@@ -281,7 +294,8 @@
         for position, task in enumerate(waiting):
             if is_coupled:
                 executor = choose(offered, task)
-                if executor is None and not is_waiting and offered is not permitted:
+                is_limited = offered and offered is not permitted
+                if executor is None and is_limited and not is_waiting:
                     executor = choose(permitted, task)
             else:
                 executor, is_waiting = self._place_waits.choose(
@@ -300,11 +314,14 @@
                     # The advice service may not permit the instances that are added.
                     unplaced = [task] if has_advice else waiting[position:]
                     self._state.mark_unplaceable(unplaced, now)
-                if permitted is pool.candidates and (
-                    not pool.places.has_promises
-                    or choose(permitted, task, is_promised_kept=False) is None
-                ):
-                    pool.unplaceable.add(step)
+                if permitted is pool.candidates:
+                    is_promised = pool.places.has_promises and choose(
+                        permitted, task, is_promised_kept=False
+                    )
+                    if is_promised:
+                        pool.unplaceable.add_promised(step)
+                    else:
+                        pool.unplaceable.add(step)
                 return
             pool.add_planned_run(
                 step, executor, used_racks, self._place_waits.remote_factor
