Count the tasks queued in a full pool with a constant weight

Cause: the weight was the queue divided by the capacity, so that at a small queue a remote run seemed to cost others nothing.

--- a/cranberryport/scheduling/place_waits.py
+++ b/cranberryport/scheduling/place_waits.py
@@ -16,8 +16,9 @@
 LEAST_SAVING_S = 0.1
 # Expected waits may be this many times longer, as declared run times are off by 50 %.
 WAIT_ERROR_FACTOR = 1 + locality.ESTIMATE_ERROR
-# What queued tasks lose by a slot-second counts at most as much as a second of the job.
-QUEUE_WEIGHT_LIMIT = 1.0
+# Seconds of the waiting job that a slot-second counts as for the tasks queued in a full
+# pool: the first of them starts later by what a remote run holds the slot longer.
+FULL_POOL_WEIGHT = 1.0
 # Interval at which a waiting task is looked at if nothing else in its pool is to be
 # decided. The end of a run at its place is acted on at once.
 RECHECK_INTERVAL_S = 0.1
@@ -247,10 +248,8 @@
             if not task.is_done and not task.runs
         )
         free = sum(free[0] for _, free in candidates)
-        capacity = sum(executor.processors for executor, _ in candidates)
-        # Each slot has this many tasks queued behind it, and all lose what one holds.
-        weight = max(0, queued - free) / max(1, capacity)
-        self._queue_weights[service] = (self._now, min(QUEUE_WEIGHT_LIMIT, weight))
+        weight = FULL_POOL_WEIGHT if queued > free else 0.0
+        self._queue_weights[service] = (self._now, weight)
 
     def choose(self, task, choose, permitted, places, task_counts, used_racks):
         """Choose the executor of one task, or let it wait for a local place.
