--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -164,7 +164,7 @@
             if slow_executor_ids and len(trusted) < len(candidates):
                 probes = stragglers.probes(candidates, slow_executor_ids, now)
                 trusted += [c for c in candidates if c[0].id in probes]
-            occurrences = waiting.get(service, ())
+            occurrences = waiting[service] if service in due_services else ()
             pool_isolation = isolation.Isolation(
                 candidates=trusted,
                 waiting_suspects=self._waiting_suspects(occurrences, now),
