Let the lower cost decide where a remote start is late as well

Cause: a job that was in time but would be late either way started remotely at once, so that at overload many slots were held for three times as long.

Jobs that are late already still don't wait.

--- a/cranberryport/scheduling/place_waits.py
+++ b/cranberryport/scheduling/place_waits.py
@@ -154,9 +154,8 @@
         if offer.waited_s + offer.wait_s > longest_s:
             return BOUND
         is_remote_late = offer.remote_run_s - offer.local_run_s > offer.slack_s
-        # A remote start that is late anyway is no reason to be careful.
-        error_factor = 1.0 if is_remote_late else WAIT_ERROR_FACTOR
-        if offer.wait_s * error_factor > offer.slack_s:
+        # Where a remote start is late as well, the lower cost decides.
+        if not is_remote_late and offer.wait_s * WAIT_ERROR_FACTOR > offer.slack_s:
             return NO_SLACK
         return None
 
