--- a/cranberryport/scheduling/load.py
+++ b/cranberryport/scheduling/load.py
@@ -10,6 +10,7 @@
     ordering,
     organisation_limits,
     organisation_shares,
+    place_waits,
     rebalancing,
 )
 
@@ -165,7 +166,9 @@
         self._shares.update(now, now_unix_s)
         long_running, running, memory, short_runs = self._running_needs()
         budget = organisation_limits.make_budget(self._state, now)
-        waiting = _WaitingNeeds(budget=budget, shares=self._shares, memory=memory)
+        waiting = _WaitingNeeds(
+            budget=budget, shares=self._shares, memory=memory, now=now
+        )
         backlogs = collections.Counter()
         own_backlogs = collections.defaultdict(collections.Counter)
         late_occurrences = []
@@ -248,6 +251,8 @@
         Shares of the organisations.
     memory : collections.Counter
         Mebibytes by pool, to which the needs are added.
+    now : float
+        Monotonic time in seconds.
 
     Attributes
     ----------
@@ -255,19 +260,30 @@
         Weighted thousandths of a core by pool.
     """
 
-    __slots__ = ("_all", "_budget", "_memory", "_reduced", "_shares", "processors")
+    __slots__ = (
+        "_all",
+        "_budget",
+        "_memory",
+        "_now",
+        "_reduced",
+        "_shares",
+        "processors",
+    )
 
-    def __init__(self, *, budget, shares, memory):
+    def __init__(self, *, budget, shares, memory, now):
         self._budget = budget
         self._shares = shares
         self._memory = memory
+        self._now = now
         self._all = collections.Counter()
         self._reduced = collections.Counter()
         self.processors = collections.Counter()
 
     def add(self, occurrence, urgency, weight):
         """Add the waiting tasks of an occurrence with a weight from 0 to 1."""
-        needed_processors, needed_memory = _waiting_needs(occurrence, self._budget)
+        needed_processors, needed_memory = _waiting_needs(
+            occurrence, self._budget, self._now
+        )
         if not needed_processors:
             return
         job = occurrence.job
@@ -310,17 +326,24 @@
     return arrival_rate.sustained_demand(now, processors)
 
 
-def _waiting_needs(occurrence, budget):
+def _waiting_needs(occurrence, budget, now):
     """Return the processors and the memory that an occurrence's waiting tasks need.
 
-    Tasks that may not start within the limits of their organisation do not count.
+    Tasks that may not start within the limits of their organisation do not count, nor
+    those that wait for a local place, as they have room elsewhere.
     """
     needed_processors = needed_memory = 0
     for number in occurrence.ready_steps:
         step = occurrence.job.steps[number]
         if not step.is_filling:
             waiting_count = budget.reserve(
-                [t for t in occurrence.tasks[number] if not t.is_done and not t.runs]
+                [
+                    task
+                    for task in occurrence.tasks[number]
+                    if not task.is_done
+                    and not task.runs
+                    and not (task.place_wait and place_waits.is_waiting(task, now))
+                ]
             )
             needed_processors += step.processors * waiting_count
             needed_memory += step.memory * waiting_count
