--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -89,7 +89,10 @@
             executor_client=None,
             epoch=1,
             settings=types.SimpleNamespace(
-                lease_most_ms=4000, store_partitions=1, status_kept_s=5.0
+                lease_most_ms=4000,
+                store_partitions=1,
+                status_kept_s=5.0,
+                remote_factor=1.0,
             ),
             instance_client=None,
             advice_client=None,
