--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -160,7 +160,9 @@
         )
         self._shares = organisation_shares.OrganisationShares(state=self._scheduler)
         self._planner = task_planner.TaskPlanner(
-            state=self._scheduler, shares=self._shares
+            state=self._scheduler,
+            shares=self._shares,
+            remote_factor=settings.remote_factor,
         )
         self._load_meter = load.LoadMeter(state=self._scheduler, shares=self._shares)
         self._admission = admission.JobAdmission(
--- a/cranberryport/scheduling/packing.py
+++ b/cranberryport/scheduling/packing.py
@@ -8,6 +8,8 @@
 
 import math
 
+from cranberryport.scheduling import locality
+
 # The times by which a task would prolong the use of executors are rounded to multiples
 # of this before they are compared. Declared run times are off by 50 %, so smaller
 # differences mean nothing.
@@ -111,10 +113,11 @@
     shrink while runs are planned.
     """
 
-    __slots__ = ("_unplaceable",)
+    __slots__ = ("_promised", "_unplaceable")
 
     def __init__(self):
         self._unplaceable = []
+        self._promised = []
 
     def add(self, step):
         """Record that no executor has room for a task of a step.
@@ -124,16 +127,27 @@
         if not step.spread:
             self._unplaceable.append(_needs(step))
 
+    def add_promised(self, step):
+        """Record that only promised room is left for a task of a step.
+
+        Shorter tasks, and those with another rack, may still end in time.
+        """
+        if not step.spread:
+            self._promised.append((step.rack, step.estimate_s, _needs(step)))
+
     def covers(self, step):
         """Return whether some added step needs no more than this one.
 
         Then no executor has room for this step either.
         """
-        label, *needs = _needs(step)
-        return any(
-            other[0] in ("", label)
-            and all(a >= b for a, b in zip(needs, other[1:], strict=True))
-            for other in self._unplaceable
+        needs = _needs(step)
+        if any(_needs_as_much(needs, other) for other in self._unplaceable):
+            return True
+        return not step.is_lasting and any(
+            rack == step.rack
+            and estimate_s <= step.estimate_s
+            and _needs_as_much(needs, other)
+            for rack, estimate_s, other in self._promised
         )
 
 
@@ -142,8 +156,17 @@
     return step.label, processors, step.memory, step.accelerators
 
 
+def _needs_as_much(needs, other):
+    return other[0] in ("", needs[0]) and all(
+        a >= b for a, b in zip(needs[1:], other[1:], strict=True)
+    )
+
+
 def busy_for_s(executor, now):
-    """Return for how long an executor is busy, by the declared run times.
+    """Return for how long an executor is busy.
+
+    The times are the declared ones, multiplied by the learnt slowdown of the executor
+    and by the remote factor of the run.
 
     Parameters
     ----------
@@ -158,12 +181,14 @@
         Seconds; infinite for an executor with a long-running task.
     """
     longest = 0.0
+    slowdown = locality.learnt_slowdown(executor)
     for run in executor.runs.values():
         step = run.task.step
         if step.is_lasting:
             return math.inf
         began = now if run.confirmed_at is None else run.confirmed_at
-        longest = max(longest, began + step.estimate_s - now)
+        expected_s = step.estimate_s * (run.remote_factor or 1.0) * slowdown
+        longest = max(longest, began + expected_s - now)
     return longest
 
 
@@ -176,13 +201,15 @@
     avoided_executors,
     long_running_counts,
     busy_s=None,
+    remote_factor=1.0,
 ):
     """Choose the best executor with room for one task.
 
-    An executor is better if, in this order, it is not among the avoided executors, it
-    is on the right rack, it has fewer long-running tasks that a best-effort task would
-    disturb, it already has long-running tasks if this task is long-running, the task
-    prolongs its use by less, and less of it stays free.
+    An executor is better if, in this order, it is not among the avoided executors, the
+    task is expected to take less time there, as the executor is not known to be slow
+    and the task is not remote, it is on the right rack, it has fewer long-running tasks
+    that a best-effort task would disturb, it already has long-running tasks if this
+    task is long-running, the task prolongs its use by less, and less of it stays free.
 
     Parameters
     ----------
@@ -200,6 +227,8 @@
         Number of long-running tasks by executor, which best-effort tasks would disturb.
     busy_s : dict of str to float, optional
         Result of :func:`busy_for_s` by executor; without it busy times are ignored.
+    remote_factor : float, default=1.0
+        Factor by which a remote run takes longer than a local one.
 
     Returns
     -------
@@ -213,10 +242,10 @@
         if not has_room(step, executor, free):
             continue
         free_share = (free[0] - step.processors) / max(1, executor.processors)
-        is_remote = bool(step.rack) and executor.rack != step.rack
-        splits_racks = (
-            step.is_coupled and bool(used_racks) and executor.rack not in used_racks
-        )
+        is_remote = locality.is_remote(step, executor.rack, used_racks, remote_factor)
+        run_factor = locality.learnt_slowdown(executor)
+        if is_remote:
+            run_factor *= remote_factor
         long_running = long_running_counts.get(executor.id, 0)
         disturbs = long_running if step.is_filling else 0
         # Long-running tasks go to executors that have some already, and all tasks to
@@ -224,11 +253,13 @@
         joins_long_running = -min(1, long_running) if step.is_lasting else 0
         rounded_extension = 0
         if busy_s is not None and not step.is_lasting:
-            extension_s = max(0.0, step.estimate_s - busy_s.get(executor.id, 0.0))
+            run_s = step.estimate_s * run_factor
+            extension_s = max(0.0, run_s - busy_s.get(executor.id, 0.0))
             rounded_extension = round(extension_s / EXTENSION_RESOLUTION_S)
         key = (
             executor.id in avoided_executors,
-            is_remote or splits_racks,
+            run_factor,
+            is_remote,
             disturbs,
             joins_long_running,
             rounded_extension,
--- a/tests/test_scheduling_organisation_shares.py
+++ b/tests/test_scheduling_organisation_shares.py
@@ -159,7 +159,7 @@
         for job in self._add_jobs("flooding", 30, age_s=0.5):
             (occurrence,) = job.occurrences.values()
             occurrence.tasks[0][0].is_done = True
-            occurrence.mark_task_done(0)
+            occurrence.mark_task_done(0, scheduling.NOW_UNIX_S)
             job.has_started = True
         self._add_jobs("other", 2)
         self.assertEqual(set(self._order()[-20:]), {"flooding"})
