Show measured shares to operators, and let explain know the log events as they are

Change: make_report takes the statuses of OrganisationShares; rejections are counted by reason; events of limits and waits have the agreed names.

--- a/cranberryport/command_line/event_sentences.py
+++ b/cranberryport/command_line/event_sentences.py
@@ -89,7 +89,7 @@
 
 
 def _usage(fields):
-    return f"use {_get(fields, 'use')}, limit {_get(fields, 'limit')}"
+    return f"use {_get(fields, 'use')}, limit {_get(fields, 'limits')}"
 
 
 def _share(fields):
@@ -152,7 +152,7 @@
 def _describe_remote_start(fields):
     return (
         f"{_work(fields)} was started away from its rack {_get(fields, 'rack')}, where "
-        f"it runs longer (expected {_get(fields, 'expected_s')} s){_reason(fields)}"
+        f"it runs longer (expected {_get(fields, 'remote_run_s')} s){_reason(fields)}"
     )
 
 
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -296,7 +296,9 @@
         gauges = {}
         state = None if self._controller is None else self._controller.state
         if state is not None:
-            report = organisation_report.make_report(state, time.monotonic())
+            report = organisation_report.make_report(
+                state, time.monotonic(), self._controller.organisation_statuses
+            )
             gauges = report.to_gauges()
         self._metrics.replace_gauges(ORGANISATION_METRICS, gauges)
         self._metrics.gauge("store.calls", self._store.call_count)
--- a/cranberryport/observability/operator_pages.py
+++ b/cranberryport/observability/operator_pages.py
@@ -50,7 +50,9 @@
 
 
 def _make_organisations_page(_, controller):
-    report = organisation_report.make_report(controller.state, time.monotonic())
+    report = organisation_report.make_report(
+        controller.state, time.monotonic(), controller.organisation_statuses
+    )
     return 200, report.to_page()
 
 
--- a/cranberryport/observability/organisation_report.py
+++ b/cranberryport/observability/organisation_report.py
@@ -235,7 +235,7 @@
     return values | {k: v for k, v in optional.items() if v is not None}
 
 
-def make_report(state, now):
+def make_report(state, now, statuses=None):
     """Return the report on the present state of a scheduler.
 
     Parameters
@@ -244,10 +244,21 @@
         State of all jobs and executors.
     now : float
         Monotonic time in seconds.
+    statuses : dict of str to organisation_shares.OrganisationStatus, optional
+        Shares and service of the organisations by name.
 
     Returns
     -------
     OrganisationReport
         What :func:`read_rows` finds.
     """
-    return OrganisationReport(read_rows(state, now))
+    if statuses is None:
+        return OrganisationReport(read_rows(state, now))
+    rows = read_rows(
+        state,
+        now,
+        shares={name: status.share for name, status in statuses.items()},
+        received={name: s.received_core_s for name, s in statuses.items()},
+        rejected={name: status.rejected_counts for name, status in statuses.items()},
+    )
+    return OrganisationReport(rows)
--- a/cranberryport/scheduling/admission.py
+++ b/cranberryport/scheduling/admission.py
@@ -114,7 +114,8 @@
                 question.service, rules.priority, question.work, question.organisation
             )
             return 0
-        self._shares.count_rejection(question.organisation)
+        reason = "share" if is_over else "backlog"
+        self._shares.count_rejection(question.organisation, reason)
         _logger.info(
             "job refused",
             extra={
@@ -122,7 +123,7 @@
                 "queue": question.queue,
                 "pool": question.service,
                 "organisation": question.organisation,
-                "reason": "share" if is_over else "backlog",
+                "reason": reason,
                 "backlog_core_s": round(backlog, 1),
                 "cores": round(cores, 1),
                 "chain_s": round(question.chain_s, 3),
--- a/cranberryport/scheduling/organisation_limit_log.py
+++ b/cranberryport/scheduling/organisation_limit_log.py
@@ -41,7 +41,7 @@
         """
         for name in budget.refused:
             if name not in self._refused_at:
-                self._log("organisation reached its limit", name, budget, now)
+                self._log("organisation at its limit", name, budget, now)
             self._refused_at[name] = now
         released = [
             name
@@ -50,7 +50,7 @@
         ]
         for name in released:
             del self._refused_at[name]
-            self._log("organisation below its limit again", name, budget, now)
+            self._log("organisation below its limit", name, budget, now)
 
     def _log(self, event, name, budget, now):
         if now - self._interval_began_at >= INTERVAL_S:
--- a/cranberryport/scheduling/organisation_shares.py
+++ b/cranberryport/scheduling/organisation_shares.py
@@ -54,8 +54,8 @@
         Core-seconds received since this controller took over.
     waiting : float
         Thousandths of a core that its waiting tasks need.
-    rejected_count : int
-        Number of its jobs that were rejected since this controller took over.
+    rejected_counts : dict of str to int
+        Number of its jobs rejected since this controller took over, by reason.
     is_over : bool
         Whether it is over its share.
     """
@@ -63,20 +63,20 @@
     __slots__ = (
         "is_over",
         "received_core_s",
-        "rejected_count",
+        "rejected_counts",
         "service",
         "share",
         "waiting",
     )
 
     def __init__(
-        self, *, share, service, received_core_s, waiting, rejected_count, is_over
+        self, *, share, service, received_core_s, waiting, rejected_counts, is_over
     ):
         self.share = share
         self.service = service
         self.received_core_s = received_core_s
         self.waiting = waiting
-        self.rejected_count = rejected_count
+        self.rejected_counts = rejected_counts
         self.is_over = is_over
 
 
@@ -137,7 +137,7 @@
         self._memory_factor = 0.0
         self._over_last_at = {}
         self._received_core_s = collections.Counter()
-        self._rejected_counts = collections.Counter()
+        self._rejected_counts = collections.defaultdict(collections.Counter)
         self._log_times = collections.deque(maxlen=LOG_LINES_LIMIT)
         self._unlogged_count = 0
 
@@ -276,10 +276,10 @@
     def _waiting(self, name):
         return max(0.0, self._demand.get(name, 0.0) - self._use.get(name, 0.0))
 
-    def count_rejection(self, name):
+    def count_rejection(self, name, reason):
         """Count a rejected job of an organisation, if the configuration has it."""
         if name in self._state.organisations:
-            self._rejected_counts[name] += 1
+            self._rejected_counts[name][reason] += 1
 
     def statuses(self):
         """Return the status of each organisation of the configuration.
@@ -295,7 +295,7 @@
                 service=self._service.get(name, 0.0),
                 received_core_s=self._received_core_s[name],
                 waiting=self._waiting(name),
-                rejected_count=self._rejected_counts[name],
+                rejected_counts=dict(self._rejected_counts[name]),
                 is_over=name in self.over,
             )
             for name in self._state.organisations
--- a/cranberryport/scheduling/place_waits.py
+++ b/cranberryport/scheduling/place_waits.py
@@ -442,7 +442,7 @@
         counts["place_waits_waited_s"] += waited_s
         counts["place_waits_saved_s"] += wait.saved_s
         _logger.info(
-            "task placed locally after a wait",
+            "placed after a wait",
             extra=_fields(task)
             | {
                 "executor": executor.id,
@@ -577,7 +577,7 @@
                 self._record_given_up(member, reason, self._now - wait.began_at, offer)
         if wait is None:
             _logger.info(
-                "task starts remotely",
+                "started remotely",
                 extra=_fields(task)
                 | {"executor": executor.id, "reason": reason, "tasks": len(tasks)}
                 | _expected_times(offer),
@@ -603,9 +603,9 @@
             task.place_wait = wait
             self._state.event_counts["place_waits_begun"] += 1
             _logger.info(
-                "wait for a local place begun",
+                "place wait begun",
                 extra=_fields(task)
-                | {"executor": executor.id, "place_in_s": round(in_s, 3)}
+                | {"executor": executor.id, "expected_s": round(in_s, 3)}
                 | _expected_times(offer),
             )
         wait.executor = executor
@@ -622,7 +622,7 @@
         counts[f"place_waits_given_up_{reason}"] += 1
         counts["place_waits_waited_s"] += waited_s
         _logger.info(
-            "wait for a local place given up",
+            "place wait given up",
             extra=_fields(task)
             | {"reason": reason, "waited_s": round(waited_s, 3)}
             | _expected_times(offer),
--- a/tests/test_command_line_event_sentences.py
+++ b/tests/test_command_line_event_sentences.py
@@ -77,16 +77,16 @@
 
     def test_limit(self):
         """Guards against a wait for the limit that is taken for a lack of capacity."""
-        fields = {"organisation": "alpha", "use": {"processors": 4000}, "limit": [4000]}
+        fields = {"organisation": "alpha", "use": [4000, 0, 0], "limits": [4000, 0, 0]}
         self.assertEqual(
             describe("organisation at its limit", **fields),
-            "organisation 'alpha' is at its limit (use processors 4000, limit 4000): "
-            "its waiting tasks start as its own runs end",
+            "organisation 'alpha' is at its limit (use 4000, 0, 0, limit "
+            "4000, 0, 0): its waiting tasks start as its own runs end",
         )
         self.assertEqual(
             describe("organisation below its limit", **fields),
             "organisation 'alpha' is below its limit again "
-            "(use processors 4000, limit 4000)",
+            "(use 4000, 0, 0, limit 4000, 0, 0)",
         )
 
     def test_share(self):
@@ -114,6 +114,7 @@
     """Waits for a local place, which delay a task on purpose."""
 
     FIELDS = {"request": "j", "task": "j.0.1.2", "rack": "r7", "expected_s": 0.8}
+    REMOTE_RUN_S = 1.6
 
     def test_begin_and_end_of_a_wait(self):
         """Guards against a delay on purpose that looks like a lack of room."""
@@ -132,9 +133,14 @@
     def test_remote_start(self):
         """Guards against a remote run whose length looks like a straggler's."""
         self.assertEqual(
-            describe("started remotely", **self.FIELDS, reason="slack"),
+            describe(
+                "started remotely",
+                **self.FIELDS,
+                remote_run_s=self.REMOTE_RUN_S,
+                reason="slack",
+            ),
             "task j.0.1.2 was started away from its rack r7, where it runs longer "
-            "(expected 0.8 s): slack",
+            "(expected 1.6 s): slack",
         )
 
     def test_step_is_named_where_the_line_names_no_task(self):
--- a/tests/test_organisation_report.py
+++ b/tests/test_organisation_report.py
@@ -3,7 +3,7 @@
 import unittest
 
 from cranberryport.observability import node_metrics, organisation_report
-from cranberryport.scheduling import organisations, records
+from cranberryport.scheduling import organisation_shares, organisations, records
 from tests import scheduling
 
 
@@ -47,6 +47,17 @@
             {"processors": 4000, "memory": 900, "accelerators": 0},
         )
 
+    def test_report_has_the_measured_shares_and_rejections(self):
+        """Guards against shares by weight that are shown as those in force."""
+        shares = organisation_shares.OrganisationShares(state=self.harness.scheduler)
+        shares.count_rejection("a", "share")
+        report = organisation_report.make_report(
+            self.harness.scheduler, self.harness.now, shares.statuses()
+        )
+        rows = {row["name"]: row for row in report.to_page()["organisations"]}
+        self.assertEqual(rows["a"]["share"], 1.0)
+        self.assertEqual(rows["a"]["rejected"], {"share": 1})
+
     def test_planned_and_best_effort_runs_are_in_use(self):
         """Guards against a use that is lower than the one that limits count."""
         steps = [scheduling.make_step(2), scheduling.make_step(1, is_filling=True)]
--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -41,8 +41,8 @@
         replay.ask_admission("other")
         replay.ask_admission("flooding")
         statuses = replay.shares.statuses()
-        self.assertEqual(statuses["flooding"].rejected_count, 1)
-        self.assertEqual(statuses["other"].rejected_count, 0)
+        self.assertEqual(statuses["flooding"].rejected_counts, {"share": 1})
+        self.assertEqual(statuses["other"].rejected_counts, {})
 
     def test_answers_are_the_same_for_all_without_organisations(self):
         """Guards against changed answers where none are configured."""
--- a/tests/test_scheduling_organisation_limit_log.py
+++ b/tests/test_scheduling_organisation_limit_log.py
@@ -30,7 +30,7 @@
     def test_change_is_logged_once_with_use_and_limits(self):
         """Guards against a line at each decision, and a late job without a cause."""
         ((event, fields),) = self._update(1.0, ["red"])
-        self.assertEqual(event, "organisation reached its limit")
+        self.assertEqual(event, "organisation at its limit")
         self.assertEqual(fields["organisation"], "red")
         self.assertEqual(fields["use"], [2000, 200, 0])
         self.assertEqual(fields["limits"], [2000, 0, 0])
@@ -43,7 +43,7 @@
         self._update(1.6, ["red"])
         self.assertEqual(self._update(2.5, []), [])
         ((event, fields),) = self._update(2.7, [], used=500)
-        self.assertEqual(event, "organisation below its limit again")
+        self.assertEqual(event, "organisation below its limit")
         self.assertEqual(fields["use"], [500, 200, 0])
         self.assertEqual(self._update(3.0, []), [])
 
@@ -67,4 +67,4 @@
         with self.assertLogs("cranberryport") as logs:
             harness.start()
         events = [record.getMessage() for record in logs.records]
-        self.assertEqual(events, ["organisation reached its limit"])
+        self.assertEqual(events, ["organisation at its limit"])
--- a/tests/test_scheduling_place_waits.py
+++ b/tests/test_scheduling_place_waits.py
@@ -122,7 +122,7 @@
             with self.assertLogs("cranberryport", logging.INFO) as logs:
                 self.assertEqual(harness.racks(), ["r2"])
             events = {record.getMessage() for record in logs.records}
-            self.assertIn("task starts remotely", events)
+            self.assertIn("started remotely", events)
             self.assertEqual(harness.counts["remote_starts"], 1)
             self.assertEqual(task.runs[0].remote_factor, factor)
 
