Begin and end the faults of a soak run with organisations on time

Cause: the changes of keys and limits were appended to the planned faults, which are sorted by time. The soak uses the list as a heap, and the concatenation is none, so faults began late and lasted too long. Change: the loop moves to faults.inject, which makes a heap of the list. Measured: the new test fails without heapify and passes with it. Conclusion: the violations were made by the soak; plans of runs without organisations were sorted and are executed as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,8 +1,6 @@
 """Runs the soak for one or more seeds and prints one line for each seed."""
 
 import argparse
-import heapq
-import itertools
 import pathlib
 import sys
 import tempfile
@@ -132,22 +130,7 @@
             )
             self._callers.append(caller)
             caller.start()
-        # The sequence numbers break ties, since faults and functions have no order.
-        started_at, sequence_numbers = time.monotonic(), itertools.count()
-        pending = [
-            (fault.start_s, next(sequence_numbers), fault)
-            for fault in self.planned_faults
-        ]
-        while pending:
-            due_s, _, action = heapq.heappop(pending)
-            time.sleep(max(0.0, started_at + due_s - time.monotonic()))
-            if isinstance(action, plan.Fault):
-                end = injector.begin(action)
-                heapq.heappush(
-                    pending, (due_s + action.duration_s, next(sequence_numbers), end)
-                )
-            else:
-                action()
+        faults.inject(self.planned_faults, injector.begin)
         injector.end_all_faults()
 
     def _check_final_state(self):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,9 +1,11 @@
 """Starts and ends the faults of a plan (``soak.plan``) in a deployment."""
 
+import heapq
 import itertools
 import signal
+import time
 
-from soak import organisations, proxy
+from soak import organisations, plan, proxy
 
 # Delay of each response of a slow store: 75 times its usual 4 ms.
 SLOW_STORE_DELAY_S = 0.3
@@ -226,5 +228,38 @@
         return lambda: self._organisations.set_flooding(False)
 
 
+def inject(planned_faults, begin, *, clock=time.monotonic, sleep=time.sleep):
+    """Begin and end each fault at its time.
+
+    Parameters
+    ----------
+    planned_faults : list of plan.Fault
+        Faults in any order.
+    begin : callable
+        Begins a fault and returns a callable that ends it.
+    clock : callable, default=time.monotonic
+        Returns the monotonic time in seconds.
+    sleep : callable, default=time.sleep
+        Waits for a number of seconds.
+    """
+    started_at = clock()
+    # The sequence numbers break ties, since faults and functions have no order.
+    sequence_numbers = itertools.count()
+    pending = [
+        (fault.start_s, next(sequence_numbers), fault) for fault in planned_faults
+    ]
+    heapq.heapify(pending)
+    while pending:
+        due_s, _, action = heapq.heappop(pending)
+        sleep(max(0.0, started_at + due_s - clock()))
+        if isinstance(action, plan.Fault):
+            end = begin(action)
+            heapq.heappush(
+                pending, (due_s + action.duration_s, next(sequence_numbers), end)
+            )
+        else:
+            action()
+
+
 def _end_nothing():
     """End a fault that needs no action to end."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 import unittest
 
 from soak import __main__ as soak
-from soak import plan
+from soak import faults, plan
 from standins.platform import executors, invariants
 
 # The logs are kept, since the same seed may not show a violation again.
@@ -59,6 +59,39 @@
         )
 
 
+class InjectionTest(unittest.TestCase):
+    """Times at which faults begin and end."""
+
+    def test_faults_begin_and_end_on_time_in_any_order(self):
+        """Guards against faults that last longer than planned.
+
+        Seen with seed 6 and organisations: the freeze of an executor, planned for
+        4.16 s, lasted 5.99 s and so outlasted the lease of its runs.
+        """
+        now = [50.0]
+        seen = []
+
+        def sleep(seconds):
+            now[0] += seconds
+
+        def begin(fault):
+            seen.append((now[0], fault.target))
+            return lambda: seen.append((now[0], fault.target))
+
+        times = {"a": (3.0, 1.0), "b": (5.0, 1.5), "c": (1.0, 3.5), "d": (0.5, 0.0)}
+        planned = [
+            plan.Fault(start_s=start_s, kind="k", duration_s=s, target=name, detail="")
+            for name, (start_s, s) in times.items()
+        ]
+        faults.inject(planned, begin, clock=lambda: now[0], sleep=sleep)
+        expected = [
+            (50.0 + time_s, name)
+            for name, (start_s, s) in times.items()
+            for time_s in (start_s, start_s + s)
+        ]
+        self.assertEqual(seen, sorted(expected))
+
+
 class InvariantsTest(unittest.TestCase):
     """Violations that are detected from the runs at the executors."""
 
