Set the revocation limit and the overshoot in soak runs with organisations

Cause: the soak checks a revocation limit of 5 s and an overshoot of 0.1, but its entry instances had neither setting, so they needed no recent configuration. Change: the settings of the entry instances follow from the checked values. Measured: the new test fails without the change.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -68,6 +68,8 @@
 
     def _make_settings(self, name, addresses):
         settings = {}
+        if self._organisations is not None:
+            settings |= organisations.ENTRY_SETTINGS
         for service in ("store", "cloud"):
             service_proxy = self._proxy_thread.add_proxy(addresses[service])
             self._service_proxies[f"{name}/{service}"] = service_proxy
--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -34,6 +34,11 @@
 CUT_OFF_RANGE_S = (1.0, organisations.REVOCATION_LIMIT_S + 2.0)
 # Time from then until the withdrawal, in which a pause or a cut takes effect.
 CUT_OFF_LEAD_S = 0.05
+# Settings of the entry instances: the limits that the checks assume.
+ENTRY_SETTINGS = {
+    "revocation_limit_ms": int(organisations.REVOCATION_LIMIT_S * 1000),
+    "limit_overshoot": organisations.LIMIT_OVERSHOOT,
+}
 # Newest keys of an organisation that stay valid at a withdrawal.
 KEPT_KEYS = 1
 
--- a/tests/test_soak_organisations.py
+++ b/tests/test_soak_organisations.py
@@ -1,9 +1,11 @@
 """Tests of :mod:`soak.organisations`."""
 
 import hashlib
+import pathlib
 import random
 import unittest
 
+from soak import __main__ as soak
 from soak import organisations, plan
 
 ENTRIES = ["entry-1", "entry-2", "entry-3"]
@@ -18,6 +20,37 @@
 }
 
 
+class SettingsTest(unittest.TestCase):
+    """Settings of the entry instances of a run."""
+
+    def make_settings(self, *, has_organisations):
+        """Return the settings of an entry instance in a run."""
+        run = soak.SoakRun(
+            seed=1,
+            seconds=1.0,
+            directory=pathlib.Path(),
+            has_organisations=has_organisations,
+        )
+        self.addCleanup(run._proxy_thread.stop)
+        addresses = {"store": "127.0.0.1:1", "cloud": "127.0.0.1:1"}
+        return run._make_settings("entry-1", addresses)
+
+    def test_instances_are_bound_to_the_limits_that_are_checked(self):
+        """Guards against a soak of instances that need no recent configuration.
+
+        Seen with seed 4: an instance resumed after a pause of 10 s answered 401 for a
+        key that had been added during the pause.
+        """
+        settings = self.make_settings(has_organisations=True)
+        self.assertEqual(settings["revocation_limit_ms"], 5000)
+        self.assertEqual(settings["limit_overshoot"], 0.1)
+
+    def test_other_runs_have_the_settings_that_they_had(self):
+        """Guards against seeds that no longer show what they once found."""
+        settings = self.make_settings(has_organisations=False)
+        self.assertEqual(set(settings), {"store", "cloud"})
+
+
 class ChangesTest(unittest.TestCase):
     """Changes of keys and limits that are drawn from a seed."""
 
