--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,8 +1,6 @@
 """Runs the soak for one or more seeds and prints one line for each seed."""
 
 import argparse
-import heapq
-import itertools
 import pathlib
 import sys
 import tempfile
@@ -70,6 +68,8 @@
 
     def _make_settings(self, name, addresses):
         settings = {}
+        if self._organisations is not None:
+            settings |= organisations.ENTRY_SETTINGS
         for service in ("store", "cloud"):
             service_proxy = self._proxy_thread.add_proxy(addresses[service])
             self._service_proxies[f"{name}/{service}"] = service_proxy
@@ -132,22 +132,7 @@
             )
             self._callers.append(caller)
             caller.start()
-        # The sequence numbers break ties, since faults and functions have no order.
-        started_at, sequence_numbers = time.monotonic(), itertools.count()
-        pending = [
-            (fault.start_s, next(sequence_numbers), fault)
-            for fault in self.planned_faults
-        ]
-        while pending:
-            due_s, _, action = heapq.heappop(pending)
-            time.sleep(max(0.0, started_at + due_s - time.monotonic()))
-            if isinstance(action, plan.Fault):
-                end = injector.begin(action)
-                heapq.heappush(
-                    pending, (due_s + action.duration_s, next(sequence_numbers), end)
-                )
-            else:
-                action()
+        faults.inject(self.planned_faults, injector.begin)
         injector.end_all_faults()
 
     def _check_final_state(self):
