Start no held back run on an executor of the stand-in that has ended

Cause: with seed 6 and organisations executor e6-m6 crashed as its freeze ended. Starts that it had held back were then carried out by the executor that was gone, so their runs never ended and each later run was 'two runs at once' (8 violations, the last 8.5 s after the crash). Change: a stopped executor of the stand-in carries out no request. Seeds 4 (10 s) and 6 (12 s) with organisations join tests/test_soak.py. Measured: the new test fails without the change. Conclusion: the checks of runs are as strict as before.

--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -102,6 +102,7 @@
         self.memory = memory
         self.started_at_ms = int(time.time() * 1000)
         self.is_frozen = False
+        self._is_stopped = False
         self._is_guarding = is_guarding
         self._shrunk_at = None
         self._checker = checker
@@ -131,6 +132,7 @@
 
     def stop(self):
         """End all runs because the executor ends."""
+        self._is_stopped = True
         for key in list(self._runs):
             run = self._runs.pop(key)
             self._checker.on_run_ended(run.task, run.number, self.id, "gone")
@@ -177,6 +179,9 @@
         """Answer a request."""
         while self.is_frozen:
             await asyncio.sleep(CHECK_INTERVAL_S)
+        if self._is_stopped:
+            # The connection is closed; a request that was held back has no effect.
+            return 503, {}
         if request.headers.get("expected-instance") != self.id:
             return 421, {"ClockMs": self.clock_ms}
         fields = request.json_object()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """Short soak runs, and tests of the soak's fault plans and invariant checks."""
 
+import asyncio
 import json
 import pathlib
+import types
 import unittest
 
 from soak import __main__ as soak
@@ -17,22 +19,39 @@
 # replaced while the order for its maintenance waited for the store, and seed 9420 when
 # a list from before an order seemed to show the end of its maintenance.
 FAULT_PHASES_S = {1: 6.0, 4: 6.0, 9247: 15.0, 9420: 15.0}
+# The same for runs in which keys and limits of organisations change. Seed 4 withdraws
+# keys while an entry instance is paused or cut off. Seed 6 failed when the soak ended
+# the freeze of an executor too late.
+ORGANISATION_FAULT_PHASES_S = {4: 10.0, 6: 12.0}
 SPEC = {"steps": [{"count": 1}, {"count": 1, "after": [0]}]}
 
 
 class SoakTest(unittest.TestCase):
     """Invariants while faults are injected from outside the processes."""
 
+    def _check_run(self, seed, seconds, directory, **keywords):
+        directory.mkdir(parents=True, exist_ok=True)
+        run = soak.SoakRun(seed=seed, seconds=seconds, directory=directory, **keywords)
+        run.execute()
+        self.assertEqual(run.violations, [])
+        self.assertGreater(run.start_count, 0)
+
     def test_no_invariant_is_violated(self):
         """Guards against tasks that are lost or run twice under overlapping faults."""
         for seed, seconds in FAULT_PHASES_S.items():
             with self.subTest(seed=seed):
-                directory = LOG_DIRECTORY / f"seed-{seed}"
-                directory.mkdir(parents=True, exist_ok=True)
-                run = soak.SoakRun(seed=seed, seconds=seconds, directory=directory)
-                run.execute()
-                self.assertEqual(run.violations, [])
-                self.assertGreater(run.start_count, 0)
+                self._check_run(seed, seconds, LOG_DIRECTORY / f"seed-{seed}")
+
+    def test_no_invariant_is_violated_with_organisations(self):
+        """Guards against withdrawn keys that are served, and starts above a limit."""
+        for seed, seconds in ORGANISATION_FAULT_PHASES_S.items():
+            with self.subTest(seed=seed):
+                self._check_run(
+                    seed,
+                    seconds,
+                    LOG_DIRECTORY / f"organisations-seed-{seed}",
+                    has_organisations=True,
+                )
 
 
 class PlanTest(unittest.TestCase):
@@ -140,6 +159,38 @@
             self._violated_invariants(), ["crashing task is started again"]
         )
 
+    def test_executor_that_has_ended_starts_no_run_that_it_held_back(self):
+        """Guards against a run that never ends, on an executor that is gone.
+
+        Seen with seed 6 and organisations: an executor crashed as its freeze ended.
+        """
+        executor = executors.Executor(
+            id="e1",
+            processors=2000,
+            memory=100,
+            lease_limit_s=10.0,
+            checker=self.checker,
+        )
+        step = {"count": 1, "ms": 1000, "processors": 1000, "memory": 1}
+        body = {"Spec": json.dumps({"steps": [step]}), "DeadlineMs": 9000}
+        request = types.SimpleNamespace(
+            headers={"expected-instance": "e1"},
+            path="/api/run-start",
+            json_object=lambda: {**body, "Task": "job.0.0.0", "RunId": 1},
+        )
+
+        async def end_while_frozen():
+            executor.is_frozen = True
+            held_back = asyncio.ensure_future(executor.handle(request))
+            await asyncio.sleep(0)
+            executor.is_frozen = False
+            executor.stop()
+            return await held_back
+
+        status, _ = asyncio.run(end_while_frozen())
+        self.assertEqual(status, 503)
+        self.assertEqual(self.checker.running_tasks(), [])
+
     def test_start_beyond_a_capacity_is_reported_after_a_grace(self):
         """Guards against a soak that misses an executor with too many tasks."""
         executor = executors.Executor(
