Do not reject a repeated submission of an accepted gang whose limit was lowered

Cause: an instance answered 429 (the job never runs) to a gang beyond its organisation's limit without asking whether it has the job already. A job that was accepted under a higher limit, and whose first answer was lost, could still run. Change: the controller is asked for the job first; it is rejected only if the controller does not know it. Without an answer the submission is stored as before.

--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -218,17 +218,6 @@
             return
         job.failed_runs_limit = queue.failed_runs_limit
         job.organisation = pending.organisation
-        reason = organisation_limits.refusal_reason(
-            job.steps,
-            (configuration.organisations or {}).get(job.organisation),
-            self._limit_overshoot,
-        )
-        if reason is not None:
-            # No backlog has to fall first: only a higher limit would help.
-            self._respond_refused(
-                pending, 429, reason, retry_after_s=admission.LONGEST_RETRY_AFTER_S
-            )
-            return
         value = codec.encode(records.job_to_record(job))
         record = (controller.JOB_KEY_PREFIX + job.id, value)
 
@@ -264,6 +253,37 @@
             else:
                 self._store_record(pending, record, on_stored)
 
+        limit_reason = organisation_limits.refusal_reason(
+            job.steps,
+            (configuration.organisations or {}).get(job.organisation),
+            self._limit_overshoot,
+        )
+
+        def on_job_reply(reply):
+            if self._refuse_without_key(pending):
+                return
+            if reply is not None and not reply.state:
+                # No backlog has to fall first: only a higher limit would help.
+                self._respond_refused(
+                    pending,
+                    429,
+                    limit_reason,
+                    retry_after_s=admission.LONGEST_RETRY_AFTER_S,
+                )
+            else:
+                self._store_record(pending, record, on_stored)
+
+        if limit_reason is not None:
+            # A job that was accepted before its limit was lowered may still run, so a
+            # repeated submission of it is not refused.
+            self._controller_client.ask(
+                lambda number: messages.JobQuestion(
+                    number=number, job=job.id, organisation=job.organisation
+                ),
+                on_job_reply,
+                timeout_s=ADMISSION_TIMEOUT_S,
+            )
+            return
         if job.repeats or any(step.is_lasting for step in job.steps):
             if pending.needs_key or pending.is_public:
                 # These are not refused for lack of capacity, but the id may belong to
