--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -11,7 +11,11 @@
 
 from cranberryport.command_line import main
 from cranberryport.observability import operator_pages
-from cranberryport.scheduling import explaining, organisations
+from cranberryport.scheduling import (
+    explaining,
+    organisation_shares,
+    organisations,
+)
 from standins import calls
 from standins.platform import local_deployment
 from tests import scheduling
@@ -32,8 +36,11 @@
         harness.scheduler.set_organisations(
             {"alpha": organisations.Organisation(name="alpha", weight=2.0)}
         )
+        shares = organisation_shares.OrganisationShares(state=harness.scheduler)
         self.controller = types.SimpleNamespace(
-            state=harness.scheduler, explain_placement=self.explain_placement
+            state=harness.scheduler,
+            explain_placement=self.explain_placement,
+            organisation_statuses=shares.statuses(),
         )
 
     def explain_placement(self, job):
