--- a/review/support.py
+++ b/review/support.py
@@ -117,6 +117,8 @@
         Settings that differ from ``SETTINGS``.
     has_store_proxies : bool
         Whether each entry instance reaches the store by a proxy of its own.
+    platform : str
+        Module of the stand-in platform.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         executor_count=6,
         settings=None,
         has_store_proxies=False,
+        platform="standins.platform",
     ):
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.proxies = {}
@@ -141,6 +144,8 @@
             entry_count=entry_count,
             make_settings=self._make_settings,
         )
+        arguments = self.deployment._platform._arguments
+        arguments[arguments.index("standins.platform")] = platform
         self.note(f"trouble: {self.has_trouble}; settings: {self._settings}")
 
     def _make_settings(self, name, addresses):
