--- a/review/support.py
+++ b/review/support.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import sys
 import tempfile
@@ -167,8 +168,9 @@
         self.note(f"started; the controller is {self.leader().name}")
 
     def stop(self):
-        """End all processes and close the record."""
+        """End all processes, remove their files and close the record."""
         self.deployment.stop()
+        shutil.rmtree(self._directory, ignore_errors=True)
         self._record.close()
 
     def note(self, text):
