--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Another writer adds an entry to the list of executors."""
+"""Another writer adds an entry to the list of executors; the controller is killed."""
 
 import json
 import pathlib
@@ -16,15 +16,15 @@
 
 
 def play(case):
-    """Write the entry, restart the executors, and submit jobs."""
+    """Write the entry, kill the controller, and submit jobs."""
     if case.has_trouble:
-        _write_entry(case, "entry-of-another-writer", ADDRESS)
-    time.sleep(1.0)
-    case.note("the executors end and new ones start, as in a release")
-    for number in range(1, 7):
-        case.deployment.send_order("kill", instance=f"m{number}", is_listed=False)
-        case.deployment.send_order("revive", instance=f"m{number}")
+        _write_entry(case, "another-writer", ADDRESS)
         time.sleep(1.0)
+        leader = case.leader()
+        case.note(f"the process of the controller, {leader.name}, is killed")
+        leader.process.kill()
+        leader.process.start()
+    time.sleep(4.0)
     jobs = []
     for _ in range(JOBS):
         job_id, body = local_deployment.make_job_request(
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,7 @@
 #!/bin/sh
+# TROUBLE=0 plays the case without its disruptions.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps exec python3 -m review.3.case
+TROUBLE="${TROUBLE:-1}"
+PYTHONPATH=target/deps
+export TROUBLE PYTHONPATH
+exec python3 -m review.3.case
--- a/review/support.py
+++ b/review/support.py
@@ -118,6 +118,8 @@
         Settings that differ from ``SETTINGS``.
     has_store_proxies : bool
         Whether each entry instance reaches the store by a proxy of its own.
+    has_spare_pool : bool
+        Whether there is a pool on standby, to which idle instances move.
     platform : str
         Module of the stand-in platform.
     """
@@ -130,6 +132,7 @@
         executor_count=6,
         settings=None,
         has_store_proxies=False,
+        has_spare_pool=True,
         platform="standins.platform",
     ):
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -141,7 +144,7 @@
         self._directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.deployment = local_deployment.LocalDeployment(
             directory=self._directory,
-            pools={POOL: executor_count, "spare": 2},
+            pools={POOL: executor_count, **({"spare": 2} if has_spare_pool else {})},
             entry_count=entry_count,
             make_settings=self._make_settings,
         )
