Read on after an odd entry in the list of executors

Cause: the parser accepted any decimal port, connect_ex raised OverflowError for it, and the exception left TopicReader before it had scheduled its next read. Evidence: the new controller logs "executor found" for the odd entry, then the traceback, then nothing of the list any more.

Ruled out: that the good entries are rejected (no "unusable executor entry" for them).

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -20,7 +20,7 @@
     topic_reader,
 )
 from cranberryport.generated import messages
-from cranberryport.platform import advice, executors, store
+from cranberryport.platform import advice, bodies, executors, store
 from cranberryport.scheduling import (
     admission,
     explaining,
@@ -108,6 +108,7 @@
         "_executors_reader",
         "_has_configuration",
         "_instance_manager",
+        "_invalid_entries",
         "_is_ready",
         "_is_stopped",
         "_jobs_readers",
@@ -169,6 +170,8 @@
             state=self._scheduler, load_meter=self._load_meter, shares=self._shares
         )
         self._links = {}
+        # Reason by key of the entries that name no executor.
+        self._invalid_entries = {}
         self._call_losses = call_losses.CallLosses()
         self._advice_client = advice_client
         self._advice_pending = set()
@@ -511,20 +514,28 @@
     def _on_job_records(self, items):
         now_unix_s = time.time()
         for key, value in items:
-            if not value:
-                continue
-            if key.startswith(JOB_KEY_PREFIX):
-                record = stored_records.decode(key, value, messages.JobStored)
-                if record is not None:
-                    self._add_job(record, now_unix_s)
-            elif key.startswith(job_ownership.CANCEL_KEY_PREFIX):
-                record = stored_records.decode(key, value, messages.CancelStored)
-                if record is not None:
-                    # It can be read before the record of its job.
-                    self._cancellations.add(key, record)
-                    self._apply_cancellations(record.job, now_unix_s)
+            try:
+                self._on_job_record(key, value, now_unix_s)
+            except Exception:
+                # The other jobs are loaded all the same, and the takeover ends.
+                self._scheduler.event_counts["records_not_applied"] += 1
+                _logger.exception("record not applied", extra={"key": key})
         self.schedule_decision()
 
+    def _on_job_record(self, key, value, now_unix_s):
+        if not value:
+            return
+        if key.startswith(JOB_KEY_PREFIX):
+            record = stored_records.decode(key, value, messages.JobStored)
+            if record is not None:
+                self._add_job(record, now_unix_s)
+        elif key.startswith(job_ownership.CANCEL_KEY_PREFIX):
+            record = stored_records.decode(key, value, messages.CancelStored)
+            if record is not None:
+                # It can be read before the record of its job.
+                self._cancellations.add(key, record)
+                self._apply_cancellations(record.job, now_unix_s)
+
     def _add_job(self, record, now_unix_s):
         known = self._scheduler.jobs.get(record.job)
         if known is not None:
@@ -570,12 +581,12 @@
     def _on_executor_records(self, items):
         now = time.monotonic()
         for key, value in dict(items).items():
-            executor = executors.parse_entry(key, value, now)
-            if executor is None:
-                if value:
-                    _logger.warning("unusable executor entry", extra={"executor": key})
+            executor = executors.parse_entry(key, value, now) if value else None
+            if executor is None or isinstance(executor, bodies.Invalid):
+                self._log_invalid_entry(key, executor)
                 self._scheduler.mark_entry_removed(key, now)
                 continue
+            self._invalid_entries.pop(key, None)
             previous = self._scheduler.executors.get(key)
             start_times = {
                 executor.started_at_ms,
@@ -590,6 +601,18 @@
                 self._open_link(current)
         self.schedule_decision()
 
+    def _log_invalid_entry(self, key, entry):
+        """Log an entry that names no executor, once for each reason."""
+        if entry is None:
+            self._invalid_entries.pop(key, None)
+        elif self._invalid_entries.get(key) != entry.reason:
+            self._invalid_entries[key] = entry.reason
+            self._scheduler.event_counts["invalid_entries"] += 1
+            _logger.warning(
+                "unusable executor entry",
+                extra={"executor": key, "reason": entry.reason},
+            )
+
     def _open_link(self, executor):
         previous = self._links.pop(executor.id, None)
         if previous is not None:
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -10,6 +10,7 @@
 import time
 
 from cranberryport import boot_clock
+from cranberryport.http import addresses
 from cranberryport.platform import store
 
 GROUP = "controllers"
@@ -270,10 +271,8 @@
     def _on_owners(self, result):
         if isinstance(result, store.PartitionOwners):
             self._update_members(result.members.values())
-            address = result.members.get(CONTROL_PARTITION, "").partition(
-                SUFFIX_SEPARATOR
-            )[0]
-            if not address or address == self._address:
+            address = _read_address(result.members.get(CONTROL_PARTITION, ""))
+            if address == self._address:
                 address = None
             if address != self._controller_address:
                 _logger.info(
@@ -295,6 +294,19 @@
             self._leave_group()
 
 
+def _read_address(member_name):
+    """Return the address in the name of a member, None if there is none."""
+    address = member_name.partition(SUFFIX_SEPARATOR)[0]
+    if not address:
+        return None
+    try:
+        addresses.parse(address)
+    except ValueError as error:
+        _logger.warning("unusable member of the group", extra={"reason": str(error)})
+        return None
+    return address
+
+
 def _log_leave(result):
     if not isinstance(result, store.LeftGroup):
         _logger.warning(
--- a/cranberryport/control/topic_reader.py
+++ b/cranberryport/control/topic_reader.py
@@ -1,6 +1,8 @@
 """Follows a keyed topic of the store.
 
-A reader first gets the newest record of each key, then every later record.
+A reader first gets the newest record of each key, then every later record. It goes on
+whatever a record makes its callbacks do: records are passed on one by one if a callback
+raises an exception, so that a single one cannot hide the others.
 """
 
 import logging
@@ -15,6 +17,9 @@
 # working long poll has returned the records. While the store deletes old records, long
 # polls return nothing for a second.
 CATCH_UP_DELAY_S = 0.06
+# Time from a record that was not applied to the next attempt, with a new snapshot.
+REPAIR_DELAY_S = 5.0
+KEY_LOG_LIMIT_CHARACTERS = 80
 
 _logger = logging.getLogger(__name__)
 
@@ -55,10 +60,12 @@
         "_long_poll_s",
         "_min_interval_s",
         "_next_offset",
+        "_not_applied_count",
         "_on_records",
         "_on_snapshot",
         "_partition",
         "_read_offset",
+        "_repair_at",
         "_requested_at",
         "_store",
         "_timers",
@@ -94,6 +101,14 @@
         self._complete_read_sent_at = None
         self._is_stopped = False
         self._has_read_failed = False
+        self._not_applied_count = 0
+        # Monotonic time of the next snapshot if a record has not been applied.
+        self._repair_at = None
+
+    @property
+    def not_applied_count(self):
+        """Number of records so far for which a callback has raised an exception."""
+        return self._not_applied_count
 
     @property
     def last_read_sent_at(self):
@@ -105,8 +120,8 @@
         """Time on the boot clock at which a read was sent that missed no record.
 
         It is that of the last such read, None before the first one. Every record that
-        was stored before this time has been passed to the callbacks, as reads are
-        linearizable.
+        was stored before this time has been handled by the callbacks, as reads are
+        linearizable. It does not advance while a record has not been applied.
         """
         return self._complete_read_sent_at
 
@@ -177,7 +192,41 @@
         found = result.records[delivered_count:]
         self._next_offset = max(self._next_offset, result.next)
         if found:
-            self._on_records(found)
+            self._apply(self._on_records, found)
+
+    def _apply(self, callback, found):
+        """Pass records to a callback, one by one if it cannot handle them together.
+
+        Returns
+        -------
+        bool
+            Whether the callback has handled all of them.
+        """
+        try:
+            callback(found)
+        except Exception:
+            _logger.exception("records not applied", extra={"topic": self._topic})
+        else:
+            return True
+        failed_count = 0
+        for record in found:
+            try:
+                self._on_records([record])
+            except Exception as error:
+                failed_count += 1
+                _logger.error(
+                    "record not applied",
+                    extra={
+                        "topic": self._topic,
+                        "key": record[0][:KEY_LOG_LIMIT_CHARACTERS],
+                        "reason": repr(error)[:KEY_LOG_LIMIT_CHARACTERS],
+                    },
+                )
+        # The callback of a snapshot also handles what the snapshot lacks.
+        self._not_applied_count += max(1, failed_count)
+        if self._repair_at is None:
+            self._repair_at = time.monotonic() + REPAIR_DELAY_S
+        return False
 
     def stop(self):
         """Stop reading; responses to pending reads are ignored."""
@@ -192,6 +241,8 @@
         def on_result(result):
             self._on_result(result, sent_at)
 
+        if self._repair_at is not None and self._requested_at >= self._repair_at:
+            self._next_offset = None
         if self._next_offset is None:
             self._store.read_newest(
                 self._topic,
@@ -215,10 +266,11 @@
         if isinstance(result, store.NewestRecords):
             self._note_success()
             self._next_offset = result.end
-            self._on_snapshot(result.records)
-            # Only now, so that a record whose callback raises is not taken as applied.
-            # Later pages of a snapshot are newer than the time at which it was sent.
-            self._complete_read_sent_at = sent_at
+            self._repair_at = None
+            if self._apply(self._on_snapshot, result.records):
+                # Later pages of a snapshot are newer than the time at which it was
+                # sent.
+                self._complete_read_sent_at = sent_at
             self._send_read()
         elif isinstance(result, store.Records) and _has_hole(result, self._read_offset):
             _logger.error(
@@ -235,7 +287,7 @@
         elif isinstance(result, store.Records):
             self._note_success()
             self._deliver(result, self._read_offset)
-            if result.next >= result.end:
+            if result.next >= result.end and self._repair_at is None:
                 self._complete_read_sent_at = sent_at
             elapsed_s = time.monotonic() - self._requested_at
             self._timers.after(self._min_interval_s - elapsed_s, self._send_read)
--- a/cranberryport/node_settings.py
+++ b/cranberryport/node_settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cranberryport.generated import node_settings as generated
+from cranberryport.http import addresses
 
 
 class SettingsError(ValueError):
@@ -62,9 +63,9 @@
     Raises
     ------
     SettingsError
-        If the text does not have the form ``host:port``.
+        If the text does not have the form ``host:port`` with an IPv4 address.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
-        raise SettingsError(f"{setting} is {text!r}; allowed: host:port")
-    return host, int(port)
+    try:
+        return addresses.parse(text)
+    except ValueError as error:
+        raise SettingsError(f"{setting}: {error}") from error
--- a/cranberryport/peering/peer_link.py
+++ b/cranberryport/peering/peer_link.py
@@ -5,6 +5,7 @@
 """
 
 import errno
+import logging
 import socket
 
 import cbor2
@@ -18,6 +19,8 @@
 BACKLOG = 64
 PATH = "/peer"
 
+_logger = logging.getLogger(__name__)
+
 
 def dial(*, watcher, host, port, on_message, on_open, on_closed):
     """Connect to a peer and return the link.
@@ -119,7 +122,16 @@
         """Start connecting the socket to the address of the peer."""
         self._is_connecting = True
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = self._sock.connect_ex(address)
+        try:
+            # Rejects host names: resolving one would block the process.
+            socket.inet_pton(socket.AF_INET, address[0])
+            code = self._sock.connect_ex(address)
+        except (OSError, OverflowError, ValueError) as error:
+            _logger.warning(
+                "cannot connect to a peer",
+                extra={"address": str(address), "reason": str(error)},
+            )
+            code = errno.EINVAL
         self._watcher.watch(self._sock, self)
         if code not in (0, errno.EINPROGRESS):
             self.close()
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -6,7 +6,11 @@
 
 import dataclasses
 import logging
+import typing
 
+import msgspec
+
+from cranberryport.http import addresses
 from cranberryport.platform import bodies
 from cranberryport.scheduling import executors
 
@@ -263,6 +267,29 @@
     )
 
 
+class _Capacity(msgspec.Struct, kw_only=True, frozen=True):
+    processors: bodies.Count = msgspec.field(name="Cpu")
+    memory: bodies.Count = msgspec.field(name="MemMb")
+    accelerators: bodies.Count = msgspec.field(name="Gpu", default=0)
+
+
+class _Entry(msgspec.Struct, kw_only=True, frozen=True):
+    """Fields of an entry that are used, under the names of the platform."""
+
+    service: bodies.Text = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Address")
+    data_centre: str = msgspec.field(name="Zone", default="")
+    state: typing.Literal["ready", "draining"] = msgspec.field(name="State")
+    capacity: _Capacity = msgspec.field(name="Capacity")
+    # The first label is the executor's kind, the second its rack.
+    labels: list[str] = msgspec.field(name="Labels", default_factory=list)
+    remaining_ms: bodies.Count | None = msgspec.field(name="RemainingMs", default=None)
+    started_at_ms: bodies.Count | None = msgspec.field(name="born", default=None)
+
+
+_decode_entry = bodies.make_decoder(_Entry)
+
+
 def parse_entry(executor_id, value, now):
     """Return the executor that an entry in the store describes.
 
@@ -271,40 +298,39 @@
     executor_id : str
         Key of the entry, which is the id of the executor.
     value : bytes
-        Value of the entry.
+        Value of the entry, which any program may have written.
     now : float
         Monotonic time in seconds.
 
     Returns
     -------
-    executors.Executor or None
-        None if the entry is malformed or the executor neither ready nor draining.
+    executors.Executor or bodies.Invalid
+        ``Invalid`` if a field is missing, of another type or out of its limits, or if
+        the executor is neither ready nor draining.
     """
-    fields = bodies.decode(value)
-    if fields is None or fields.get("State") not in ("ready", "draining"):
-        return None
-    capacity = fields.get("Capacity")
-    host, _, port = bodies.get_text(fields, "Address").rpartition(":")
-    labels = fields.get("Labels", [])
-    is_complete = isinstance(capacity, dict) and bool(host) and port.isdecimal()
-    is_complete = is_complete and bool(bodies.get_text(fields, "Service"))
-    if not is_complete or not isinstance(labels, list):
-        return None
+    if not executor_id:
+        return bodies.Invalid(reason="the key is empty")
+    entry = _decode_entry(value)
+    if isinstance(entry, bodies.Invalid):
+        return entry
+    try:
+        address = addresses.parse(entry.address)
+    except ValueError as error:
+        return bodies.Invalid(reason=str(error))
     executor = executors.Executor(
         id=executor_id,
-        service=fields["Service"],
-        address=(host, int(port)),
-        data_centre=bodies.get_text(fields, "Zone"),
-        processors=bodies.get_integer(capacity, "Cpu"),
-        memory=bodies.get_integer(capacity, "MemMb"),
-        accelerators=bodies.get_integer(capacity, "Gpu"),
-        labels=frozenset(label for label in labels if isinstance(label, str)),
-        # The first label is the executor's kind, the second its rack.
-        rack=labels[1] if len(labels) > 1 and isinstance(labels[1], str) else "",
-        state=executors.READY if fields["State"] == "ready" else executors.DRAINING,
+        service=entry.service,
+        address=address,
+        data_centre=entry.data_centre,
+        processors=int(entry.capacity.processors),
+        memory=int(entry.capacity.memory),
+        accelerators=int(entry.capacity.accelerators),
+        labels=frozenset(entry.labels),
+        rack=entry.labels[1] if len(entry.labels) > 1 else "",
+        state=executors.READY if entry.state == "ready" else executors.DRAINING,
     )
-    remaining_ms = fields.get("RemainingMs")
-    if isinstance(remaining_ms, int | float):
-        executor.terminates_at = now + remaining_ms / 1000
-    executor.started_at_ms = bodies.get_integer(fields, "born", None)
+    if entry.remaining_ms is not None:
+        executor.terminates_at = now + entry.remaining_ms / 1000
+    if entry.started_at_ms is not None:
+        executor.started_at_ms = int(entry.started_at_ms)
     return executor
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -108,6 +108,16 @@
         self.loop.run_until(lambda: exchange in self.results.done)
         return exchange.result
 
+    def test_address_that_cannot_be_connected_to_fails_the_exchange(self):
+        """Guards against an exception in the sender, whose work would end by it.
+
+        The host name must not be resolved, which would block the process.
+        """
+        for host, port in (("127.0.0.1", 99999), ("127.0.0.1", -1), ("a.example", 80)):
+            with self.subTest(host=host, port=port):
+                result = self.exchange(self.client.connect(host=host, port=port))
+                self.assertEqual((result.reason, result.bytes_sent), ("connect", 0))
+
     def test_invalid_response_fails_and_closes_the_connection(self):
         head = b"HTTP/1.1 200 OK\r\n"
         cases = {
