Take an unreadable list of newest records for no response

What callers would see: if an answer with status 200 to a read of the progress cannot be decoded, or says that more records follow its last, empty page, every open and ended job has no progress for the new controller, which runs all of them again.

Cause: the decoder's "no map" became an empty map, and that an empty list.

Change: pages are decoded into a type; what does not fit is NoResponse, and the read is repeated. An empty map is still an empty topic. In the same way an unreadable answer to an append is no confirmation, a membership has a generation and whole numbers, and a key that is no text names nothing.

--- a/cranberryport/platform/store.py
+++ b/cranberryport/platform/store.py
@@ -10,6 +10,8 @@
 import struct
 import urllib.parse
 
+import msgspec
+
 from cranberryport.http import connection
 from cranberryport.platform import bodies
 
@@ -221,14 +223,34 @@
 
 
 def _split_key(content):
-    # Records of other writers may have no key.
+    # Records of other writers may have no key, or one that is no text.
     if not content or len(content) < 1 + content[0]:
         return "", b""
     size = content[0]
-    key = content[1 : 1 + size].decode("utf-8", "replace")
+    try:
+        key = content[1 : 1 + size].decode()
+    except UnicodeDecodeError:
+        _logger.warning("record with an unreadable key left out")
+        return "", b""
     return key, bytes(content[1 + size :])
 
 
+class _Item(msgspec.Struct, kw_only=True, frozen=True):
+    key: str = msgspec.field(name="Key")
+    value: str | None = msgspec.field(name="Value", default=None)
+
+
+class _Page(msgspec.Struct, kw_only=True, frozen=True):
+    """A page of the newest records of a partition."""
+
+    items: list[_Item] | None = None
+    has_more: bool = msgspec.field(name="HasMore", default=False)
+    end: int = msgspec.field(name="EndOffset", default=0)
+
+
+_decode_page = bodies.make_decoder(_Page)
+
+
 class StoreClient:
     """Calls the store; each call passes its result to its callback.
 
@@ -335,17 +357,19 @@
             if status != 200:
                 callback(_parse_failure(result, status, fields))
                 return
-            items = fields.get("items") or []
+            page = _decode_page(result.body)
             try:
-                records.extend(_parse_items(items))
-            except (AttributeError, KeyError, TypeError, ValueError) as error:
-                callback(NoResponse(reason=f"malformed list of records: {error!r}"))
+                found = _parse_page(page)
+            except ValueError as error:
+                # Without some of its records a topic would seem to be shorter.
+                callback(NoResponse(reason=f"malformed list of records: {error}"))
                 return
+            records.extend(found)
             # The pages are not one snapshot, so reading has to go on from the end that
             # the first page gives: records may have changed since.
-            page_ends.append(bodies.get_integer(fields, "EndOffset"))
-            if fields.get("HasMore") and items:
-                request_page(items[-1]["Key"])
+            page_ends.append(page.end)
+            if page.has_more:
+                request_page(page.items[-1].key)
             else:
                 callback(NewestRecords(records=records, end=page_ends[0]))
 
@@ -383,12 +407,16 @@
                 callback(_parse_failure(result, status, fields))
                 return
             rows = fields.get("parts") or []
+            number = bodies.get_integer(fields, "Generation")
             try:
                 owned = frozenset(row[1] for row in rows if row[0] == topic)
-            except (IndexError, KeyError, TypeError) as error:
-                callback(NoResponse(reason=f"malformed partitions {rows!r}: {error!r}"))
+                is_valid = number > 0 and all(isinstance(part, int) for part in owned)
+            except (IndexError, KeyError, TypeError):
+                is_valid = False
+            if not is_valid:
+                reason = f"malformed membership {number}, {rows!r}"
+                callback(NoResponse(reason=reason[: bodies.REASON_LIMIT_CHARACTERS]))
                 return
-            number = bodies.get_integer(fields, "Generation")
             callback(GroupMembership(generation=number, partitions=owned))
 
         self._send("POST", "/api/log-join", bodies.encode(body), timeout_s, on_result)
@@ -447,8 +475,15 @@
         )
 
 
-def _parse_items(items):
-    return [(item["Key"], base64.b64decode(item.get("Value") or "")) for item in items]
+def _parse_page(page):
+    """Return keys and values of a page; raise ValueError if it is not usable."""
+    if isinstance(page, bodies.Invalid):
+        raise ValueError(page.reason)
+    if page.has_more and not page.items:
+        raise ValueError("no records, but more to come")
+    return [
+        (item.key, base64.b64decode(item.value or "")) for item in page.items or ()
+    ]
 
 
 def _first_list(fields):
@@ -470,6 +505,8 @@
 def _parse_append(result):
     status, fields = bodies.read_response(result)
     if status == 200:
+        if bodies.decode(result.body) is None:
+            return NoResponse(reason="unreadable answer to an append")
         return Appended(
             offset=bodies.get_integer(fields, "Offset"),
             end=bodies.get_integer(fields, "EndOffset"),
@@ -478,11 +515,10 @@
         return _parse_failure(result, status, fields)
     if status >= 500 and status not in NOTHING_DONE_STATUSES:
         return NoResponse(reason=f"status {status} does not say whether it is stored")
-    expected = fields.get("Sequence")
     return Refused(
         status=status,
         reason=bodies.get_text(fields, "Reason"),
-        expected_sequence=expected,
+        expected_sequence=bodies.get_integer(fields, "Sequence", None),
     )
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -109,6 +109,30 @@
         client.read_newest("t", callback=results.append, timeout_s=1.0)
         self.assertIsInstance(results[0], store.NoResponse)
 
+    def test_list_of_records_that_is_not_whole_is_no_response(self):
+        """Guards against progress that seems to be missing, so that all jobs run again.
+
+        See docs/incidents/deletion-cut-short.md.
+        """
+        pages = (
+            scripted.answer(body=b'{"items": ['),
+            scripted.answer(body=b"[" * 100_000),
+            scripted.answer(items=[], HasMore=True, EndOffset=4),
+            scripted.answer(items=7, EndOffset=4),
+            scripted.answer(items=[{"Key": 5}], EndOffset=4),
+            scripted.answer(items=[{"Key": "a", "Value": "x"}], EndOffset=4),
+        )
+        for page in pages:
+            with self.subTest(page=page.body[:40]):
+                client, _ = make_client(page)
+                results = []
+                client.read_newest("t", callback=results.append, timeout_s=1.0)
+                self.assertIsInstance(results[0], store.NoResponse)
+        client, _ = make_client(scripted.answer())
+        results = []
+        client.read_newest("t", callback=results.append, timeout_s=1.0)
+        self.assertEqual(results, [store.NewestRecords(records=[], end=0)])
+
     def test_read_of_expired_records_gives_the_first_offset(self):
         """Guards against a reader that waits for records that are not retained."""
         client, _ = make_client(scripted.answer(410, FirstOffset=12))
