Delete the progress of a job after all its records

What callers saw: a job was shown as completed for the time promised.

Cause: a job record without progress is a new job, and nothing kept this true while a job was deleted. The deletion of the progress was repeated until it was stored, that of the job record was tried once. Evidence: "deleting records failed" before the kill, and no open job is started again, so the progress as a whole was read.

Invariant: progress is deleted last. control/job_deletion.py keeps it: the deletion of the job record is repeated until each partition has confirmed it, and the readers of all partitions have passed it, before the job is forgotten and its progress deleted.

The same invariant on other paths: a record that the same controller reads late, a submission repeated during the deletion, a cancelled job whose end is not stored, progress that cannot be read, and progress without a job after a lost controller.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -14,6 +14,7 @@
     call_losses,
     executor_link,
     instance_manager,
+    job_deletion,
     job_ownership,
     progress_writer,
     stored_records,
@@ -25,6 +26,7 @@
     admission,
     explaining,
     load,
+    model,
     organisation_shares,
     records,
     run_logs,
@@ -102,6 +104,7 @@
         "_call_losses",
         "_cancellations",
         "_decision_timer",
+        "_deletion",
         "_done_instances_by_wave",
         "_epoch",
         "_executor_client",
@@ -118,6 +121,7 @@
         "_loading_partitions",
         "_on_superseded",
         "_orders_callbacks",
+        "_orphaned_progress",
         "_planner",
         "_scheduler",
         "_settings",
@@ -127,6 +131,7 @@
         "_stored_crashes",
         "_stored_progress",
         "_timers",
+        "_unsaved_deletions",
         "_unsaved_orders",
         "_unsaved_waves",
         "_waves_to_add",
@@ -179,6 +184,10 @@
         self._done_instances_by_wave = {}
         self._unsaved_waves = {}
         self._unsaved_orders = []
+        # Keys of progress records to delete.
+        self._unsaved_deletions = []
+        # Jobs whose progress was loaded, but no record of the job itself.
+        self._orphaned_progress = []
         self._orders_callbacks = []
         self._instance_manager = None
         if instance_client is not None:
@@ -216,6 +225,12 @@
             self._make_jobs_reader(number)
             for number in range(settings.store_partitions)
         ]
+        self._deletion = job_deletion.JobDeletion(
+            store_client=store_client,
+            timers=timers,
+            readers=self._jobs_readers,
+            on_deleted=self._on_jobs_deleted,
+        )
         self._executors_reader = topic_reader.TopicReader(
             store_client=store_client,
             timers=timers,
@@ -280,6 +295,7 @@
         """Stop deciding and sending orders."""
         self._is_stopped = True
         self._writer.stop()
+        self._deletion.stop()
         for reader in self._jobs_readers:
             reader.stop()
         self._executors_reader.stop()
@@ -459,6 +475,16 @@
                     self._stored_crashes[job_id] = record
                 continue
             record = stored_records.decode(key, value, messages.ProgressStored)
+            if record is None and value:
+                # Without its progress the job would run again.
+                record = messages.ProgressStored(
+                    job=key,
+                    state=model.FAILED,
+                    done=[],
+                    tasks=[],
+                    has_started=True,
+                    ended_at=time.time(),
+                )
             if record is not None:
                 self._stored_progress[key] = record
         if self._instance_manager is not None and ORDERS_KEY in orders:
@@ -490,6 +516,11 @@
 
     def _finish_loading(self):
         self._is_ready = True
+        self._orphaned_progress = [
+            job_id
+            for job_id in self._stored_progress
+            if job_id not in self._scheduler.jobs
+        ]
         self._stored_progress = {}
         self._stored_crashes = {}
         taken_s = time.monotonic() - self._started_at
@@ -539,6 +570,7 @@
     def _add_job(self, record, now_unix_s):
         known = self._scheduler.jobs.get(record.job)
         if known is not None:
+            self._deletion.keep(record.job)
             job_ownership.log_foreign_record(known, record.organisation)
             return
         job = records.job_from_record(record)
@@ -648,35 +680,44 @@
         if self._is_stopped:
             return
         self._timers.after(DELETION_INTERVAL_S, self._delete_ended_jobs)
+        self._delete_orphaned_progress()
+        if self._deletion.is_busy:
+            return
         ended_before = time.time() - self._settings.status_kept_s - DELETION_MARGIN_S
         ended = [
             job.id
             for job in self._scheduler.jobs.values()
-            if job.has_ended
-            and job.ended_at is not None
-            and job.ended_at < ended_before
+            if job.is_end_stored and job.ended_at < ended_before
         ][:DELETION_LIMIT_JOBS]
-        if not ended or self._writer.is_busy:
+        if not ended:
             return
-        _logger.info("ended jobs deleted", extra={"jobs": len(ended)})
-        deleted = [(f"{JOB_KEY_PREFIX}{job_id}", b"") for job_id in ended]
-        deleted += [
-            (key, b"") for job_id in ended for key in self._cancellations.keys(job_id)
-        ]
-        for job_id in ended:
+        keys = [f"{JOB_KEY_PREFIX}{job_id}" for job_id in ended]
+        keys += [key for job_id in ended for key in self._cancellations.keys(job_id)]
+        self._deletion.start(ended, keys)
+
+    def _on_jobs_deleted(self, job_ids):
+        """Forget jobs of which the store has nothing left but their progress."""
+        if not job_ids:
+            return
+        _logger.info("ended jobs deleted", extra={"jobs": len(job_ids)})
+        for job_id in job_ids:
             self._scheduler.remove_job(job_id)
             self._cancellations.discard(job_id)
-        # A job that was submitted twice can be stored in two partitions. Records that
-        # remain because an append fails are deleted by a later controller.
-        for partition in range(self._settings.store_partitions):
-            self._store.append(
-                store.JOB_TOPIC,
-                deleted,
-                callback=_log_deletion,
-                timeout_s=STORE_TIMEOUT_S,
-                partition=partition,
-            )
-        self._writer.write([], self.schedule_decision, deleted_keys=ended)
+        self._unsaved_deletions += job_ids
+        self.schedule_decision()
+
+    def _delete_orphaned_progress(self):
+        """Delete the progress of jobs that a previous controller has deleted."""
+        jobs = self._scheduler.jobs
+        found = [job_id for job_id in self._orphaned_progress if job_id not in jobs]
+        self._orphaned_progress = []
+        if found:
+            _logger.info("progress of deleted jobs removed", extra={"jobs": len(found)})
+            self._unsaved_deletions += found
+            self._unsaved_deletions += [
+                f"{records.CRASHES_KEY_PREFIX}{job_id}" for job_id in found
+            ]
+            self.schedule_decision()
 
     def _decide(self):
         self._decision_timer = None
@@ -743,12 +784,13 @@
         callbacks, self._orders_callbacks = self._orders_callbacks, []
         self._unsaved_waves = {}
         self._unsaved_orders = []
+        deletions, self._unsaved_deletions = self._unsaved_deletions, []
         new_records = [*batch.progress_records, *batch.crash_records, *other_records]
-        if new_records:
+        if new_records or deletions:
             self._writer.write(
                 new_records,
                 lambda: self._on_batch_stored(batch, callbacks),
-                deleted_keys=batch.deleted_crash_records,
+                deleted_keys=[*batch.deleted_crash_records, *deletions],
             )
         elif not batch.is_empty:
             self._on_batch_stored(batch, callbacks)
@@ -766,8 +808,3 @@
         for run in starts:
             self._links[run.executor].start(run)
         self.schedule_decision()
-
-
-def _log_deletion(result):
-    if not isinstance(result, store.Appended):
-        _logger.warning("deleting records failed", extra={"reason": str(result)})
--- a/cranberryport/control/progress_writer.py
+++ b/cranberryport/control/progress_writer.py
@@ -93,9 +93,10 @@
             Called once without arguments when the append is stored.
         deleted_keys : list of str
             Keys of the records that are deleted; that of a job's progress is its id.
+            A new record with one of these keys remains.
         """
-        records = [(record.job, codec.encode(record)) for record in new_records]
-        records += [(key, b"") for key in deleted_keys]
+        records = [(key, b"") for key in deleted_keys]
+        records += [(record.job, codec.encode(record)) for record in new_records]
         self._start_append(records, callback)
 
     def _start_append(self, records, callback):
--- a/cranberryport/control/topic_reader.py
+++ b/cranberryport/control/topic_reader.py
@@ -148,6 +148,13 @@
             self._is_catching_up = True
             self._timers.after(CATCH_UP_DELAY_S, self._read_missing)
 
+    def has_passed(self, end):
+        """Return whether the callbacks have got all records before an offset.
+
+        False while a snapshot is read: its answer may have been made earlier.
+        """
+        return self._next_offset is not None and self._next_offset >= end
+
     def _is_behind(self):
         # A pending snapshot will contain the expected records.
         is_complete = (
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -581,6 +581,15 @@
         """Whether the job is completed, failed or cancelled."""
         return self.state in ENDED_STATES
 
+    @property
+    def is_end_stored(self):
+        """Whether the job has ended and the store knows it."""
+        return (
+            self.has_ended
+            and self.ended_at is not None
+            and self.stored_state == self.state
+        )
+
     @property
     def reported_state(self):
         """State for callers; an end is reported only once it is stored.
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -299,6 +299,8 @@
     def remove_job(self, job_id):
         """Remove an ended job from memory; callers do not need its state any more."""
         self._jobs.pop(job_id, None)
+        # Its progress is deleted, so it must not be stored again.
+        self._changed_jobs.pop(job_id, None)
 
     def _activate_due_occurrences(self, job, now_unix_s, *, is_restored=False):
         for number in range(job.occurrence_count):
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -253,3 +253,136 @@
         with self.assertLogs(level="WARNING"):
             self._read_job("b")
         self.assertEqual(self._ask("a").state, "accepted")
+
+
+class DeletionTest(unittest.TestCase):
+    """Deletion of ended jobs while the store fails."""
+
+    def setUp(self):
+        """Make a controller that knows a completed job, and is about to delete it."""
+        self.settings = types.SimpleNamespace(
+            lease_most_ms=4000, store_partitions=2, status_kept_s=5.0, remote_factor=1.0
+        )
+        self.timers = scripted.FakeTimers()
+        self.subject, self.store = make_controller(
+            settings=self.settings, timers=self.timers
+        )
+        self.reads = [self.store.pop_call("read") for _ in range(2)]
+        self.job = scheduling.make_job(scheduling.make_step(1))
+        self.record = (
+            "j/" + self.job.id,
+            codec.encode(records.job_to_record(self.job)),
+        )
+        progress = messages.ProgressStored(
+            job=self.job.id, state="completed", has_started=True, ended_at=5.0
+        )
+        self.subject._stored_progress = {self.job.id: progress}
+        self.subject._on_job_records([self.record])
+        self.subject._stored_progress = {}
+        self.subject._has_configuration = True
+        self.subject._delete_ended_jobs()
+
+    def _answer_appends(self, *results):
+        for result in results:
+            self.store.pop_call("append").callback(result)
+
+    def _read(self, partition, end, *found):
+        """Let the reader of a partition get records, of which the last one is new."""
+        result = store.Records(first=0, end=end, next=end, records=list(found))
+        self.reads[partition].callback(result)
+
+    def _progress_deletions(self):
+        self.subject._decide()
+        return [
+            call.arguments[1]
+            for call in self.store.calls
+            if call.name == "append" and call.arguments[0] == store.PROGRESS_TOPIC
+        ]
+
+    def test_progress_outlives_the_records_of_the_job(self):
+        """Guards against a completed job that the next controller runs again.
+
+        Review case 2: the store was down as the records of the job were deleted, but
+        the deletion of its progress was repeated until it was stored.
+        """
+        down = store.Refused(status=503)
+        with self.assertLogs(level="WARNING"):
+            self._answer_appends(store.Appended(offset=0, end=1), down)
+        self.assertEqual(self._progress_deletions(), [])
+        self.assertEqual(self.subject._scheduler.job_state(self.job.id), "completed")
+        self.timers.run()
+        self._answer_appends(store.Appended(offset=0, end=1))
+        self._read(0, 1, ("j/" + self.job.id, b""))
+        self.timers.run()
+        self.assertEqual(self._progress_deletions(), [], "partition 1 is not read yet")
+        self._read(1, 1, ("j/" + self.job.id, b""))
+        self.timers.run()
+        self.assertEqual(self._progress_deletions(), [[(self.job.id, b"")]])
+        self.assertIsNone(self.subject._scheduler.job_state(self.job.id))
+
+    def test_record_that_is_read_late_is_no_new_job(self):
+        """Guards against a job that the same controller runs again.
+
+        While a partition cannot be read, the deletion of a job can be stored before the
+        reader has got the record of the job.
+        """
+        done = store.Appended(offset=1, end=2)
+        self._answer_appends(done, done)
+        self._read(0, 2, ("j/" + self.job.id, b""))
+        self.timers.run()
+        self._read(1, 1, self.record)
+        self.assertEqual(self.subject._scheduler.job_state(self.job.id), "completed")
+        self.timers.run()
+        self.assertEqual(self.subject._scheduler.job_state(self.job.id), "completed")
+
+    def test_job_that_is_stored_again_meanwhile_is_kept(self):
+        """Guards against a repeated submission whose progress is deleted."""
+        done = store.Appended(offset=0, end=1)
+        self._answer_appends(done, done)
+        self._read(0, 2, ("j/" + self.job.id, b""), self.record)
+        self._read(1, 1, ("j/" + self.job.id, b""))
+        self.timers.run()
+        self.assertEqual(self._progress_deletions(), [])
+        self.assertEqual(self.subject._scheduler.job_state(self.job.id), "completed")
+
+    def test_job_whose_end_is_not_stored_is_kept(self):
+        """Guards against a cancelled job that the next controller runs.
+
+        Its cancellation would be deleted before its end is stored.
+        """
+        subject, fake_store = make_controller(settings=self.settings)
+        subject._stored_progress = {}
+        subject._on_job_records([self.record])
+        subject._scheduler.cancel_job(self.job.id, 5.0)
+        subject._delete_ended_jobs()
+        self.assertNotIn("append", fake_store.call_names())
+
+    def test_progress_without_a_job_is_deleted_later(self):
+        """Guards against records that remain for ever after a takeover.
+
+        The previous controller was lost between the two deletions. A job that appears
+        until the deletion keeps its progress.
+        """
+        subject, _ = make_controller(settings=self.settings)
+        progress = messages.ProgressStored(job="gone", state="completed")
+        subject._stored_progress = {"gone": progress}
+        subject._executors_reader = unittest.mock.Mock()
+        subject._finish_loading()
+        subject._delete_ended_jobs()
+        self.assertEqual(subject._unsaved_deletions, ["gone", "crashes/gone"])
+
+
+class UnreadableProgressTest(unittest.TestCase):
+    """Progress that this version cannot read."""
+
+    def test_job_with_unreadable_progress_does_not_run_again(self):
+        """Guards against a job that is taken for a new one."""
+        subject, _ = make_controller()
+        job = scheduling.make_job(scheduling.make_step(1))
+        with self.assertLogs(level="ERROR"):
+            subject._on_progress_read(
+                store.NewestRecords(records=[(job.id, b"\x01")], end=1)
+            )
+        record = codec.encode(records.job_to_record(job))
+        subject._on_job_records([("j/" + job.id, record)])
+        self.assertEqual(subject._scheduler.job_state(job.id), "failed")
