Soak: odd entries of another program, leaving executors, and sizes

Each run writes entries that the platform's protocol allows among those of the executors (ports out of range, deep nesting, numbers too large, wrong types), and makes executors leave; a start more than 10 s after the announcement is a violation.

--- a/cranberryport/platform/store.py
+++ b/cranberryport/platform/store.py
@@ -481,9 +481,7 @@
         raise ValueError(page.reason)
     if page.has_more and not page.items:
         raise ValueError("no records, but more to come")
-    return [
-        (item.key, base64.b64decode(item.value or "")) for item in page.items or ()
-    ]
+    return [(item.key, base64.b64decode(item.value or "")) for item in page.items or ()]
 
 
 def _first_list(fields):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the soak for one or more seeds and prints one line for each seed."""
 
 import argparse
+import collections
 import pathlib
 import sys
 import tempfile
@@ -37,9 +38,26 @@
         Directory for settings, logs and the plan of the faults.
     has_organisations : bool, default=False
         Whether callers have keys of organisations, which change during the run.
+    pools : dict of str to int, optional
+        Number of instances by name of the pool, among them ``spare``, which is on
+        standby.
+    entry_count, caller_count : int
+        Numbers of entry instances and of callers.
     """
 
-    def __init__(self, *, seed, seconds, directory, has_organisations=False):
+    def __init__(
+        self,
+        *,
+        seed,
+        seconds,
+        directory,
+        has_organisations=False,
+        pools=None,
+        entry_count=ENTRY_COUNT,
+        caller_count=CALLER_COUNT,
+    ):
+        self._pools = pools or INSTANCES_BY_POOL
+        self._caller_count = caller_count
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
@@ -52,8 +70,8 @@
             )
         self._deployment = local_deployment.LocalDeployment(
             directory=directory,
-            pools=INSTANCES_BY_POOL,
-            entry_count=ENTRY_COUNT,
+            pools=self._pools,
+            entry_count=entry_count,
             unguarded_pools=[UNGUARDED_POOL],
             make_settings=self._make_settings,
             organisations=self._organisations and self._organisations.rows(),
@@ -96,7 +114,7 @@
             self._proxy_thread.stop()
 
     def _inject_faults(self):
-        instances = [f"m{n}" for n in range(1, sum(INSTANCES_BY_POOL.values()) + 1)]
+        instances = [f"m{n}" for n in range(1, sum(self._pools.values()) + 1)]
         entries = [entry.name for entry in self._deployment.entries]
         self.planned_faults = plan.draw_faults(
             self._seed, seconds=self._seconds, entries=entries, instances=instances
@@ -117,7 +135,7 @@
         )
         ports = [entry.front_port for entry in self._deployment.entries]
         names = list(organisations.WEIGHTS)
-        for number in range(1, CALLER_COUNT + 1):
+        for number in range(1, self._caller_count + 1):
             organisation = ""
             if self._organisations is not None:
                 organisation = names[(number - 1) % len(names)]
@@ -125,7 +143,7 @@
                 number=number,
                 seed=self._seed,
                 ports=ports,
-                pools=[pool for pool in INSTANCES_BY_POOL if pool != "spare"],
+                pools=[pool for pool in self._pools if pool != "spare"],
                 report_violation=self.add_violation,
                 organisation=organisation,
                 run_organisations=self._organisations,
@@ -213,6 +231,14 @@
     parser.add_argument(
         "--seconds", type=float, default=15.0, help="length of the phase with faults"
     )
+    parser.add_argument(
+        "--pool",
+        action="append",
+        metavar="NAME=COUNT",
+        help="instances of a pool, of which `spare` is on standby",
+    )
+    parser.add_argument("--entries", type=int, default=ENTRY_COUNT)
+    parser.add_argument("--callers", type=int, default=CALLER_COUNT)
     parser.add_argument("--logs", type=pathlib.Path, help="directory for the logs")
     parser.add_argument(
         "--organisations",
@@ -220,6 +246,10 @@
         help="callers have keys of organisations, which change during the run",
     )
     options = parser.parse_args()
+    pools = {}
+    for text in options.pool or ():
+        name, _, count = text.partition("=")
+        pools[name] = int(count)
     is_violated = False
     for seed in range(options.seed, options.seed + options.count):
         directory = options.logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
@@ -230,6 +260,9 @@
             seconds=options.seconds,
             directory=directory,
             has_organisations=options.organisations,
+            pools=pools,
+            entry_count=options.entries,
+            caller_count=options.callers,
         )
         run.execute()
         is_violated = is_violated or bool(run.violations)
@@ -239,6 +272,9 @@
             f"{len(run.violations)} violations; logs in {directory}",
             flush=True,
         )
+        kinds = collections.Counter(v.partition(":")[0] for v in run.violations)
+        for invariant, number in kinds.items():
+            print(f"  {number} times: {invariant}", flush=True)
         for detail in run.violations[:MAX_PRINTED_VIOLATIONS]:
             print(f"  {detail}", flush=True)
     return 1 if is_violated else 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,10 +2,12 @@
 
 import heapq
 import itertools
+import random
 import signal
 import time
 
 from soak import organisations, plan, proxy
+from standins.platform import odd_entries
 
 # Delay of each response of a slow store: 75 times its usual 4 ms.
 SLOW_STORE_DELAY_S = 0.3
@@ -15,6 +17,9 @@
 KEPT_RECORDS_PER_PARTITION = 5
 # Capacity of an executor that has shrunk, in thousandths of a core.
 SHRUNK_PROCESSORS = 2_000
+# Longer than executors.DRAINING_LIMIT_S, so that a controller that does not read the
+# list of executors is found.
+DRAINING_DURATION_S = 14.0
 WAVE_INSTANCE_COUNT = 3
 WAVE_DURATION_S = 20
 
@@ -190,6 +195,19 @@
         )
         return lambda: self._deployment.send_order("capacity", instance=fault.target)
 
+    def odd_entry(self, fault):
+        """Write an odd entry, as another program may, beside those of the executors."""
+        value = odd_entries.draw(random.Random(fault.detail))
+        self._deployment.send_order("entry", key=f"odd-{fault.detail}", value=value)
+        return _end_nothing
+
+    def drain_executor(self, fault):
+        """Make an executor leave, and start another one on its instance."""
+        self._deployment.send_order(
+            "drain", instance=fault.target, serve_s=DRAINING_DURATION_S
+        )
+        return _end_nothing
+
     def wave(self, fault):
         """Request the maintenance of some instances, one of them down at a time."""
         first = self._instances.index(fault.target)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -10,6 +10,8 @@
 DURATION_RANGE_S = (0.3, 5.0)
 # Least and greatest time between the starts of two reductions of a capacity.
 SHRINKING_INTERVAL_RANGE_S = (1.0, 4.0)
+# The same for entries in the list of executors.
+ENTRY_INTERVAL_RANGE_S = (0.5, 3.0)
 
 
 class Fault:
@@ -27,7 +29,8 @@
         Name of the affected entry instance, or of the affected instance (the first one
         of a wave), or ``entry/service`` for a connection; empty for other kinds.
     detail : str
-        Mode of the proxy for a fault of a connection; otherwise empty.
+        Mode of the proxy for a fault of a connection, seed of an odd entry; otherwise
+        empty.
     """
 
     __slots__ = ("detail", "duration_s", "kind", "start_s", "target")
@@ -65,6 +68,7 @@
         faults.append(_draw_fault(generator, start_s, seconds, entries, instances))
         start_s += generator.uniform(*START_INTERVAL_RANGE_S)
     faults += _draw_shrinkings(seed, seconds, instances)
+    faults += _draw_entries(seed, seconds, instances)
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -88,6 +92,24 @@
     return faults
 
 
+def _draw_entries(seed, seconds, instances):
+    """Return odd entries of another program, and announcements of leaving executors."""
+    generator = random.Random(f"entries {seed}")
+    faults = []
+    start_s = generator.uniform(*ENTRY_INTERVAL_RANGE_S)
+    while start_s < seconds:
+        fault = Fault(
+            start_s=start_s,
+            kind=generator.choice(("odd_entry", "drain_executor")),
+            duration_s=0.0,
+            target=generator.choice(instances),
+            detail=str(generator.randrange(1_000_000)),
+        )
+        faults.append(fault)
+        start_s += generator.uniform(*ENTRY_INTERVAL_RANGE_S)
+    return faults
+
+
 def _draw_fault(generator, start_s, seconds, entries, instances):
     duration_s = min(generator.uniform(*DURATION_RANGE_S), seconds - start_s)
     kind = generator.choice(
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -202,6 +202,14 @@
         """Change the capacity of an executor; without a number as it was at first."""
         self._instances.set_processors(self._instances.by_id[instance], processors)
 
+    def _order_entry(self, key, value):
+        """Write an entry among those of the executors, on behalf of another program."""
+        self._store.put("keyed.servers", key, value.encode())
+
+    def _order_drain(self, instance, serve_s):
+        """Make an executor leave; another one starts later, see ``Instances.drain``."""
+        self._instances.drain(self._instances.by_id[instance], serve_s=serve_s)
+
     def _order_freeze(self, instance, is_frozen):
         """Make an executor hold back its responses, or resume it."""
         executor = self._instances.by_id[instance].executor
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -22,6 +22,10 @@
 # Time for which a capacity that has shrunk may still be exceeded: the bound within
 # which a controller hears of it, and one interval of the entries (platform's rules).
 SHRINKING_GRACE_S = 4.5
+# Time after the announcement of an executor that it leaves from which no run may start
+# there: 2 s (DrainMs of the deployments), and 8 s in which a controller may be cut off
+# from the store and has recovered (the longest fault of the soak, and ContactMs).
+DRAINING_LIMIT_S = 10.0
 # Progress reported for a running lasting task. Others report less until they end.
 FULL_PROGRESS_PERCENT = 100
 # Value of an executor's clock at its start, so that the clock is never 0.
@@ -92,6 +96,10 @@
         Unix time of the start in milliseconds.
     is_frozen : bool
         Whether responses are held back and the simulation stands still.
+    draining_since : float or None
+        Monotonic time at which it announced that it leaves; None before.
+    leaves_at : float or None
+        Monotonic time at which it ends then.
     """
 
     def __init__(
@@ -102,6 +110,8 @@
         self.memory = memory
         self.started_at_ms = int(time.time() * 1000)
         self.is_frozen = False
+        self.draining_since = None
+        self.leaves_at = None
         self._is_stopped = False
         self._is_guarding = is_guarding
         self._shrunk_at = None
@@ -222,6 +232,12 @@
                 self._checker.report_violation(
                     "start exceeds the capacity", f"{task} {number} on {self.id}"
                 )
+        now = time.monotonic()
+        draining_since = now if self.draining_since is None else self.draining_since
+        if now - draining_since > DRAINING_LIMIT_S:
+            self._checker.report_violation(
+                "start on an executor that leaves", f"{task} {number} on {self.id}"
+            )
         self._runs[key] = run
         self._checker.on_run_started(task, number, self.id, spec)
         return self._make_response(200)
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -169,9 +169,36 @@
             "born": executor.started_at_ms,
             "Sequence": 1,
         }
+        if executor.leaves_at is not None:
+            left_s = max(0.0, executor.leaves_at - time.monotonic())
+            entry |= {"State": "draining", "RemainingMs": int(left_s * 1000)}
         value = json.dumps(entry).encode()
         self._store.put("keyed.servers", executor.id, value)
 
+    def drain(self, instance, *, serve_s):
+        """Make the executor of an instance leave, and start another one afterwards.
+
+        Parameters
+        ----------
+        instance : Instance
+            The instance.
+        serve_s : float
+            Time in seconds for which the executor serves after its announcement.
+        """
+        leaving = instance.executor
+        if leaving is None or leaving.draining_since is not None:
+            return
+        leaving.draining_since = time.monotonic()
+        leaving.leaves_at = leaving.draining_since + serve_s
+        self._write_entry(instance)
+
+        def end():
+            if instance.executor is leaving:
+                self.end_executor(instance)
+                self.revive(instance)
+
+        self._call_later(serve_s, end)
+
     def _capacity(self):
         return {"Cpu": self._processors, "MemMb": self._memory, "Gpu": 0}
 
