Give up restored runs only after the list of executors is read

Cause: a new controller took all restored runs for lost once the leases of its predecessor had expired by its reckoning, 4.58 s after it got the role, whether or not it had read the list of executors. If loading the state took longer, it started all of them again while the executors still ran them or listed their ends as done. The same happened for an executor that was found after that time and had not answered yet.

Evidence: the users' record has 6 s without a controller before the second runs, and both come from different instances.

Invariant, kept by Scheduler.process_due_events and Executor.is_lease_expired: a restored run is given up only after the list of executors has been read, and after its executor has answered, or has failed to answer once the lease has expired.

Tests: test_run_is_kept_until_the_list_of_executors_is_read fails on the old code. Three tests now say that the list was read, or that the executor has failed to answer, which their cases had left out.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -608,6 +608,7 @@
         for executor_id in list(self._scheduler.executors):
             if executor_id not in listed:
                 self._scheduler.mark_entry_removed(executor_id, now)
+        self._scheduler.on_executors_read()
         self._on_executor_records(items)
 
     def _on_executor_records(self, items):
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -305,10 +305,16 @@
 
         If this process was busy or suspended, the answer to a request from before the
         expiry may have arrived but not been read, and it may list runs as done. Until
-        it is read, or its request has failed, this returns False.
+        it is read, or its request has failed, this returns False. The same holds for
+        the first request to an executor that was found after the expiry, as by a
+        controller that has loaded its state slowly.
         """
         if self.lease_expires_at is None or now < self.lease_expires_at:
             return False
+        has_been_asked = self.last_listed_at is not None
+        has_been_asked = has_been_asked or self.unreachable_since is not None
+        if not has_been_asked:
+            return False
         return (
             self.list_requested_at is None
             or self.list_requested_at >= self.lease_expires_at
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -121,6 +121,7 @@
 
     def __init__(self, *, previous_leases_expire_at):
         self._previous_leases_expire_at = previous_leases_expire_at
+        self._has_read_executors = False
         self._jobs = {}
         self._open_jobs = {}
         self._executors = {}
@@ -411,6 +412,10 @@
         )
         return executor
 
+    def on_executors_read(self):
+        """Record that the list of executors has been read at least once."""
+        self._has_read_executors = True
+
     def mark_entry_removed(self, executor_id, now):
         """Mark an executor whose entry is not in the store any more.
 
@@ -600,7 +605,8 @@
         Runs on an executor with an expired lease are removed, so that their tasks can
         start elsewhere, as are executors without runs and without an entry in the
         store. Restored runs on executors that are still not known are removed once the
-        leases of the previous controller have expired.
+        list of executors has been read and the leases of the previous controller have
+        expired: until then the executor may be listed, and hold the runs or their ends.
 
         Parameters
         ----------
@@ -623,7 +629,8 @@
                 if executor.lapsed_runs and not executor.is_draining:
                     self._record_crash(executor.id, executor.lapsed_runs, host=None)
                 self.remove_executor(executor, "not listed")
-        if self._restored_runs and now >= self._previous_leases_expire_at:
+        are_leases_expired = now >= self._previous_leases_expire_at
+        if self._restored_runs and are_leases_expired and self._has_read_executors:
             for executor_id in list(self._restored_runs):
                 runs = list(self._restored_runs.pop(executor_id).values())
                 self._remove_restored_runs(runs, "executor not found after a takeover")
--- a/tests/test_scheduling_organisation_limits.py
+++ b/tests/test_scheduling_organisation_limits.py
@@ -404,6 +404,8 @@
                 found.has_accepted_epoch = True
                 found.extend_lease(successor.now, 60.0)
                 successor.list_runs(found, list(executor.runs))
+            else:
+                found.record_failed_call(successor.now, is_connection_closed=False)
         return successor
 
     def test_takeover_with_a_third_of_the_executors_silent(self):
--- a/tests/test_scheduling_organisation_usage.py
+++ b/tests/test_scheduling_organisation_usage.py
@@ -147,6 +147,7 @@
     def test_runs_count_until_all_previous_leases_have_expired(self):
         """Guards against an organisation that stays held back after a takeover."""
         successor = self._take_over()
+        successor.scheduler.on_executors_read()
         successor.now = 105.0
         successor.scheduler.process_due_events(successor.now, scheduling.NOW_UNIX_S)
         self.assertEqual(self._use(successor), {})
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -401,6 +401,7 @@
     def test_run_on_an_unreachable_executor_is_kept_until_the_lease_expires(self):
         """Guards against a second run while the first one may run out of reach."""
         second, _ = self._take_over()
+        second.scheduler.on_executors_read()
         second.add_executor("e2")
         second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
         self.assertEqual(second.start(), [])
@@ -409,6 +410,43 @@
         (run,) = second.start()
         self.assertEqual(run.number, 2)
 
+    def test_run_is_kept_until_the_list_of_executors_is_read(self):
+        """Guards against a second run after a takeover with a slow store.
+
+        Seen by the users with processes of their own, and in review case 1: loading the
+        state took longer than the leases, and all restored runs were given up before
+        the executors that held them, or their ends, had been read.
+        """
+        second, runs = self._take_over()
+        second.now = 110.0
+        second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
+        self.assertTrue(second.scheduler.has_restored_runs("e1"))
+        second.scheduler.on_executors_read()
+        executor = second.scheduler.add_or_update_executor(
+            scheduling.make_executor("e1"), second.now
+        )
+        executor.list_requested_at = second.now
+        second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
+        self.assertEqual(len(executor.runs), 1, "the executor has not answered yet")
+        second.list_runs(executor, [], [(2, runs[1].task.name, 1, "done")])
+        second.scheduler.commit(second.plan(), second.now)
+        self.assertEqual(
+            second.scheduler.job_state(runs[1].task.job.id), model.COMPLETED
+        )
+
+    def test_run_on_an_executor_that_does_not_answer_after_a_slow_takeover(self):
+        """Guards against a task that waits for ever for an executor that is gone."""
+        second, _ = self._take_over()
+        second.add_executor("e2")
+        second.now = 110.0
+        second.scheduler.on_executors_read()
+        executor = second.scheduler.add_or_update_executor(
+            scheduling.make_executor("e1"), second.now
+        )
+        executor.record_failed_call(second.now, is_connection_closed=False)
+        second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
+        self.assertEqual([run.number for run in second.start()], [2])
+
     def test_run_on_an_executor_without_an_instance_is_removed_at_once(self):
         """Guards against waiting for the lease of an executor that does not exist."""
         second, _ = self._take_over()
