End the controller's role by its own clock

Cause: a controller that was cut off from the store went on renewing leases until its successor had reached the executors, while the successor counted the time until all leases had expired from the moment when it got the role. Ruled out: a late order (it cannot prolong a lease, since it names the end of the lease on the executor's clock).

Invariant: a controller whose last proof of its role is older than 5 s sends nothing that binds. Membership.is_role_proven is the one place that knows the proof; starts, stops, pace and renewals ask it when they are made and before their first byte is sent.

Evidence: tests/test_takeover.py with processes on standins/platform.

Cost: a task on an executor that is out of reach at a takeover, and that the list of instances still shows, waits 5 s longer. In an outage of the store leases end 8 to 9 s after it began; before, they were renewed without end.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -16,6 +16,7 @@
     instance_manager,
     job_deletion,
     job_ownership,
+    membership,
     progress_writer,
     stored_records,
     topic_reader,
@@ -90,6 +91,9 @@
         Asks which executors may run a step; None where there is no such service.
     is_sole_controller : callable
         Returns whether this process is the controller and no other process can be.
+    is_role_proven : callable
+        Returns whether this process may send orders to executors and renew their
+        leases, see ``Membership.is_role_proven``.
     has_clock_stepped : callable
         Returns whether the wall clock of this process has been stepped.
     on_superseded : callable
@@ -113,6 +117,7 @@
         "_instance_manager",
         "_invalid_entries",
         "_is_ready",
+        "_is_role_proven",
         "_is_stopped",
         "_jobs_readers",
         "_lease_s",
@@ -149,9 +154,11 @@
         instance_client,
         advice_client,
         is_sole_controller,
+        is_role_proven,
         has_clock_stepped,
         on_superseded,
     ):
+        self._is_role_proven = is_role_proven
         self._store = store_client
         self._timers = timers
         self._executor_client = executor_client
@@ -160,7 +167,9 @@
         self._on_superseded = on_superseded
         self._lease_s = min(executor_link.LEASE_S, settings.lease_most_ms / 1000)
         self._started_at = time.monotonic()
-        lease_wait_s = scheduler.previous_lease_wait_s(self._lease_s)
+        lease_wait_s = scheduler.previous_lease_wait_s(
+            self._lease_s, membership.ROLE_VALIDITY_S
+        )
         self._scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self._started_at + lease_wait_s
         )
@@ -659,6 +668,7 @@
             lease_s=self._lease_s,
             on_change=self.schedule_decision,
             on_superseded=self._on_superseded,
+            is_role_proven=self._is_role_proven,
             losses=self._call_losses,
         )
         self._links[executor.id] = link
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -32,6 +32,9 @@
 # Interval of the checks whether the ends are stored.
 STORING_CHECK_INTERVAL_S = 0.01
 LIST_RETRY_DELAY_S = 0.25
+# Reasons of a missing response after which the executor has certainly got nothing: the
+# connection was not made, or the role was not proven any more.
+NOT_SENT_REASONS = ("connect", "refused")
 
 _logger = logging.getLogger(__name__)
 
@@ -59,6 +62,9 @@
     on_superseded : callable
         Called without arguments if the executor refuses a call because it has received
         one of a later controller.
+    is_role_proven : callable
+        Returns whether orders may be sent and the lease renewed, see
+        ``Membership.is_role_proven``. Lists of runs are requested in any case.
     losses : call_losses.CallLosses, optional
         Lost answers of all executors of the controller.
     """
@@ -70,6 +76,7 @@
         "_has_list_call_failed",
         "_is_closed",
         "_is_list_pending",
+        "_is_role_proven",
         "_lease_s",
         "_list_sent_at",
         "_losses",
@@ -90,8 +97,10 @@
         lease_s,
         on_change,
         on_superseded,
+        is_role_proven,
         losses=None,
     ):
+        self._is_role_proven = is_role_proven
         self._executor = executor
         self._scheduler = scheduler
         self._client = client
@@ -130,8 +139,9 @@
         if run not in run.task.runs:
             # The scheduler has removed the run, so its task may run elsewhere.
             return
-        if self._executor.clock_ms is None:
-            # The executor has restarted, and its clock is not known yet.
+        if self._executor.clock_ms is None or not self._is_role_proven():
+            # The executor has restarted, and its clock is not known yet; or another
+            # process may be the controller.
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
             return
         if run.deadline_ms is None:
@@ -143,11 +153,12 @@
             epoch=self._epoch,
             callback=lambda response: self._on_start(run, response),
             timeout_s=min(ORDER_TIMEOUT_S, validity_s),
+            may_send=self._is_role_proven,
         )
 
     def stop(self, run):
-        """Order the executor to stop a run."""
-        if self._is_closed:
+        """Order the executor to stop a run; the scheduler repeats it if needed."""
+        if self._is_closed or not self._is_role_proven():
             return
         run.stop_sent_at = time.monotonic()
         self._client.stop_run(
@@ -157,11 +168,12 @@
             epoch=self._epoch,
             callback=lambda response: self._on_stop(run, response),
             timeout_s=ORDER_TIMEOUT_S,
+            may_send=self._is_role_proven,
         )
 
     def set_pace(self, run, percent):
         """Order the executor to limit a run to a percentage of its speed."""
-        if self._is_closed:
+        if self._is_closed or not self._is_role_proven():
             return
         self._client.set_pace(
             self._executor,
@@ -170,6 +182,7 @@
             epoch=self._epoch,
             callback=lambda response: self._on_pace(run, percent, response),
             timeout_s=ORDER_TIMEOUT_S,
+            may_send=self._is_role_proven,
         )
 
     def _on_start(self, run, response):
@@ -177,8 +190,7 @@
             return
         now = time.monotonic()
         if isinstance(response, executors.NoResponse):
-            # Until the connection is made nothing is sent.
-            run.has_unanswered_start |= response.reason != "connect"
+            run.has_unanswered_start |= response.reason not in NOT_SENT_REASONS
             if response.reason == "timeout" and not self._has_list_call_failed:
                 self._losses.record_loss(now)
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
@@ -252,9 +264,11 @@
             return
         executor = self._executor
         now = self._list_sent_at = executor.list_requested_at = time.monotonic()
-        lease_end_ms = None
-        if executor.clock_ms is not None and not self._has_list_call_failed:
+        lease_end_ms, may_send = None, None
+        is_renewal = executor.clock_ms is not None and not self._has_list_call_failed
+        if is_renewal and self._is_role_proven():
             lease_end_ms = executor.extend_lease(now, self._lease_s)
+            may_send = self._is_role_proven
         long_poll_s = IDLE_LONG_POLL_S
         if executor.runs:
             long_poll_s = self._losses.long_poll_s(now)
@@ -270,6 +284,7 @@
             wait_s=long_poll_s,
             callback=self._on_runs_listed,
             timeout_s=self._losses.list_timeout_s(now),
+            may_send=may_send,
         )
 
     def _on_runs_listed(self, response):
@@ -279,6 +294,9 @@
         now = time.monotonic()
         executor = self._executor
         executor.list_requested_at = None
+        if isinstance(response, executors.NoResponse) and response.reason == "refused":
+            self._timers.after(LIST_RETRY_DELAY_S, self._list_runs)
+            return
         if isinstance(response, executors.NoResponse):
             executor.record_failed_call(
                 now, is_connection_closed=response.reason == "closed"
@@ -306,7 +324,7 @@
             now=now,
             now_unix_s=time.time(),
         )
-        for task, run in unknown_runs:
+        for task, run in unknown_runs if self._is_role_proven() else ():
             _logger.info(
                 "stopping unknown run",
                 extra={"task": task, "run": run, "executor": executor.id},
@@ -318,6 +336,7 @@
                 epoch=self._epoch,
                 callback=self._on_unknown_stopped,
                 timeout_s=ORDER_TIMEOUT_S,
+                may_send=self._is_role_proven,
             )
         self._adjust_pace()
         self._on_change()
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -19,6 +19,12 @@
 TTL_S = 1.5
 JOIN_INTERVAL_S = 0.25
 JOINS_PENDING_LIMIT = 6
+# Time after a join that has confirmed the role for which the controller may send orders
+# and renew leases. Its successor waits for as long, see
+# :func:`cranberryport.scheduling.scheduler.previous_lease_wait_s`. It is longer than
+# ``TTL_S`` because the store lets no join succeed while it is away, for all members:
+# leases have to outlast an outage of 6 s.
+ROLE_VALIDITY_S = 5.0
 JOIN_TIMEOUT_S = 1.5
 OWNERS_TIMEOUT_S = 1.0
 OWNERS_QUERY_INTERVAL_S = 0.3
@@ -148,6 +154,19 @@
             return False
         return boot_clock.now_s() - self._joined_at < self._ttl_s
 
+    @property
+    def is_role_proven(self):
+        """Whether this process may send orders and renew leases as the controller.
+
+        The proof is the newest join that has confirmed the role, and its age counts
+        from the sending of that join, on the clock that does not stop while the machine
+        is suspended. All that binds an executor asks here immediately before it is
+        sent. A successor got the role from the store after that join.
+        """
+        if self._epoch is None or self._joined_at is None:
+            return False
+        return boot_clock.now_s() - self._joined_at < ROLE_VALIDITY_S
+
     def start(self):
         """Join the group, or watch its members if this is a fallback member."""
         self._maintain_membership()
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -263,6 +263,7 @@
             instance_client=self._instance_client,
             advice_client=self._advice_client,
             is_sole_controller=lambda: self._membership.is_sole_controller,
+            is_role_proven=lambda: self._membership.is_role_proven,
             has_clock_stepped=lambda: self._clock_watch.has_stepped,
             on_superseded=self._membership.step_down,
         )
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -125,7 +125,8 @@
 
     All calls take the executor (:class:`cranberryport.scheduling.executors.Executor`),
     the epoch of the controller, a callback that is called once with an
-    ``ExecutorResponse`` or a ``NoResponse``, and the time after which the call fails.
+    ``ExecutorResponse`` or a ``NoResponse``, the time after which the call fails, and
+    ``may_send``, see :meth:`cranberryport.http.connection_pool.ConnectionPool.send`.
 
     Parameters
     ----------
@@ -138,7 +139,17 @@
     def __init__(self, *, connections):
         self._connections = connections
 
-    def start_run(self, executor, run, *, deadline_ms, epoch, callback, timeout_s):
+    def start_run(
+        self,
+        executor,
+        run,
+        *,
+        deadline_ms,
+        epoch,
+        callback,
+        timeout_s,
+        may_send=None,
+    ):
         """Start a run; repeating the call has no further effect.
 
         The executor refuses the start after ``deadline_ms`` on its own clock.
@@ -154,14 +165,18 @@
             body["Checkpoint"] = run.checkpoint
         if run.ticket:
             body["Ticket"] = run.ticket
-        self._send(executor, "/api/run-start", body, callback, timeout_s)
+        self._send(executor, "/api/run-start", body, callback, timeout_s, may_send)
 
-    def stop_run(self, executor, task, run, *, epoch, callback, timeout_s):
+    def stop_run(
+        self, executor, task, run, *, epoch, callback, timeout_s, may_send=None
+    ):
         """Stop a run; a start of this run that arrives later is refused."""
         body = {"Task": task, "RunId": run, "FencingToken": epoch}
-        self._send(executor, "/api/run-stop", body, callback, timeout_s)
+        self._send(executor, "/api/run-stop", body, callback, timeout_s, may_send)
 
-    def set_pace(self, executor, run, percent, *, epoch, callback, timeout_s):
+    def set_pace(
+        self, executor, run, percent, *, epoch, callback, timeout_s, may_send=None
+    ):
         """Limit a run to a percentage of its full speed."""
         body = {
             "Task": run.task.name,
@@ -169,9 +184,19 @@
             "Percent": percent,
             "FencingToken": epoch,
         }
-        self._send(executor, "/api/pace", body, callback, timeout_s)
-
-    def list_runs(self, executor, *, lease_end_ms, epoch, wait_s, callback, timeout_s):
+        self._send(executor, "/api/pace", body, callback, timeout_s, may_send)
+
+    def list_runs(
+        self,
+        executor,
+        *,
+        lease_end_ms,
+        epoch,
+        wait_s,
+        callback,
+        timeout_s,
+        may_send=None,
+    ):
         """Renew the lease of an executor, acknowledge stored ends, and list its runs.
 
         Parameters
@@ -188,6 +213,8 @@
             Called once with an ``ExecutorResponse`` or a ``NoResponse``.
         timeout_s : float
             Seconds beyond ``wait_s`` after which the call fails.
+        may_send : callable or None
+            Whether the call may still be sent.
         """
         body = {
             "FencingToken": epoch,
@@ -196,9 +223,9 @@
         }
         if lease_end_ms is not None:
             body["DeadlineMs"] = lease_end_ms
-        self._send(executor, "/api/hold", body, callback, timeout_s + wait_s)
+        self._send(executor, "/api/hold", body, callback, timeout_s + wait_s, may_send)
 
-    def _send(self, executor, target, body, callback, timeout_s):
+    def _send(self, executor, target, body, callback, timeout_s, may_send):
         headers = (*bodies.JSON_HEADERS, (INSTANCE_HEADER, executor.id.encode()))
         self._connections.send(
             executor.address,
@@ -208,6 +235,7 @@
             timeout_s=timeout_s,
             body=bodies.encode(body),
             headers=headers,
+            may_send=may_send,
         )
 
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -35,7 +35,8 @@
 UNHEALTHY_DELAY_S = 1.0
 # A job whose queue and limit are not known does not fail by failed runs.
 UNKNOWN_QUEUE_FAILED_RUNS_LIMIT = 1_000_000
-# Lease renewals that the previous controller sent may arrive after the takeover.
+# Added for clocks of entry instances that run apart, and for the time between the check
+# of the role and the sending of a renewal.
 TAKEOVER_MARGIN_S = 0.5
 # For this time after a task found no executor, its pool counts as having an unplaceable
 # task. This is longer than the time between two decisions about instances.
@@ -51,15 +52,23 @@
 _logger = logging.getLogger(__name__)
 
 
-def previous_lease_wait_s(lease_s):
+def previous_lease_wait_s(lease_s, role_validity_s):
     """Return the seconds after which all leases of a previous controller have expired.
 
+    They count from the moment at which the store has shown the new controller its
+    epoch. The last join of the previous one was sent before that, and its last renewal
+    at most ``role_validity_s`` after that join. A renewal names the end of the lease on
+    the executor's clock, so one that arrives late does not prolong it.
+
     Parameters
     ----------
     lease_s : float
-        Length of a lease in seconds; it may have been renewed until the takeover.
+        Length of a lease in seconds.
+    role_validity_s : float
+        Time in seconds for which a controller renews leases after the sending of the
+        last join that has confirmed its role.
     """
-    return lease_s * executors.CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
+    return role_validity_s + lease_s * executors.CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
 
 
 class Batch:
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -210,6 +210,12 @@
         """Make an executor leave; another one starts later, see ``Instances.drain``."""
         self._instances.drain(self._instances.by_id[instance], serve_s=serve_s)
 
+    def _order_cut(self, instance, is_cut):
+        """Cut an executor off, or connect it again; its tasks run on meanwhile."""
+        executor = self._instances.by_id[instance].executor
+        if executor is not None:
+            executor.is_cut = is_cut
+
     def _order_freeze(self, instance, is_frozen):
         """Make an executor hold back its responses, or resume it."""
         executor = self._instances.by_id[instance].executor
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -96,6 +96,8 @@
         Unix time of the start in milliseconds.
     is_frozen : bool
         Whether responses are held back and the simulation stands still.
+    is_cut : bool
+        Whether requests and responses are lost; runs and leases go on.
     draining_since : float or None
         Monotonic time at which it announced that it leaves; None before.
     leaves_at : float or None
@@ -110,6 +112,7 @@
         self.memory = memory
         self.started_at_ms = int(time.time() * 1000)
         self.is_frozen = False
+        self.is_cut = False
         self.draining_since = None
         self.leaves_at = None
         self._is_stopped = False
@@ -186,7 +189,17 @@
         self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, limit))
 
     async def handle(self, request):
-        """Answer a request."""
+        """Answer a request, unless the network loses it or the response."""
+        response = None
+        if not self.is_cut:
+            response = await self._handle(request)
+        if self.is_cut:
+            while self.is_cut:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+            raise ConnectionResetError
+        return response
+
+    async def _handle(self, request):
         while self.is_frozen:
             await asyncio.sleep(CHECK_INTERVAL_S)
         if self._is_stopped:
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -38,6 +38,7 @@
         "instance_client": None,
         "advice_client": None,
         "is_sole_controller": lambda: True,
+        "is_role_proven": lambda: True,
         "has_clock_stepped": lambda: False,
         "on_superseded": unittest.mock.Mock(side_effect=AssertionError),
     }
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -13,11 +13,21 @@
 
     def __init__(self):
         self.starts = []
+        self.stops = []
+        self.lists = []
 
     def start_run(self, executor, run, *, deadline_ms, callback, **keywords):
         """Record a start."""
         self.starts.append((run.number, deadline_ms, callback))
 
+    def stop_run(self, executor, task, run, *, may_send, **keywords):
+        """Record a stop."""
+        self.stops.append((task, run, may_send))
+
+    def list_runs(self, executor, *, lease_end_ms, may_send, callback, **keywords):
+        """Record a request for the list of runs."""
+        self.lists.append((lease_end_ms, may_send, callback))
+
 
 class ExecutorLinkTest(unittest.TestCase):
     """A start without an answer whose executor restarts under the same id."""
@@ -25,6 +35,7 @@
     def setUp(self):
         """Send a start that gets no answer."""
         self.harness = scheduling.SchedulerHarness(count=2)
+        self.is_role_proven = True
         self.client = FakeClient()
         self.timers = scripted.FakeTimers()
         self.harness.add_job(scheduling.make_job())
@@ -42,6 +53,7 @@
             lease_s=4.0,
             on_change=lambda: None,
             on_superseded=lambda: None,
+            is_role_proven=lambda: self.is_role_proven,
         )
         self.run_.start_expires_at = float("inf")
         self.run_.deadline_ms = 9000
@@ -119,6 +131,66 @@
         self.assertEqual(self.executor.started_at_ms, 6)
         self.assertIsNone(self.run_.confirmed_at)
 
+    def test_controller_without_proof_of_its_role_sends_nothing_that_binds(self):
+        """Guards against a task that runs twice, on an executor that is cut off.
+
+        Review case 1: a controller that was cut off from the store renewed leases for
+        longer than its successor assumed.
+        """
+        self.is_role_proven = False
+        self.client.starts.clear()
+        self.link.start(self.run_)
+        self.link.stop(self.run_)
+        self.link.set_pace(self.run_, 50)
+        lease_expires_at = self.executor.lease_expires_at
+        self.link.open()
+        self.assertEqual((self.client.starts, self.client.stops), ([], []))
+        ((lease_end_ms, may_send, on_listed),) = self.client.lists
+        self.assertEqual((lease_end_ms, may_send), (None, None))
+        self.assertEqual(self.executor.lease_expires_at, lease_expires_at)
+        on_listed(
+            executors.ExecutorResponse(
+                is_accepted=True,
+                running=[
+                    executors.RunningEntry(
+                        task="unknown.0.0.0",
+                        run=1,
+                        checkpoint="",
+                        progress_percent=0,
+                        load=0,
+                    )
+                ],
+            )
+        )
+        self.assertEqual(self.client.stops, [])
+
+    def test_delayed_start_is_sent_once_the_role_is_proven_again(self):
+        """Guards against a start that is given up for an outage of the store."""
+        self.client.starts.clear()
+        self.is_role_proven = False
+        self.link.start(self.run_)
+        self.timers.run()
+        self.assertEqual(self.client.starts, [])
+        self.is_role_proven = True
+        self.timers.run()
+        self.assertEqual(len(self.client.starts), 1)
+
+    def test_calls_check_the_role_before_their_first_byte(self):
+        """Guards against an order that waits for its connection while the role ends."""
+        self.link.stop(self.run_)
+        self.link.open()
+        (_, _, may_stop), (_, may_renew, _) = self.client.stops[0], self.client.lists[0]
+        self.is_role_proven = False
+        self.assertFalse(may_stop() or may_renew())
+
+    def test_call_that_was_held_back_is_no_silence_of_the_executor(self):
+        """Guards against an executor that is given up although it was not called."""
+        self.link.open()
+        self.client.lists.pop()[2](executors.NoResponse(reason="refused"))
+        self.assertIsNone(self.executor.unreachable_since)
+        self.timers.run()
+        self.assertEqual(len(self.client.lists), 1)
+
 
 class LostAnswersTest(unittest.TestCase):
     """Long polls of an executor while answers are lost."""
@@ -142,6 +214,7 @@
                 lease_s=4.0,
                 on_change=lambda: None,
                 on_superseded=lambda: None,
+                is_role_proven=lambda: True,
                 losses=self.losses,
             )
             self.links.append(link)
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -80,6 +80,28 @@
             boot_now_s.return_value += membership.TTL_S
             self.assertFalse(self.member.is_sole_controller)
 
+    def test_proof_of_the_role_ends_by_the_own_clock(self):
+        """Guards against a cut-off controller that goes on while another one acts.
+
+        The age counts from the sending of the last join that was answered.
+        """
+        with unittest.mock.patch("cranberryport.boot_clock.now_s") as boot_now_s:
+            boot_now_s.return_value = 100.0
+            self.timers.run()
+            self.store.pop_call("join")
+            boot_now_s.return_value = 101.0
+            self._answer(5, 0)
+            boot_now_s.return_value = 100.0 + membership.ROLE_VALIDITY_S - 0.01
+            self.assertTrue(self.member.is_role_proven)
+            self.timers.run()
+            boot_now_s.return_value = 100.0 + membership.ROLE_VALIDITY_S
+            self.assertFalse(self.member.is_role_proven)
+            self._answer(5, 0)
+            self.assertTrue(self.member.is_role_proven)
+            self.timers.run()
+            self._answer(6)
+            self.assertFalse(self.member.is_role_proven)
+
     def test_late_answer_to_an_earlier_join_is_ignored(self):
         """Guards against a controller role that is regained by an outdated answer."""
         self.timers.run()
--- a/tests/test_scheduling_interleavings.py
+++ b/tests/test_scheduling_interleavings.py
@@ -61,7 +61,7 @@
         """Replace the controller by a successor that reads the stored records."""
         self.scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self.now
-            + scheduler.previous_lease_wait_s(LEASE_S)
+            + scheduler.previous_lease_wait_s(LEASE_S, role_validity_s=0.0)
         )
         self.planner = task_planner.TaskPlanner(state=self.scheduler)
         rules = ordering.QueueRules(name="queue", service="pool", failed_runs_limit=99)
@@ -72,6 +72,8 @@
                 self.scheduler.restore_job(job, self.stored[job_id], NOW_UNIX_S)
             else:
                 self.scheduler.add_job(job, NOW_UNIX_S)
+        # The entries of the others have lapsed, and come back later.
+        self.scheduler.on_executors_read()
         for name in self.executors_found_at_once:
             self.scheduler.add_or_update_executor(
                 scheduling.make_executor(name), self.now
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,128 @@
+"""Takeovers beside a controller that is cut off from the store, with processes."""
+
+import pathlib
+import time
+import unittest
+
+from soak import proxy
+from standins import calls
+from standins.platform import local_deployment
+
+LOG_DIRECTORY = pathlib.Path(__file__).resolve().parent.parent / "build" / "takeover"
+HEADERS = {"Host": "fleet.example", "Deadline-Ms": "3000"}
+TIMEOUT_S = 25.0
+INSTANCE_COUNT = 6
+LASTING_STEP = {"count": 3, "ms": 0, "processors": 1000, "memory": 100, "lasts": True}
+STEP = {"count": 4, "ms": 6000, "processors": 500, "memory": 100}
+
+
+class TakeoverTest(unittest.TestCase):
+    """The predecessor lives and reaches the executors, but not the store."""
+
+    def setUp(self):
+        """Start entry instances whose connections to the store can be cut."""
+        directory = LOG_DIRECTORY / self.id().rpartition(".")[2]
+        directory.mkdir(parents=True, exist_ok=True)
+        self.proxy_thread = proxy.ProxyThread()
+        self.addCleanup(self.proxy_thread.stop)
+        self.proxies = {}
+        self.deployment = local_deployment.LocalDeployment(
+            directory=directory,
+            pools={"one": INSTANCE_COUNT, "spare": 2},
+            entry_count=3,
+            make_settings=self._make_settings,
+        )
+        self.addCleanup(self.deployment.stop)
+        self.deployment.start()
+        jobs = [(LASTING_STEP,)] * 4 + [(STEP,)] * 4
+        for steps in jobs:
+            self._submit(*steps)
+        expected = sum(step["count"] for (step,) in jobs)
+        calls.wait_until(
+            lambda: len(self.deployment.findings()["running"]) == expected,
+            TIMEOUT_S,
+            "all tasks run",
+        )
+
+    def _make_settings(self, name, addresses):
+        self.proxies[name] = self.proxy_thread.add_proxy(addresses["store"])
+        return {"store": f"127.0.0.1:{self.proxies[name].port}"}
+
+    def _submit(self, *steps):
+        job, body = local_deployment.make_job_request(*steps)
+        port = self.deployment.entries[0].front_port
+
+        def is_accepted():
+            response = calls.send_request(
+                port, "POST", f"/one/{job}", headers=HEADERS, body=body
+            )
+            return response.status == 200
+
+        calls.wait_until(is_accepted, TIMEOUT_S, "the job is accepted")
+
+    def _find_controllers(self):
+        """Return the names of the entry instances that have the controller role."""
+        return {
+            entry.name
+            for entry in self.deployment.entries
+            if b"controller.is_leading 1\n"
+            in calls.send_request(entry.metrics_port, "GET", "/metrics").body
+        }
+
+    def _cut_controller_off(self):
+        """Cut the controller off from the store, and let its successor load slowly.
+
+        Returns
+        -------
+        soak.proxy.Proxy
+            Proxy between the predecessor and the store.
+        """
+        (name,) = self._find_controllers()
+        self.proxy_thread.set_mode(self.proxies[name], proxy.SILENT)
+        # The successor gets its role, but is not ready before the next change.
+        self.deployment.send_order("store", delay_s=0.5)
+        calls.wait_until(
+            lambda: self._find_controllers() - {name},
+            TIMEOUT_S,
+            "there is a successor",
+        )
+        self.deployment.send_order("store", delay_s=3.0)
+        return self.proxies[name]
+
+    def _cut_executors_off(self, *, is_cut):
+        for number in range(1, INSTANCE_COUNT // 2 + 1):
+            self.deployment.send_order("cut", instance=f"m{number}", is_cut=is_cut)
+
+    def _heal(self, store_proxy):
+        self._cut_executors_off(is_cut=False)
+        self.deployment.send_order("store")
+        self.proxy_thread.set_mode(store_proxy, proxy.PASS)
+        time.sleep(5.0)
+        self.assertEqual(self.deployment.findings()["violations"], [])
+
+    def test_slow_successor_runs_nothing_twice(self):
+        """Guards against runs that are given up before the executors are known.
+
+        Seen by the users with processes of their own: while the successor loaded its
+        state, the time passed after which it took all leases for expired, and it
+        started all tasks again before it had read the list of executors.
+        """
+        store_proxy = self._cut_controller_off()
+        time.sleep(5.0)
+        self.deployment.send_order("store", delay_s=0.3)
+        time.sleep(6.0)
+        self._heal(store_proxy)
+
+    def test_executors_that_are_cut_off_during_the_takeover_run_nothing_twice(self):
+        """Guards against leases that the predecessor renews for longer than assumed.
+
+        Review case 1: the time until all leases have expired was counted from the
+        change of the role, but the predecessor renewed leases until its successor
+        had reached the executors.
+        """
+        store_proxy = self._cut_controller_off()
+        time.sleep(3.3)
+        self._cut_executors_off(is_cut=True)
+        self.deployment.send_order("store", delay_s=0.1)
+        time.sleep(8.0)
+        self._heal(store_proxy)
