Free the room of a stopped run that no list shows

Cause: a run whose start never arrived has no end to list. It is removed by a list that was requested after its stop was confirmed. But stops are repeated every 0.6 s, each confirmation moved that time on, and lists are long polls of 1 s: no list was ever late enough. Change: the first confirmation counts, after which the executor refuses the start.

Test: test_run_that_no_list_shows_frees_its_room_although_stops_are_repeated fails before (the run is still there after three lists).

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -742,8 +742,14 @@
         self._remove_run(run)
 
     def on_stop_confirmed(self, run, now):
-        """Record that an executor has confirmed a stop; the end is listed later."""
-        run.confirmed_at = now
+        """Record that an executor has confirmed a stop; the end is listed later.
+
+        The first confirmation counts: from then on a list that lacks the run shows that
+        it does not exist, and a start that arrives later is refused. Stops are repeated
+        more often than lists are requested.
+        """
+        if run.confirmed_at is None:
+            run.confirmed_at = now
 
     def on_runs_listed(self, executor, report, *, requested_at, now, now_unix_s):
         """Update the state by an executor's lists of running and ended runs.
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -3,7 +3,7 @@
 import time
 import unittest
 
-from cranberryport.scheduling import model, records
+from cranberryport.scheduling import model, records, scheduler
 from tests import scheduling
 
 
@@ -363,6 +363,40 @@
         self.assertEqual(unknown, [("other.0.0.0", 3)])
 
 
+class StoppedRunTest(unittest.TestCase):
+    """Stops that are repeated until the end of the run is listed."""
+
+    def test_run_that_no_list_shows_frees_its_room_although_stops_are_repeated(self):
+        """Guards against room that stays taken for ever.
+
+        The start never arrived. Each repeated stop, sent every 0.6 s, moved the time on
+        after which a list had to be requested, and the lists are long polls of 1 s.
+        """
+        harness = scheduling.SchedulerHarness()
+        job = harness.add_job(scheduling.make_job())
+        (run,) = harness.scheduler.commit(harness.plan(), harness.now)
+        harness.scheduler.cancel_job(job.id, scheduling.NOW_UNIX_S)
+        for _ in range(3):
+            requested_at = harness.now
+            for _ in range(2):
+                harness.now += scheduler.STOP_REPEAT_S
+                harness.scheduler.on_stop_confirmed(run, harness.now)
+            harness.list_runs(harness.executors[0], requested_at=requested_at)
+        self.assertEqual(harness.executors[0].runs, {})
+
+    def test_list_from_before_the_stop_does_not_show_that_a_run_has_ended(self):
+        """Guards against room that is given away while a late start may arrive."""
+        harness = scheduling.SchedulerHarness()
+        job = harness.add_job(scheduling.make_job())
+        (run,) = harness.scheduler.commit(harness.plan(), harness.now)
+        harness.scheduler.cancel_job(job.id, scheduling.NOW_UNIX_S)
+        requested_at = harness.now
+        harness.now += 0.5
+        harness.scheduler.on_stop_confirmed(run, harness.now)
+        harness.list_runs(harness.executors[0], requested_at=requested_at)
+        self.assertEqual(len(harness.executors[0].runs), 1)
+
+
 class TakeoverTest(unittest.TestCase):
     """A successor continues from the stored state of the previous controller."""
 
