Decode all input of other programs at one boundary

Change: numbers are within 2^53 wherever they are read (bodies.is_number); waves, pages, memberships, rows of runs and instances are checked for their types; errors quote odd values in limited length (bodies.quote). A list of runs that cannot be handled does not end the link to its executor.

A job whose occurrences are due at once with more than 10,000 tasks, or that has more than 10,000 occurrences, gets 400: its planning would stop the process for seconds.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -291,6 +291,13 @@
         """Numbers of events since the takeover, by name; for the metrics."""
         return self._scheduler.event_counts
 
+    @property
+    def not_applied_count(self):
+        """Number of records of the store so far that could not be handled."""
+        readers = [self._executors_reader, *self._jobs_readers]
+        number = sum(reader.not_applied_count for reader in readers)
+        return number + self._scheduler.event_counts["records_not_applied"]
+
     @property
     def organisation_statuses(self):
         """Status of each organisation by name; for the metrics."""
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -291,6 +291,16 @@
         self._is_list_pending = False
         if self._is_closed:
             return
+        try:
+            self._handle_list(response)
+        except Exception:
+            # The executor is asked again, whatever its list contains.
+            _logger.exception(
+                "list of runs not handled", extra={"executor": self._executor.id}
+            )
+            self._timers.after(LIST_RETRY_DELAY_S, self._list_runs)
+
+    def _handle_list(self, response):
         now = time.monotonic()
         executor = self._executor
         executor.list_requested_at = None
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -35,6 +35,7 @@
 )
 from cranberryport.platform import (
     advice,
+    bodies,
     configuration,
     configuration_follower,
     executors,
@@ -239,9 +240,11 @@
                 self._add_wave(key, value)
 
     def _add_wave(self, key, value):
+        if not value:
+            return
         wave = machines.parse_wave(value, time.monotonic())
-        if wave is None:
-            _logger.error("unreadable wave", extra={"key": key})
+        if isinstance(wave, bodies.Invalid):
+            _logger.error("unreadable wave", extra={"key": key, "reason": wave.reason})
             return
         if wave.number in self._waves:
             return
@@ -303,15 +306,33 @@
             gauges = report.to_gauges()
         self._metrics.replace_gauges(ORGANISATION_METRICS, gauges)
         self._metrics.gauge("store.calls", self._store.call_count)
+        self._metrics.gauge(
+            "store.records_not_applied", self._configuration_reader.not_applied_count
+        )
         self._metrics.gauge("front.in_progress", self._job_api.in_progress_count)
         self._metrics.gauge("controller.is_leading", int(self._controller is not None))
         if self._controller is not None:
             for name, number in self._controller.event_counts.items():
                 self._metrics.gauge(f"controller.{name}", number)
+            self._metrics.gauge(
+                "controller.records_not_applied", self._controller.not_applied_count
+            )
         response.headers["Content-Type"] = "text/plain"
         response.body = self._metrics.render()
         return response
 
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, _, traceback, **__):
+        """Log an exception that a handler of any component has not handled.
+
+        Its text is left out, since it can quote a caller's header or body.
+        """
+        self._metrics.count("errors.unhandled")
+        _logger.error(
+            "event handler failed",
+            extra={"kind": kind.__name__, "where": "".join(traceback)},
+        )
+
     @handler("signal", channel="*", priority=10)
     def _on_signal(self, event, number, stack):
         """Leave the group, then stop once the balancer sends no more requests."""
--- a/cranberryport/platform/advice.py
+++ b/cranberryport/platform/advice.py
@@ -81,7 +81,9 @@
                 and isinstance(row[1], str)
             }
             if len(tickets) < len(rows):
-                _logger.warning("malformed rows of permits", extra={"rows": str(rows)})
+                _logger.warning(
+                    "malformed rows of permits", extra={"rows": bodies.quote(rows)}
+                )
             callback(
                 Permits(
                     tickets=tickets,
--- a/cranberryport/platform/bodies.py
+++ b/cranberryport/platform/bodies.py
@@ -98,6 +98,15 @@
     return result.status, decode(result.body) or {}
 
 
+def quote(value):
+    """Return a decoded value as text of limited length, for a log line or an error."""
+    try:
+        text = repr(value)
+    except RecursionError:
+        text = f"deeply nested {type(value).__name__}"
+    return text[:REASON_LIMIT_CHARACTERS]
+
+
 def is_number(value):
     """Return whether a decoded value is a number within ``NUMBER_LIMIT``."""
     if isinstance(value, bool) or not isinstance(value, int | float):
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -252,7 +252,8 @@
         finished = [_parse_finished(row) for row in fields.get("Finished") or ()]
     except (IndexError, KeyError, TypeError, ValueError) as error:
         # An unreadable list says nothing about any run, so it counts as no response.
-        _logger.error("unreadable list of runs", extra={"reason": repr(error)})
+        reason = repr(error)[: bodies.REASON_LIMIT_CHARACTERS]
+        _logger.error("unreadable list of runs", extra={"reason": reason})
         return NoResponse(reason="protocol")
     return ExecutorResponse(
         is_accepted=status == 200,
@@ -271,30 +272,43 @@
         return "other_instance"
     if status in (429, 500, 502, 503, 504):
         return "unhealthy"
-    reason = fields.get("Reason")
+    reason = bodies.get_text(fields, "Reason")
     if reason == "fence":
         return "fenced"
     return reason if reason in _KEPT_REASONS else "invalid"
 
 
 def _parse_running(row):
-    load = row[4] if len(row) > 4 else 0
+    task, run, checkpoint, percent = row[:4]
+    load = (row[4] if len(row) > 4 else 0) or 0
+    checkpoint = checkpoint or ""
+    _check_types((task, str), (run, int), (checkpoint, str))
+    if not (bodies.is_number(percent) and bodies.is_number(load)):
+        raise TypeError(f"progress {percent!r} and load {load!r}; allowed: numbers")
     return RunningEntry(
-        task=row[0],
-        run=row[1],
-        checkpoint=row[2] or "",
-        progress_percent=row[3],
-        load=load or 0,
+        task=task,
+        run=run,
+        checkpoint=checkpoint,
+        progress_percent=percent,
+        load=load,
     )
 
 
 def _parse_finished(row):
     number, task, run, how, checkpoint = row[:5]
+    checkpoint = checkpoint or ""
+    _check_types((number, int), (task, str), (run, int), (how, str), (checkpoint, str))
     return FinishedEntry(
-        number=number, task=task, run=run, how=how, checkpoint=checkpoint or ""
+        number=number, task=task, run=run, how=how, checkpoint=checkpoint
     )
 
 
+def _check_types(*pairs):
+    for value, expected in pairs:
+        if type(value) is not expected:
+            raise TypeError(f"found {value!r}; allowed: {expected.__name__}")
+
+
 class _Capacity(msgspec.Struct, kw_only=True, frozen=True):
     processors: bodies.Count = msgspec.field(name="Cpu")
     memory: bodies.Count = msgspec.field(name="MemMb")
--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -27,6 +27,7 @@
 # The same text for a missing, a malformed and an unknown key.
 KEY_ERROR = "a valid key is needed; allowed: Authorization: Token KEY"
 DEFAULT_DEADLINE_S = 3.0
+DEADLINE_LIMIT_S = 60.0
 # Subtracted from the caller's deadline, so that the response reaches it in time: at
 # most this, and at most this share. The last try of a caller has little time left.
 DEADLINE_MARGIN_S = 0.3
@@ -583,8 +584,9 @@
 
 
 def _read_deadline_s(headers):
-    """Return how long the caller waits for a response, at most 60 s."""
+    """Return how long the caller waits for a response, at most a minute."""
     value = headers.get(DEADLINE_HEADER, b"")
     if not value.isdigit():
         return DEFAULT_DEADLINE_S
-    return min(int(value) / 1000, 60.0)
+    # Converting thousands of digits would fail; twelve are more than the limit.
+    return min(int(value[:12]) / 1000, DEADLINE_LIMIT_S)
--- a/cranberryport/platform/machines.py
+++ b/cranberryport/platform/machines.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+import msgspec
+
 from cranberryport.platform import bodies
 from cranberryport.scheduling import instances
 
@@ -134,7 +136,9 @@
 
 
 def _parse_instance(row):
-    if not isinstance(row, dict) or row.get("State") not in STATES:
+    if not isinstance(row, dict) or not bodies.get_text(row, "Machine"):
+        return None
+    if bodies.get_text(row, "State") not in STATES:
         return None
     labels = row.get("Labels")
     has_labels = isinstance(labels, list) and bool(labels)
@@ -148,14 +152,26 @@
         executor=bodies.get_text(row, "Id"),
         # The first label is the kind of the instance, the second its rack.
         kind=str(labels[0]) if has_labels else "",
-        processors=bodies.get_integer(capacity, "Cpu"),
-        memory=bodies.get_integer(capacity, "MemMb"),
-        accelerators=bodies.get_integer(capacity, "Gpu"),
+        processors=max(0, bodies.get_integer(capacity, "Cpu")),
+        memory=max(0, bodies.get_integer(capacity, "MemMb")),
+        accelerators=max(0, bodies.get_integer(capacity, "Gpu")),
     )
 
 
+class _Wave(msgspec.Struct, kw_only=True, frozen=True):
+    """Fields of a wave, under the names of the platform."""
+
+    number: bodies.Count = msgspec.field(name="Wave")
+    instances: list[str] = msgspec.field(name="Machines")
+    duration_s: bodies.Count = msgspec.field(name="DurationS")
+    max_down: bodies.Count = msgspec.field(name="Maximum", default=1)
+
+
+_decode_wave = bodies.make_decoder(_Wave)
+
+
 def parse_wave(value, now):
-    """Return the wave in a record of the operator, None if it cannot be parsed.
+    """Return the wave in a record of the operator, or why it cannot be used.
 
     Parameters
     ----------
@@ -163,15 +179,20 @@
         The record.
     now : float
         Monotonic time in seconds, from which the duration of the wave is counted.
+
+    Returns
+    -------
+    instances.Wave or bodies.Invalid
+        ``Invalid`` if a field is missing, of another type or out of its limits.
     """
-    fields = bodies.decode(value)
-    if fields is None or not isinstance(fields.get("Machines"), list):
-        return None
+    wave = _decode_wave(value)
+    if isinstance(wave, bodies.Invalid):
+        return wave
     return instances.Wave(
-        number=bodies.get_integer(fields, "Wave"),
-        instances=[m for m in fields["Machines"] if isinstance(m, str)],
-        deadline=now + bodies.get_integer(fields, "DurationS"),
-        max_down=max(1, bodies.get_integer(fields, "Maximum", 1)),
+        number=int(wave.number),
+        instances=list(wave.instances),
+        deadline=now + wave.duration_s,
+        max_down=max(1, int(wave.max_down)),
     )
 
 
--- a/cranberryport/platform/store.py
+++ b/cranberryport/platform/store.py
@@ -414,8 +414,8 @@
             except (IndexError, KeyError, TypeError):
                 is_valid = False
             if not is_valid:
-                reason = f"malformed membership {number}, {rows!r}"
-                callback(NoResponse(reason=reason[: bodies.REASON_LIMIT_CHARACTERS]))
+                reason = f"malformed membership {number}, {bodies.quote(rows)}"
+                callback(NoResponse(reason=reason))
                 return
             callback(GroupMembership(generation=number, partitions=owned))
 
@@ -453,7 +453,9 @@
                 and isinstance(row[2], str)
             }
             if len(members) < len(rows):
-                _logger.warning("malformed rows of owners", extra={"rows": str(rows)})
+                _logger.warning(
+                    "malformed rows of owners", extra={"rows": bodies.quote(rows)}
+                )
             callback(PartitionOwners(members=members))
 
         self._send("GET", target, b"", timeout_s, on_result)
--- a/cranberryport/platform/submissions.py
+++ b/cranberryport/platform/submissions.py
@@ -9,6 +9,8 @@
 SPEC_LIMIT_BYTES = 4000
 STEPS_LIMIT = 100
 TASKS_LIMIT = 10_000
+# Numbers of the occurrences that are done are stored with each change of a job.
+REPEATS_LIMIT = 10_000
 
 
 class InvalidJob(ValueError):
@@ -44,13 +46,15 @@
         raise InvalidJob("the body is no JSON object")
     spec = fields.get("Spec", "")
     if not isinstance(spec, str) or len(spec.encode()) > SPEC_LIMIT_BYTES:
-        found = f"{len(spec)} characters" if isinstance(spec, str) else repr(spec)
+        found = f"{len(spec)} characters" if isinstance(spec, str) else None
+        found = found or bodies.quote(spec)
         raise InvalidJob(
             f"Spec is {found}; allowed: a text of up to {SPEC_LIMIT_BYTES} bytes"
         )
     rows = fields.get("Steps")
     if not isinstance(rows, list) or not 0 < len(rows) <= STEPS_LIMIT:
-        found = f"a list of {len(rows)}" if isinstance(rows, list) else repr(rows)
+        found = f"a list of {len(rows)}" if isinstance(rows, list) else None
+        found = found or bodies.quote(rows)
         raise InvalidJob(
             f"Steps is {found}; allowed: a list of 1 to {STEPS_LIMIT} steps"
         )
@@ -58,7 +62,12 @@
     tasks = sum(step.count for step in steps)
     if tasks > TASKS_LIMIT:
         raise InvalidJob(f"{tasks} tasks; allowed: up to {TASKS_LIMIT}")
-    return model.Job(
+    repeats = int(_parse_number(fields, "RepeatCount", "the job"))
+    if repeats > REPEATS_LIMIT:
+        raise InvalidJob(
+            f"RepeatCount of the job is {repeats}; allowed: up to {REPEATS_LIMIT}"
+        )
+    job = model.Job(
         id=job_id,
         queue=queue,
         service=service,
@@ -67,25 +76,40 @@
         accepted_at=now_unix_s,
         first_due_at=_parse_number(fields, "StartAtMs", "the job") / 1000,
         interval_s=_parse_number(fields, "IntervalMs", "the job") / 1000,
-        repeats=int(_parse_number(fields, "RepeatCount", "the job")),
+        repeats=repeats,
     )
+    _check_due_tasks(job, tasks, now_unix_s)
+    return job
+
+
+def _check_due_tasks(job, tasks, now_unix_s):
+    """Raise InvalidJob if too many tasks of several occurrences are due at once."""
+    due = job.occurrence_count
+    passed_s = now_unix_s - job.first_due_at
+    if job.interval_s > 0 and job.interval_s * due > passed_s:
+        due = max(1, int(passed_s / job.interval_s) + 1)
+    if tasks * due > TASKS_LIMIT:
+        raise InvalidJob(
+            f"{due} occurrences of {tasks} tasks are due now; allowed: {TASKS_LIMIT} "
+            "tasks"
+        )
 
 
 def _parse_step(number, row):
     place = f"step {number}"
     if not isinstance(row, dict):
-        raise InvalidJob(f"{place} is {row!r}; allowed: an object")
+        raise InvalidJob(f"{place} is {bodies.quote(row)}; allowed: an object")
     count = row.get("Count")
     if isinstance(count, bool) or not isinstance(count, int) or count < 1:
-        raise InvalidJob(f"Count of {place} is {count!r}; allowed: 1 or more")
+        found = bodies.quote(count)
+        raise InvalidJob(f"Count of {place} is {found}; allowed: 1 or more")
     depends_on = row.get("DependsOn") or []
     if not isinstance(depends_on, list) or any(
         not isinstance(step_number, int) or not 0 <= step_number < number
         for step_number in depends_on
     ):
-        raise InvalidJob(
-            f"DependsOn of {place} is {depends_on!r}; allowed: earlier steps"
-        )
+        found = bodies.quote(depends_on)
+        raise InvalidJob(f"DependsOn of {place} is {found}; allowed: earlier steps")
     max_unavailable = row.get("MaxUnavailable")
     return model.Step(
         count=count,
@@ -106,7 +130,7 @@
         image=bodies.get_text(row, "Image"),
         tail_target_ms=_parse_number(row, "TargetMs", place),
         max_unavailable=int(max_unavailable)
-        if isinstance(max_unavailable, int | float)
+        if bodies.is_number(max_unavailable)
         else None,
     )
 
@@ -114,12 +138,16 @@
 def _parse_label(row, place):
     value = row.get("Requirements") or ""
     if not isinstance(value, str):
-        raise InvalidJob(f"Requirements of {place} is {value!r}; allowed: a label")
+        found = bodies.quote(value)
+        raise InvalidJob(f"Requirements of {place} is {found}; allowed: a label")
     return value
 
 
 def _parse_number(row, name, place):
     value = row.get(name) or 0
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise InvalidJob(f"{name} of {place} is {value!r}; allowed: 0 or more")
+    if not bodies.is_number(value) or value < 0:
+        found = bodies.quote(value)
+        raise InvalidJob(
+            f"{name} of {place} is {found}; allowed: 0 to {bodies.NUMBER_LIMIT}"
+        )
     return value
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -149,8 +149,8 @@
     Attributes
     ----------
     confirmed_at : float or None
-        Monotonic time at which the executor first confirmed the start. The confirmation
-        of a stop replaces it.
+        Monotonic time at which the executor first confirmed the start, or a stop of a
+        run whose start it had not confirmed.
     ordered_at : float or None
         Monotonic time at which the start was stored and could be sent; None for a run
         that a previous controller started.
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+import unittest.mock
 
 from cranberryport.control import call_losses, executor_link
 from cranberryport.platform import executors
@@ -183,6 +184,19 @@
         self.is_role_proven = False
         self.assertFalse(may_stop() or may_renew())
 
+    def test_list_that_cannot_be_handled_ends_no_link(self):
+        """Guards against an executor that is not asked again after one odd list."""
+        self.link.open()
+        scheduler_ = self.harness.scheduler
+        with (
+            unittest.mock.patch.object(scheduler_, "on_runs_listed") as handle,
+            self.assertLogs(level="ERROR"),
+        ):
+            handle.side_effect = TypeError
+            self.client.lists.pop()[2](executors.ExecutorResponse(is_accepted=True))
+        self.timers.run()
+        self.assertEqual(len(self.client.lists), 1)
+
     def test_call_that_was_held_back_is_no_silence_of_the_executor(self):
         """Guards against an executor that is given up although it was not called."""
         self.link.open()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 import unittest
 
 from cranberryport import node
+from cranberryport.observability import node_metrics
 from cranberryport.platform import configuration
 from tests import keyed_front
 
@@ -116,6 +117,14 @@
         self.assertEqual(status, 503)
         self.assertIn("the controller is not known", json.loads(body)["Error"])
 
+    def test_exception_of_a_handler_is_logged_and_counted(self):
+        """Guards against an error that operators see on standard error only."""
+        subject = types.SimpleNamespace(_metrics=node_metrics.NodeMetrics())
+        with self.assertLogs("cranberryport.node", "ERROR") as logs:
+            node.Node._on_exception(subject, ValueError, ValueError("x"), ["line"])
+        self.assertEqual(logs.records[0].kind, "ValueError")
+        self.assertIn("errors.unhandled 1", subject._metrics.render())
+
     def test_sigterm_ends_the_process_within_the_grace_period(self):
         """Guards against a process that the platform has to kill."""
         self.process.send_signal(signal.SIGTERM)
