Prove that a job does not exist before answering 410

Cause: what the controller had read within 2 s counted as complete. A job accepted by another instance in that time exists.

Invariant: a job is said not to exist only if every partition was read completely after the question came first. Cancellations of jobs that never appear are deleted with the ended jobs. A repeated submission of a known job is not refused with 429.

Ruled out: storing every cancellation of an unknown job, as a deployment with organisations answers 410 for a job of another one, and 200 would tell both apart.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -9,6 +9,7 @@
 import logging
 import time
 
+from cranberryport import boot_clock
 from cranberryport.control import (
     append_policy,
     call_losses,
@@ -45,9 +46,13 @@
 EXECUTORS_MIN_INTERVAL_S = 0.1
 STORE_TIMEOUT_S = 2.0
 READ_RETRY_DELAY_S = 0.1
-# The controller reports a job as unknown, and the number of waiting jobs, only if it
-# has read all jobs within this time.
+# The controller reports the number of waiting jobs only if it has read all jobs within
+# this time.
 JOBS_AGE_LIMIT_S = 2.0
+# All partitions are read at most once in this time to prove that a job does not exist.
+ABSENCE_CHECK_INTERVAL_S = 0.05
+# A question is not repeated for longer than its caller waits.
+ABSENCE_QUESTION_LIFETIME_S = 60.0
 # Jobs loaded at a time, after which other events are handled; 0.1 s at 0.4 ms each.
 LOAD_SLICE_JOBS = 250
 JOB_KEY_PREFIX = "j/"
@@ -102,6 +107,8 @@
     """
 
     __slots__ = (
+        "_absence_checked_at",
+        "_absence_questions",
         "_admission",
         "_advice_client",
         "_advice_pending",
@@ -219,6 +226,9 @@
         self._stored_progress = {}
         self._stored_crashes = {}
         self._cancellations = job_ownership.Cancellations()
+        # Time on the boot clock at which each question about an unknown job came first.
+        self._absence_questions = {}
+        self._absence_checked_at = 0.0
         self._has_configuration = False
         self._is_ready = False
         self._is_stopped = False
@@ -395,7 +405,9 @@
             reply.is_leading = True
             reply.state = job_ownership.answer_submission(jobs, question)
             if not reply.state:
-                reply.retry_after_s = self._retry_after_s(question)
+                # A repeated submission of an accepted job is not refused.
+                if question.job not in jobs:
+                    reply.retry_after_s = self._retry_after_s(question)
                 reply.state = append_policy.RELAYED if self._writer.is_slow else ""
             return reply
         if question.is_submission:
@@ -404,11 +416,34 @@
             return reply
         state = self._scheduler.job_state(question.job)
         if job_ownership.is_foreign(jobs.get(question.job), question.organisation):
+            # A delay must not tell such a job from one that does not exist.
             state = None
-        reply.is_leading = state is not None or self._are_jobs_current()
+        reply.is_leading = state is not None or self._is_absence_proven(question)
         reply.state = state or ""
         return reply
 
+    def _is_absence_proven(self, question):
+        """Return whether a job that is not known did not exist when it was asked about.
+
+        It may have been accepted a moment ago by another entry instance. So all records
+        must have been read after the question came first; it is repeated until then.
+        """
+        now = boot_clock.now_s()
+        key = (question.number, question.job)
+        asked_at = self._absence_questions.setdefault(key, now)
+        if all(reader.has_read_since(asked_at) for reader in self._jobs_readers):
+            del self._absence_questions[key]
+            return True
+        if now - self._absence_checked_at >= ABSENCE_CHECK_INTERVAL_S:
+            self._absence_checked_at = now
+            oldest = now - ABSENCE_QUESTION_LIFETIME_S
+            self._absence_questions = {
+                key: at for key, at in self._absence_questions.items() if at > oldest
+            }
+            for reader in self._jobs_readers:
+                reader.confirm()
+        return False
+
     def on_records_stored(self, message):
         """Read the jobs that an entry instance has stored.
 
@@ -707,6 +742,8 @@
             for job in self._scheduler.jobs.values()
             if job.is_end_stored and job.ended_at < ended_before
         ][:DELETION_LIMIT_JOBS]
+        # A cancellation is also stored where it is not known whether the job exists.
+        ended += self._cancellations.find_orphans(self._scheduler.jobs, ended_before)
         if not ended:
             return
         keys = [f"{JOB_KEY_PREFIX}{job_id}" for job_id in ended]
--- a/cranberryport/control/job_ownership.py
+++ b/cranberryport/control/job_ownership.py
@@ -151,6 +151,22 @@
         """Return the keys of the cancellations of a job."""
         return list(self._by_job.get(job_id, ()))
 
+    def find_orphans(self, jobs, before_unix_s):
+        """Return the ids of unknown jobs whose cancellations are all older than a time.
+
+        Parameters
+        ----------
+        jobs : dict of str to model.Job
+            Known jobs by id.
+        before_unix_s : float
+            Unix time in seconds.
+        """
+        return [
+            job_id
+            for job_id, found in self._by_job.items()
+            if job_id not in jobs and all(r.at < before_unix_s for r in found.values())
+        ]
+
     def discard(self, job_id):
         """Remove the cancellations of a job."""
         self._by_job.pop(job_id, None)
--- a/cranberryport/control/topic_reader.py
+++ b/cranberryport/control/topic_reader.py
@@ -52,9 +52,11 @@
 
     __slots__ = (
         "_complete_read_sent_at",
+        "_confirming_read_sent_at",
         "_expected_end",
         "_has_read_failed",
         "_is_catching_up",
+        "_is_confirming",
         "_is_stopped",
         "_last_read_sent_at",
         "_long_poll_s",
@@ -99,6 +101,8 @@
         self._last_read_sent_at = None
         self._requested_at = 0.0
         self._complete_read_sent_at = None
+        self._confirming_read_sent_at = None
+        self._is_confirming = False
         self._is_stopped = False
         self._has_read_failed = False
         self._not_applied_count = 0
@@ -130,6 +134,43 @@
         """Whether the last read failed."""
         return self._has_read_failed
 
+    def has_read_since(self, time_s):
+        """Return whether a read that was sent later has missed no record.
+
+        Parameters
+        ----------
+        time_s : float
+            Time on the boot clock.
+        """
+        sent_times = (self._complete_read_sent_at, self._confirming_read_sent_at)
+        return any(sent_at is not None and sent_at >= time_s for sent_at in sent_times)
+
+    def confirm(self):
+        """Read without waiting, to learn sooner whether no record is missed.
+
+        The long poll in progress was sent earlier, so that its answer does not show it.
+        """
+        if self._is_confirming or self._next_offset is None or self._is_stopped:
+            return
+        self._is_confirming = True
+        read_offset, sent_at = self._next_offset, boot_clock.now_s()
+        self._store.read(
+            self._topic,
+            read_offset,
+            callback=lambda result: self._on_confirmed(result, read_offset, sent_at),
+            wait_s=0.0,
+            partition=self._partition,
+        )
+
+    def _on_confirmed(self, result, read_offset, sent_at):
+        self._is_confirming = False
+        if self._is_stopped or not isinstance(result, store.Records):
+            return
+        if not _has_hole(result, read_offset):
+            self._deliver(result, read_offset)
+            if self.has_passed(result.end) and self._repair_at is None:
+                self._confirming_read_sent_at = sent_at
+
     def start(self):
         """Start reading with a snapshot."""
         self._send_read()
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -1,6 +1,7 @@
 """Tests for cranberryport.control.controller."""
 
 import json
+import time
 import types
 import unittest
 import unittest.mock
@@ -256,6 +257,83 @@
         self.assertEqual(self._ask("a").state, "accepted")
 
 
+class AbsenceTest(unittest.TestCase):
+    """Questions about jobs that the controller does not know, or knows already."""
+
+    def setUp(self):
+        """Make a controller with two partitions, at a time that the test sets."""
+        self.now = 100.0
+        patcher = unittest.mock.patch(
+            "cranberryport.boot_clock.now_s", lambda: self.now
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.subject, self.store = make_controller(
+            settings=types.SimpleNamespace(
+                lease_most_ms=4000,
+                store_partitions=2,
+                status_kept_s=5.0,
+                remote_factor=1.0,
+            )
+        )
+        # The long polls in progress were sent before any question.
+        self.long_polls = [self.store.pop_call("read") for _ in range(2)]
+        self.question = messages.JobQuestion(number=1, job="a" * 16)
+
+    def _ask(self):
+        self.now += 0.1
+        reply = self.subject.answer(self.question)
+        return reply.is_leading, reply.state
+
+    def test_absence_is_proven_by_reads_after_the_question(self):
+        """Guards against a cancellation of an accepted job that is answered 410.
+
+        Review case 4: what the controller had read in the last 2 s counted as complete,
+        and the job, accepted a moment before, ran on.
+        """
+        self.assertEqual(self._ask(), (False, ""))
+        for poll in self.long_polls:
+            poll.callback(store.Records(first=0, end=0, next=0, records=[]))
+        self.assertEqual(self._ask(), (False, ""))
+        for _ in range(2):
+            confirming = self.store.pop_call("read")
+            self.assertEqual(confirming.wait_s, 0.0)
+            confirming.callback(store.Records(first=0, end=0, next=0, records=[]))
+        self.assertEqual(self._ask(), (True, ""))
+
+    def test_job_that_a_confirming_read_finds_is_known(self):
+        """Guards against a job that is accepted by another instance and not found."""
+        self._ask()
+        job = scheduling.make_job(scheduling.make_step(1))
+        record = ("j/" + job.id, codec.encode(records.job_to_record(job)))
+        self.question.job = job.id
+        self.store.pop_call("read").callback(
+            store.Records(first=0, end=1, next=1, records=[record])
+        )
+        self.assertEqual(self._ask(), (True, "accepted"))
+
+    def test_failing_reads_prove_nothing(self):
+        """Guards against status 410 while the store refuses the controller."""
+        for _ in range(3):
+            self.assertEqual(self._ask(), (False, ""))
+            for call in list(self.store.calls):
+                self.store.calls.remove(call)
+                call.callback(store.Refused(status=503))
+
+    def test_repeated_submission_of_a_known_job_is_not_refused(self):
+        """Guards against status 429 for a job that was accepted, and runs."""
+        job = scheduling.make_job(scheduling.make_step(1))
+        question = messages.AdmissionQuestion(
+            number=1, queue="q", service="s", work=1.0, chain_s=1.0, job=job.id
+        )
+        with unittest.mock.patch.object(
+            controller.Controller, "_retry_after_s", return_value=3
+        ):
+            self.assertEqual(self.subject.answer(question).retry_after_s, 3)
+            self.subject._scheduler.add_job(job, 5.0)
+            self.assertEqual(self.subject.answer(question).retry_after_s, 0)
+
+
 class DeletionTest(unittest.TestCase):
     """Deletion of ended jobs while the store fails."""
 
@@ -358,6 +436,19 @@
         subject._delete_ended_jobs()
         self.assertNotIn("append", fake_store.call_names())
 
+    def test_cancellation_of_a_job_that_never_appeared_is_deleted_later(self):
+        """Guards against cancellations that remain for ever."""
+        subject, fake_store = make_controller(settings=self.settings)
+        for at, job_id in ((5.0, "a" * 16), (time.time(), "b" * 16)):
+            key, message = job_ownership.make_cancellation(
+                job_id=job_id, at_unix_s=at, organisation="", is_public=False
+            )
+            subject._on_job_records([(key, codec.encode(message))])
+        subject._delete_ended_jobs()
+        appended = fake_store.pop_call("append").arguments[1]
+        self.assertIn(("c/" + "a" * 16, b""), appended)
+        self.assertNotIn(("c/" + "b" * 16, b""), appended)
+
     def test_progress_without_a_job_is_deleted_later(self):
         """Guards against records that remain for ever after a takeover.
 
