End a job whose task has failed for good, whatever ended its last run

Cause: the limit of failed runs was looked at only as a run failed, and only if no other run was left. If that one was lost or stopped, nobody looked again.

Invariant: _has_failed is a function of the task's state, asked as a run fails and at each decision, after a restore as well. The planner asks is_at_failure_limit before each start, so that no copy is started beyond the limit.

Tests: FailedTaskTest; before the change three of the four fail (the job stays active, also for a successor; a copy is started). The fourth guards the other side: a copy that is done completes the job.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -146,6 +146,8 @@
         self._jobs_due_later = {}
         # Tasks under which executors have crashed, by name.
         self._crash_tasks = {}
+        # Tasks of which a run has failed, by name.
+        self._failed_tasks = {}
         self._retired_executors = {}
         self._arrival_rates = collections.defaultdict(rebalancing.ArrivalRate)
         # By pool and by task or step: time of the mark, step, and number of tasks.
@@ -279,6 +281,8 @@
                     self._crash_tasks[task.name] = task
         self._jobs[job.id] = job
         for task in job.tasks():
+            if task.failed_run_count:
+                self._failed_tasks[task.name] = task
             for run in task.runs:
                 if job.has_ended:
                     run.state = model.STOPPING
@@ -644,6 +648,7 @@
                 runs = list(self._restored_runs.pop(executor_id).values())
                 self._remove_restored_runs(runs, "executor not found after a takeover")
         self._give_up_crashing_tasks(now_unix_s)
+        self._end_failed_jobs(now_unix_s)
         for job in list(self._jobs_due_later.values()):
             self._activate_due_occurrences(job, now_unix_s)
         self._repeat_stops(now)
@@ -865,14 +870,34 @@
                     member.failed_run_count, task.failed_run_count
                 )
         self._mark_changed(job)
-        if (
-            task.step.is_lasting
-            or task.failed_run_count < self.queue_rules(job).failed_runs_limit
-        ):
-            return
-        if not task.runs:
+        self._failed_tasks[task.name] = task
+        if self._has_failed(task):
             self._end_job(job, model.FAILED, now_unix_s)
 
+    def is_at_failure_limit(self, task):
+        """Return whether no further run of a task may start, as too many have failed.
+
+        Tasks that last have no such limit.
+        """
+        limit = self.queue_rules(task.job).failed_runs_limit
+        return not task.step.is_lasting and task.failed_run_count >= limit
+
+    def _has_failed(self, task):
+        """Return whether a task has failed for good: it will not be done by any run."""
+        return self.is_at_failure_limit(task) and not task.is_done and not task.runs
+
+    def _end_failed_jobs(self, now_unix_s):
+        """End the jobs of failed tasks, whichever way the last run of a task went.
+
+        It may be lost with its executor, or have been stopped, after the limit was
+        reached by others.
+        """
+        for name, task in list(self._failed_tasks.items()):
+            if task.job.has_ended or task.is_done:
+                del self._failed_tasks[name]
+            elif self._has_failed(task):
+                self._end_job(task.job, model.FAILED, now_unix_s)
+
     def _finish_task(self, task, now_unix_s):
         occurrence, job = task.occurrence, task.job
         members = [task]
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -243,15 +243,13 @@
 
     def _waiting_tasks(self, occurrence, number, now):
         """Return the tasks of a step that can be started now."""
-        step = occurrence.job.steps[number]
-        failed_runs_limit = self._state.queue_rules(occurrence.job).failed_runs_limit
         return [
             task
             for task in occurrence.tasks[number]
             if not task.is_done
             and not task.runs
             and task.retry_at <= now
-            and (step.is_lasting or task.failed_run_count < failed_runs_limit)
+            and not self._state.is_at_failure_limit(task)
         ]
 
     def _plan_pool(self, occurrences, pool, now, now_unix_s):
@@ -404,6 +402,8 @@
                     is_at_limit = task.replacements >= stragglers.REPLACEMENTS_LIMIT
                     if len(task.runs) != 1 or is_at_limit or crashes.is_suspect(task):
                         continue
+                    if self._state.is_at_failure_limit(task):
+                        continue
                     (run,) = task.runs
                     if not stragglers.is_worth_replacing(run, now, slow_executor_ids):
                         continue
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -363,6 +363,63 @@
         self.assertEqual(unknown, [("other.0.0.0", 3)])
 
 
+class FailedTaskTest(unittest.TestCase):
+    """Tasks with copies whose runs have failed as often as the queue allows."""
+
+    def setUp(self):
+        """Fail a task twice, the limit, while another run of it is at work."""
+        self.harness = scheduling.SchedulerHarness(count=3, failed_runs_limit=2)
+        self.job = self.harness.add_job(
+            scheduling.make_job(scheduling.make_step(may_copy=True))
+        )
+        (first,) = self.harness.start()
+        self.harness.finish(first, 1, "failed")
+        (self.still,) = self.harness.start()
+        self.executor = self.harness.scheduler.executors[self.still.executor]
+        others = [e for e in self.harness.executors if e is not self.executor]
+        (task,) = self.job.tasks()
+        self.harness.scheduler.plan_run(task, others[0], task.next_run_number)
+        (copy,) = self.harness.start()
+        number = 1 + others[0].received_end_number
+        self.harness.finish(copy, number, "failed")
+
+    def test_job_fails_once_its_last_run_is_lost(self):
+        """Guards against a job that stays active although nothing of it can run.
+
+        Review case 5: the limit was looked at only when a run failed.
+        """
+        self.assertEqual(self.job.state, model.ACTIVE)
+        self.harness.scheduler.remove_executor(self.executor, "gone")
+        self.harness.scheduler.process_due_events(
+            self.harness.now, scheduling.NOW_UNIX_S
+        )
+        self.assertEqual(self.job.state, model.FAILED)
+
+    def test_job_is_completed_if_its_last_run_is_done(self):
+        """Guards against a job that fails although a copy is done."""
+        self.harness.finish(self.still, self.executor.received_end_number + 1)
+        self.assertEqual(self.job.state, model.COMPLETED)
+
+    def test_successor_ends_a_job_that_has_failed(self):
+        """Guards against a job that stays active for ever after a takeover."""
+        self.harness.scheduler.remove_executor(self.executor, "gone")
+        progress = records.progress_to_record(self.job)
+        second = scheduling.SchedulerHarness(failed_runs_limit=2)
+        copy = records.job_from_record(records.job_to_record(self.job))
+        second.scheduler.restore_job(copy, progress, scheduling.NOW_UNIX_S)
+        second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
+        self.assertEqual(copy.state, model.FAILED)
+
+    def test_no_copy_is_started_at_the_limit(self):
+        """Guards against starts beyond the limit of failed runs."""
+        for seconds in (1.0, 2.5):
+            self.harness.now += seconds
+            self.harness.list_runs(
+                self.executor, [(self.still.task.name, self.still.number, "", 20)]
+            )
+            self.assertEqual(self.harness.start(), [])
+
+
 class StoppedRunTest(unittest.TestCase):
     """Stops that are repeated until the end of the run is listed."""
 
