Restart a task that lasts also if it ends as done

What callers would see: a job of tasks that last is shown as completed while its client has not cancelled it (the platform's protocol: they "must be restarted however they end").

Test: test_long_running_task_is_restarted_after_any_end now also ends one as done, and fails on the code before ('completed' != 'active').

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -853,7 +853,8 @@
             return
         suspicion.update_recent_failures(executor, job.id, end.how, now)
         stragglers.update_slowdown_by_end(executor, run, end.how, now)
-        if end.how == "done":
+        # A task that lasts is restarted however it ends.
+        if end.how == "done" and not task.step.is_lasting:
             self._finish_task(task, now_unix_s)
         elif end.how == "failed":
             self._fail_task(task, run, executor, now_unix_s)
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -184,9 +184,9 @@
         job = harness.add_job(
             scheduling.make_job(scheduling.make_step(is_lasting=True))
         )
-        for number in range(1, 5):
+        for number, how in enumerate(("failed", "lapsed", "failed", "done"), 1):
             (run,) = harness.start()
-            harness.finish(run, number, "failed" if number % 2 else "lapsed")
+            harness.finish(run, number, how)
         self.assertEqual(job.state, model.ACTIVE)
 
     def test_repeated_submission_adds_no_job(self):
