--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -17,7 +17,6 @@
     instance_manager,
     job_deletion,
     job_ownership,
-    membership,
     progress_writer,
     stored_records,
     topic_reader,
@@ -27,6 +26,7 @@
 from cranberryport.scheduling import (
     admission,
     explaining,
+    hand_over,
     load,
     model,
     organisation_shares,
@@ -174,9 +174,7 @@
         self._on_superseded = on_superseded
         self._lease_s = min(executor_link.LEASE_S, settings.lease_most_ms / 1000)
         self._started_at = time.monotonic()
-        lease_wait_s = scheduler.previous_lease_wait_s(
-            self._lease_s, membership.ROLE_VALIDITY_S
-        )
+        lease_wait_s = hand_over.previous_lease_wait_s(self._lease_s)
         self._scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self._started_at + lease_wait_s
         )
--- a/cranberryport/control/job_deletion.py
+++ b/cranberryport/control/job_deletion.py
@@ -9,6 +9,7 @@
 import logging
 
 from cranberryport.platform import store
+from cranberryport.scheduling import hand_over
 
 APPEND_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.3
@@ -122,9 +123,13 @@
     def _finish_once_read(self):
         if self._is_stopped:
             return
-        if not all(
+        have_readers_passed = all(
             self._readers[partition].has_passed(end)
             for partition, end in self._ends.items()
+        )
+        if not hand_over.may_forget_job(
+            are_records_deleted=len(self._ends) == len(self._readers),
+            have_readers_passed=have_readers_passed,
         ):
             self._timers.after(READ_CHECK_INTERVAL_S, self._finish_once_read)
             return
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -12,6 +12,7 @@
 from cranberryport import boot_clock
 from cranberryport.http import addresses
 from cranberryport.platform import store
+from cranberryport.scheduling import hand_over
 
 GROUP = "controllers"
 # A controller that fails is replaced after this time and one join. Up to five joins in
@@ -19,12 +20,6 @@
 TTL_S = 1.5
 JOIN_INTERVAL_S = 0.25
 JOINS_PENDING_LIMIT = 6
-# Time after a join that has confirmed the role for which the controller may send orders
-# and renew leases. Its successor waits for as long, see
-# :func:`cranberryport.scheduling.scheduler.previous_lease_wait_s`. It is longer than
-# ``TTL_S`` because the store lets no join succeed while it is away, for all members:
-# leases have to outlast an outage of 6 s.
-ROLE_VALIDITY_S = 5.0
 JOIN_TIMEOUT_S = 1.5
 OWNERS_TIMEOUT_S = 1.0
 OWNERS_QUERY_INTERVAL_S = 0.3
@@ -165,7 +160,7 @@
         """
         if self._epoch is None or self._joined_at is None:
             return False
-        return boot_clock.now_s() - self._joined_at < ROLE_VALIDITY_S
+        return hand_over.is_role_proven(boot_clock.now_s() - self._joined_at)
 
     def start(self):
         """Join the group, or watch its members if this is a fallback member."""
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -7,11 +7,11 @@
 
 import math
 
+from cranberryport.scheduling import hand_over
+
 READY = "ready"
 DRAINING = "draining"
 
-# Executors' clocks may run 2 % slow (platform's protocol).
-CLOCK_DRIFT_FACTOR = 1.02
 # Added to the end of a lease for delays of the executor and of this process.
 LEASE_MARGIN_S = 0.25
 # An executor answers a request for its runs within a second. After this time without an
@@ -227,7 +227,7 @@
     def estimate_clock_ms(self, now):
         """Return a lower bound of the executor's clock in milliseconds."""
         return self.clock_ms + int(
-            (now - self.clock_read_at) * 1000 / CLOCK_DRIFT_FACTOR
+            (now - self.clock_read_at) * 1000 / hand_over.CLOCK_DRIFT_FACTOR
         )
 
     def update_clock(self, clock_ms, now):
@@ -253,7 +253,7 @@
         deadline_ms = self.estimate_clock_ms(now) + int(lease_s * 1000)
         lease_expires_at = (
             self.clock_read_at
-            + (deadline_ms - self.clock_ms) / 1000 * CLOCK_DRIFT_FACTOR
+            + (deadline_ms - self.clock_ms) / 1000 * hand_over.CLOCK_DRIFT_FACTOR
             + LEASE_MARGIN_S
         )
         self.lease_expires_at = max(self.lease_expires_at or 0.0, lease_expires_at)
@@ -309,11 +309,11 @@
         the first request to an executor that was found after the expiry, as by a
         controller that has loaded its state slowly.
         """
-        if self.lease_expires_at is None or now < self.lease_expires_at:
-            return False
         has_been_asked = self.last_listed_at is not None
         has_been_asked = has_been_asked or self.unreachable_since is not None
-        if not has_been_asked:
+        if not hand_over.may_take_lease_for_expired(
+            now, self.lease_expires_at, has_been_asked=has_been_asked
+        ):
             return False
         return (
             self.list_requested_at is None
--- /dev/null
+++ b/cranberryport/scheduling/hand_over.py
@@ -0,0 +1,89 @@
+"""Rules of a change of the controller, which ``tests/test_hand_over_model.py`` checks.
+
+Load pattern: a controller is cut off from the store, or paused, while another one takes
+over with a slow store. Each rule is a function of what its caller knows; the model
+calls the same functions in all orders of the steps.
+"""
+
+# Executors' clocks may run 2 % slow (platform's protocol).
+CLOCK_DRIFT_FACTOR = 1.02
+# Time after a join that has confirmed the role for which the controller may send orders
+# and renew leases. Its successor waits for as long, see :func:`previous_lease_wait_s`.
+# It is longer than the time to live of a member because the store lets no join succeed
+# while it is away, for all members: leases have to outlast an outage of 6 s.
+ROLE_VALIDITY_S = 5.0
+# Added for clocks of entry instances that run apart, and for the time between the check
+# of the role and the sending of a renewal.
+TAKEOVER_MARGIN_S = 0.5
+
+
+def is_role_proven(proof_age_s):
+    """Return whether a controller may send what binds an executor.
+
+    Parameters
+    ----------
+    proof_age_s : float
+        Seconds since it has sent the newest join that has confirmed its role.
+    """
+    return proof_age_s < ROLE_VALIDITY_S
+
+
+def previous_lease_wait_s(lease_s, role_validity_s=ROLE_VALIDITY_S):
+    """Return the seconds after which all leases of a previous controller have expired.
+
+    They count from the moment at which the store has shown the new controller its
+    epoch. The last join of the previous one was sent before that, and its last renewal
+    at most ``role_validity_s`` after that join. A renewal names the end of the lease on
+    the executor's clock, so one that arrives late does not prolong it.
+
+    Parameters
+    ----------
+    lease_s : float
+        Length of a lease in seconds.
+    role_validity_s : float
+        Time in seconds for which a controller renews leases after the sending of the
+        last join that has confirmed its role.
+    """
+    return role_validity_s + lease_s * CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
+
+
+def may_give_up_unlisted(now, leases_expire_at, *, has_read_executors):
+    """Return whether restored runs on executors that are not known may be given up.
+
+    Parameters
+    ----------
+    now, leases_expire_at : float
+        Monotonic times in seconds: present, and end of all leases of the predecessor.
+    has_read_executors : bool
+        Whether the list of executors has been read. Before that, an executor may be
+        listed and hold the runs, or their ends.
+    """
+    return has_read_executors and now >= leases_expire_at
+
+
+def may_take_lease_for_expired(now, lease_expires_at, *, has_been_asked):
+    """Return whether the runs of a known executor may be given up.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds.
+    lease_expires_at : float or None
+        Monotonic time at which its lease has certainly expired; None if it has none.
+    has_been_asked : bool
+        Whether it has answered a request of this controller, or failed to.
+    """
+    return lease_expires_at is not None and now >= lease_expires_at and has_been_asked
+
+
+def may_forget_job(*, are_records_deleted, have_readers_passed):
+    """Return whether an ended job may be forgotten and its progress be deleted.
+
+    Parameters
+    ----------
+    are_records_deleted : bool
+        Whether each partition has confirmed the deletion of the job's records.
+    have_readers_passed : bool
+        Whether the reader of each partition has passed the deletion.
+    """
+    return are_records_deleted and have_readers_passed
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -13,7 +13,7 @@
 
 from cranberryport.scheduling import (
     crashes,
-    executors,
+    hand_over,
     model,
     ordering,
     rebalancing,
@@ -35,9 +35,6 @@
 UNHEALTHY_DELAY_S = 1.0
 # A job whose queue and limit are not known does not fail by failed runs.
 UNKNOWN_QUEUE_FAILED_RUNS_LIMIT = 1_000_000
-# Added for clocks of entry instances that run apart, and for the time between the check
-# of the role and the sending of a renewal.
-TAKEOVER_MARGIN_S = 0.5
 # For this time after a task found no executor, its pool counts as having an unplaceable
 # task. This is longer than the time between two decisions about instances.
 UNPLACEABLE_VALIDITY_S = 0.2
@@ -52,25 +49,6 @@
 _logger = logging.getLogger(__name__)
 
 
-def previous_lease_wait_s(lease_s, role_validity_s):
-    """Return the seconds after which all leases of a previous controller have expired.
-
-    They count from the moment at which the store has shown the new controller its
-    epoch. The last join of the previous one was sent before that, and its last renewal
-    at most ``role_validity_s`` after that join. A renewal names the end of the lease on
-    the executor's clock, so one that arrives late does not prolong it.
-
-    Parameters
-    ----------
-    lease_s : float
-        Length of a lease in seconds.
-    role_validity_s : float
-        Time in seconds for which a controller renews leases after the sending of the
-        last join that has confirmed its role.
-    """
-    return role_validity_s + lease_s * executors.CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
-
-
 class Batch:
     """Records to store in one append, with the runs and ends that wait for it.
 
@@ -642,8 +620,11 @@
                 if executor.lapsed_runs and not executor.is_draining:
                     self._record_crash(executor.id, executor.lapsed_runs, host=None)
                 self.remove_executor(executor, "not listed")
-        are_leases_expired = now >= self._previous_leases_expire_at
-        if self._restored_runs and are_leases_expired and self._has_read_executors:
+        if self._restored_runs and hand_over.may_give_up_unlisted(
+            now,
+            self._previous_leases_expire_at,
+            has_read_executors=self._has_read_executors,
+        ):
             for executor_id in list(self._restored_runs):
                 runs = list(self._restored_runs.pop(executor_id).values())
                 self._remove_restored_runs(runs, "executor not found after a takeover")
--- /dev/null
+++ b/tests/test_hand_over_model.py
@@ -0,0 +1,292 @@
+"""Model check of a change of the controller, in all orders of its steps.
+
+The states are small tuples, and the rules are the functions of
+``cranberryport.scheduling.hand_over`` that the program calls. The same models are
+explored with the rules of earlier versions, in which the faults must be found.
+"""
+
+import collections
+import types
+import unittest
+
+from cranberryport.scheduling import executors, hand_over
+
+LEASE_S = 4
+# The store gives the role to another member this long after the last join.
+MEMBER_LIFETIME_S = 2
+HORIZON_S = 15
+# Times that the successor is cut off from the executor, or connected again.
+LINK_CHANGES_LIMIT = 2
+
+# The rules before the review: no end of the role, and silence taken for an end.
+EARLIER_RULES = types.SimpleNamespace(
+    is_role_proven=lambda proof_age_s: True,
+    previous_lease_wait_s=lambda lease_s: hand_over.previous_lease_wait_s(
+        lease_s, role_validity_s=0.0
+    ),
+    may_give_up_unlisted=lambda now, expire_at, *, has_read_executors: now >= expire_at,
+    may_take_lease_for_expired=lambda now, at, *, has_been_asked: now >= at,
+    may_forget_job=lambda **_: True,
+)
+
+
+class ViolationFound(Exception):
+    """A state that breaks an invariant, with the steps that lead to it."""
+
+
+def explore(initial, find_steps):
+    """Visit all states that can be reached; return their number.
+
+    Parameters
+    ----------
+    initial : tuple
+        First state.
+    find_steps : callable
+        Yields name, next state and violation (None if there is none) of each step that
+        is possible in a state.
+
+    Raises
+    ------
+    ViolationFound
+        At the first violation; the steps to it are as few as possible.
+    """
+    parents = {initial: None}
+    pending = collections.deque([initial])
+    while pending:
+        state = pending.popleft()
+        for name, following, violation in find_steps(state):
+            if violation is not None:
+                steps = [name]
+                while parents[state] is not None:
+                    state, step = parents[state]
+                    steps.append(step)
+                raise ViolationFound(f"{violation}: {', '.join(reversed(steps))}")
+            if following not in parents:
+                parents[following] = state, name
+                pending.append(following)
+    return len(parents)
+
+
+Takeover = collections.namedtuple(
+    "Takeover",
+    [
+        "now",
+        # Time of the last join of the predecessor, and of the role of the successor.
+        "proof_at",
+        "role_at",
+        "is_ready",
+        "has_list",
+        "has_asked",
+        # What the successor knows of the task.
+        "task",
+        # Whether the executor of the predecessor, or another one, runs the task.
+        "is_running",
+        "is_running_elsewhere",
+        "lease_end",
+        # Whether the run has ended as done, and whether its lease is still valid then.
+        "has_ended_done",
+        "is_done",
+        "was_started_after",
+        "is_fenced",
+        "is_cut_off",
+        "link_changes",
+    ],
+)
+FIRST_TAKEOVER = Takeover(
+    now=0,
+    proof_at=0,
+    role_at=None,
+    is_ready=False,
+    has_list=False,
+    has_asked=False,
+    task="restored",
+    is_running=True,
+    is_running_elsewhere=False,
+    lease_end=LEASE_S,
+    has_ended_done=False,
+    is_done=False,
+    was_started_after=False,
+    is_fenced=False,
+    is_cut_off=False,
+    link_changes=0,
+)
+
+
+def find_takeover_steps(state, rules):
+    """Yield the steps of a takeover beside a predecessor that lives."""
+    s = state
+    if s.now < HORIZON_S:
+        now = s.now + 1
+        is_valid = now <= s.lease_end
+        yield (
+            f"second {now}",
+            s._replace(
+                now=now,
+                is_running=s.is_running and is_valid,
+                # After the lease the platform does not count the end as noted.
+                is_done=s.is_done and is_valid,
+            ),
+            None,
+        )
+    if s.role_at is None:
+        yield "predecessor joins", s._replace(proof_at=s.now), None
+        if s.now - s.proof_at >= MEMBER_LIFETIME_S:
+            yield "role changes", s._replace(role_at=s.now), None
+    is_renewed = s.is_running and not s.is_fenced
+    if is_renewed and rules.is_role_proven(s.now - s.proof_at):
+        lease_end = s.now + LEASE_S
+        yield "predecessor renews", s._replace(lease_end=lease_end), None
+    if s.is_running:
+        ended = s._replace(is_running=False, has_ended_done=True, is_done=True)
+        yield "run ends", ended, None
+    if s.link_changes < LINK_CHANGES_LIMIT:
+        changes = s.link_changes + 1
+        yield (
+            "link changes",
+            s._replace(is_cut_off=not s.is_cut_off, link_changes=changes),
+            None,
+        )
+    if s.role_at is not None:
+        yield from _find_successor_steps(s, rules)
+
+
+def _find_successor_steps(s, rules):
+    if not s.is_ready:
+        yield "successor has loaded", s._replace(is_ready=True), None
+        return
+    if not s.has_list:
+        yield "list of executors read", s._replace(has_list=True), None
+    if s.has_list and s.is_cut_off:
+        yield "call fails", s._replace(has_asked=True), None
+    if s.has_list and not s.is_cut_off:
+        yield "executor answers", *_answer(s)
+    expire_at = s.role_at + rules.previous_lease_wait_s(LEASE_S)
+    if s.has_list:
+        if s.is_fenced:
+            # The successor has renewed the lease.
+            expire_at = max(expire_at, s.lease_end + executors.LEASE_MARGIN_S)
+        may_give_up = rules.may_take_lease_for_expired(
+            s.now, expire_at, has_been_asked=s.has_asked
+        )
+    else:
+        may_give_up = rules.may_give_up_unlisted(
+            s.now, expire_at, has_read_executors=s.has_list
+        )
+    if s.task == "restored" and may_give_up:
+        yield "run given up", s._replace(task="waiting"), None
+    if s.task == "waiting":
+        started = s._replace(
+            task="started", is_running_elsewhere=True, was_started_after=s.is_done
+        )
+        yield "second start", started, _find_violation_of_start(s)
+
+
+def _find_violation_of_start(s):
+    if s.is_running:
+        return "two runs at once"
+    if s.has_ended_done and not s.has_asked and not s.is_cut_off:
+        return "a task that is done runs again, and its executor was not asked"
+    return None
+
+
+def _answer(s):
+    """Return state and violation after the executor has listed its runs."""
+    following = s._replace(has_asked=True, is_fenced=True)
+    if s.has_ended_done:
+        violation = "start after an end that is noted" if s.was_started_after else None
+        return following._replace(task="done", is_running_elsewhere=False), violation
+    if s.is_running and s.task == "restored":
+        return following._replace(lease_end=s.now + LEASE_S), None
+    if s.is_running:
+        return following._replace(is_running=False), None
+    task = "waiting" if s.task == "restored" else s.task
+    return following._replace(task=task), None
+
+
+Deletion = collections.namedtuple(
+    "Deletion",
+    # By partition: whether the job record is stored, and how far the reader has got
+    # (0 before the record, 1 behind it, 2 behind its deletion).
+    ["stored", "read", "is_known", "has_progress", "is_over"],
+)
+FIRST_DELETION = Deletion((True, True), (1, 0), True, True, False)
+
+
+def find_deletion_steps(state, rules):
+    """Yield the steps of the deletion of a completed job from two partitions."""
+    s = state
+    if s.is_over:
+        return
+    for number in range(2):
+        stored, read = list(s.stored), list(s.read)
+        if s.stored[number]:
+            stored[number] = False
+            yield f"deleted in {number}", s._replace(stored=tuple(stored)), None
+        if s.read[number] == 0 or (s.read[number] == 1 and not s.stored[number]):
+            read[number] += 1
+            is_new = s.read[number] == 0 and not s.is_known
+            yield (
+                f"read in {number}",
+                s._replace(read=tuple(read)),
+                "a deleted job is read as a new one" if is_new else None,
+            )
+    may_forget = rules.may_forget_job(
+        are_records_deleted=not any(s.stored), have_readers_passed=min(s.read) == 2
+    )
+    if s.is_known and may_forget:
+        yield "job forgotten", s._replace(is_known=False), None
+    if not s.is_known and s.has_progress:
+        yield "progress deleted", s._replace(has_progress=False), None
+    is_taken_for_new = any(s.stored) and not s.has_progress
+    yield (
+        "controller is lost",
+        s._replace(is_over=True),
+        "the successor runs a completed job" if is_taken_for_new else None,
+    )
+
+
+class HandOverModelTest(unittest.TestCase):
+    """All orders of the steps within the horizon."""
+
+    def _explore(self, first, find_steps, rules):
+        return explore(first, lambda state: find_steps(state, rules))
+
+    def test_takeover_runs_nothing_twice(self):
+        """Guards against a change of a rule that lets a task run twice."""
+        count = self._explore(FIRST_TAKEOVER, find_takeover_steps, hand_over)
+        self.assertGreater(count, 10_000)
+
+    def test_earlier_rules_of_a_takeover_break_it(self):
+        """Guards against a model that misses the faults of the review's case 1."""
+        with self.assertRaisesRegex(ViolationFound, "two runs at once"):
+            self._explore(FIRST_TAKEOVER, find_takeover_steps, EARLIER_RULES)
+
+    def test_each_rule_of_a_takeover_is_needed(self):
+        """Guards against a rule that the model does not check."""
+        for name in (
+            "is_role_proven",
+            "previous_lease_wait_s",
+            "may_give_up_unlisted",
+            "may_take_lease_for_expired",
+        ):
+            rules = types.SimpleNamespace(**vars(hand_over))
+            setattr(rules, name, getattr(EARLIER_RULES, name))
+            with self.subTest(name=name), self.assertRaises(ViolationFound):
+                self._explore(FIRST_TAKEOVER, find_takeover_steps, rules)
+
+    def test_deletion_leaves_no_job_to_run_again(self):
+        """Guards against a change of the order in which records are deleted."""
+        self._explore(FIRST_DELETION, find_deletion_steps, hand_over)
+
+    def test_earlier_rule_of_a_deletion_breaks_it(self):
+        """Guards against a model that misses the faults of the review's case 2."""
+        for read, violation in (
+            ((1, 1), "the successor runs a completed job"),
+            ((1, 0), "a deleted job is read as a new one"),
+        ):
+            first = FIRST_DELETION._replace(read=read)
+            with (
+                self.subTest(read=read),
+                self.assertRaisesRegex(ViolationFound, violation),
+            ):
+                self._explore(first, find_deletion_steps, EARLIER_RULES)
--- a/tests/test_scheduling_interleavings.py
+++ b/tests/test_scheduling_interleavings.py
@@ -10,7 +10,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from cranberryport.scheduling import ordering, records, scheduler, task_planner
+from cranberryport.scheduling import (
+    hand_over,
+    ordering,
+    records,
+    scheduler,
+    task_planner,
+)
 from tests import scheduling
 
 LEASE_S = 4.0
@@ -61,7 +67,7 @@
         """Replace the controller by a successor that reads the stored records."""
         self.scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self.now
-            + scheduler.previous_lease_wait_s(LEASE_S, role_validity_s=0.0)
+            + hand_over.previous_lease_wait_s(LEASE_S, role_validity_s=0.0)
         )
         self.planner = task_planner.TaskPlanner(state=self.scheduler)
         rules = ordering.QueueRules(name="queue", service="pool", failed_runs_limit=99)
