Leave odd entries out of the daemon's list of instances

What operators would see: one entry of another form (no name, a port out of range, a number too large) and the daemon proposes and places nothing from then on, with an error at each poll.

Change: read_list checks each entry; an odd one names no instance and is logged, and a body that is no list is one error. Test: ReadListTest (the function is new; on the code before, the first body gives KeyError or OverflowError in the handler).

--- a/cranberryport/fleet/instance_list.py
+++ b/cranberryport/fleet/instance_list.py
@@ -12,7 +12,7 @@
 from circuits import BaseComponent, handler
 
 from cranberryport.generated import messages
-from cranberryport.http import connection
+from cranberryport.http import addresses, connection
 from cranberryport.stream import log_writer_events
 
 REQUEST_TIMEOUT_S = 2.0
@@ -26,6 +26,10 @@
 BACKEND_KIND = "backend_server"
 WORKER_KIND = "worker"
 
+# Fields of an entry with their types; a missing one is empty or 0.
+_TEXT_FIELDS = ("kind", "service", "data_centre", "rack")
+_NUMBER_FIELDS = ("slots", "processors", "memory_mb", "accelerators")
+
 _FIELDS = tuple(field.name for field in dataclasses.fields(messages.InstanceObserved))
 
 _logger = logging.getLogger(__name__)
@@ -37,6 +41,59 @@
     return messages.InstanceObserved(**values)
 
 
+def read_list(body):
+    """Return the time and the usable entries of a list.
+
+    An entry of another form names no instance, so that the instance counts as missing.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of the platform's answer.
+
+    Returns
+    -------
+    tuple of (float, dict of str to dict)
+        Unix time in seconds to which the list refers, and its entries by name.
+
+    Raises
+    ------
+    ValueError
+        If the body is no list.
+    """
+    try:
+        listing = json.loads(body)
+        as_of = float(listing["as_of"])
+        rows = list(listing["instances"])
+    except (KeyError, OverflowError, RecursionError, TypeError) as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from error
+    entries = {}
+    for row in rows:
+        if _is_usable(row):
+            entries[row["name"]] = row
+        else:
+            _logger.warning("unusable entry of the instance list: %.200r", row)
+    return as_of, entries
+
+
+def _is_usable(row):
+    if not isinstance(row, dict) or not isinstance(row.get("name"), str):
+        return False
+    texts = [row.get(name, "") for name in _TEXT_FIELDS]
+    numbers = [row.get(name, 0) for name in _NUMBER_FIELDS]
+    if not all(isinstance(text, str) for text in texts):
+        return False
+    if not all(type(number) is int and number >= 0 for number in numbers):
+        return False
+    if row.get("kind") not in (BACKEND_KIND, WORKER_KIND):
+        return True
+    try:
+        addresses.parse(f"{row.get('host')}:{row.get('port')}")
+    except ValueError:
+        return False
+    return type(row["port"]) is int
+
+
 class InstanceList(BaseComponent):
     """Polls the list and proposes records of what differs from the control state.
 
@@ -133,15 +190,11 @@
         if not isinstance(result, connection.Response) or result.status != 200:
             return
         try:
-            listing = json.loads(result.body)
-            entries = {entry["name"]: entry for entry in listing["instances"]}
-            leaving = self._find_not_live(entries)
-            self._as_of = float(listing["as_of"])
-            self._entries = entries
-            self._leaving = leaving
-        except (ValueError, KeyError, TypeError) as error:
+            self._as_of, self._entries = read_list(result.body)
+        except ValueError as error:
             _logger.error("received an invalid instance list: %s", error)
             return
+        self._leaving = self._find_not_live(self._entries)
         self._received_at = time.monotonic()
         self._propose_differences()
 
