--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -119,6 +119,9 @@
         self.planned_faults = plan.draw_faults(
             self._seed, seconds=self._seconds, entries=entries, instances=instances
         )
+        self.planned_faults += plan.draw_entries(
+            self._seed, seconds=self._seconds, instances=instances
+        )
         if self._organisations is not None:
             self.planned_faults += organisations.draw_changes(
                 self._seed, seconds=self._seconds, entries=entries
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -68,7 +68,6 @@
         faults.append(_draw_fault(generator, start_s, seconds, entries, instances))
         start_s += generator.uniform(*START_INTERVAL_RANGE_S)
     faults += _draw_shrinkings(seed, seconds, instances)
-    faults += _draw_entries(seed, seconds, instances)
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -92,8 +91,20 @@
     return faults
 
 
-def _draw_entries(seed, seconds, instances):
-    """Return odd entries of another program, and announcements of leaving executors."""
+def draw_entries(seed, *, seconds, instances):
+    """Return odd entries of another program, and announcements of leaving executors.
+
+    A generator of their own keeps the other faults of a seed as they were before.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random numbers; the same seed gives the same entries.
+    seconds : float
+        Length of the phase with faults.
+    instances : list of str
+        Names of the instances with executors.
+    """
     generator = random.Random(f"entries {seed}")
     faults = []
     start_s = generator.uniform(*ENTRY_INTERVAL_RANGE_S)
