Count a crash of an executor whose order was not sent yet

What callers would see: a task that crashes its executors crashes more of them before its job is given up. Its log has the fourth loss, of an executor that was chosen for maintenance, without "executor crashed under tasks", as any executor that was to be vacated counted as ended by an order.

Cause: is_being_vacated is set as an instance is chosen, before its order is stored or sent. Change: only an order that exists may have ended the executor.

Test: test_crash_of_an_executor_that_waits_for_its_order_is_counted; on the code before the task has no crash.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -380,7 +380,7 @@
                 self._scheduler.retire_executor(
                     executor,
                     "no running instance has it",
-                    has_crashed=not (has_order or executor.is_being_vacated),
+                    has_crashed=not has_order,
                 )
         current = self._scheduler.executors.keys()
         self._seen_executors = {
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -402,6 +402,22 @@
         self.manager._on_instances_listed(self.listed, self.harness.now + 5.0)
         self.assertEqual(run.task.crash_history.crash_count, 1)
 
+    def test_crash_of_an_executor_that_waits_for_its_order_is_counted(self):
+        """Guards against a task that crashes one executor more than is allowed.
+
+        Seen in the soak, seed 9247 with leaving executors: a task crashed an executor
+        that was chosen for maintenance and had got no order yet, and it was started
+        twice more.
+        """
+        executor = self.harness.add_executor("e1")
+        self.harness.add_job(scheduling.make_job())
+        (run,) = self.harness.start()
+        executor.is_being_vacated = True
+        executor.record_failed_call(self.harness.now, is_connection_closed=True)
+        self.manager._on_instances_listed(self.listed, self.harness.now + 5.0)
+        self.assertFalse(run.task.runs)
+        self.assertEqual(run.task.crash_history.crash_count, 1)
+
     def _replace_executor_while_the_order_waits(self):
         """Order maintenance of m1; its executor crashes before the order is stored."""
         self.manager.waves[1].max_down = 1
