--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -19,6 +19,10 @@
 class TakeoverTest(unittest.TestCase):
     """The predecessor lives and reaches the executors, but not the store."""
 
+    # Instances by pool, and entry instances. A subclass can have those of a deployment.
+    pools = {"one": INSTANCE_COUNT, "spare": 2}
+    entry_count = 3
+
     def setUp(self):
         """Start entry instances whose connections to the store can be cut."""
         directory = LOG_DIRECTORY / self.id().rpartition(".")[2]
@@ -28,8 +32,8 @@
         self.proxies = {}
         self.deployment = local_deployment.LocalDeployment(
             directory=directory,
-            pools={"one": INSTANCE_COUNT, "spare": 2},
-            entry_count=3,
+            pools=self.pools,
+            entry_count=self.entry_count,
             make_settings=self._make_settings,
         )
         self.addCleanup(self.deployment.stop)
