Leave progress records of later versions as they are

Change: only keys that are job ids are progress. Test: test_record_of_a_later_version_is_left_as_it_is (fails before: the key is deleted).

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -22,7 +22,7 @@
     topic_reader,
 )
 from cranberryport.generated import messages
-from cranberryport.platform import advice, bodies, executors, store
+from cranberryport.platform import advice, bodies, executors, store, submissions
 from cranberryport.scheduling import (
     admission,
     explaining,
@@ -523,6 +523,10 @@
                     job_id = key.removeprefix(records.CRASHES_KEY_PREFIX)
                     self._stored_crashes[job_id] = record
                 continue
+            if not submissions.ID_PATTERN.match(key):
+                # A kind of record that this version does not know.
+                _logger.warning("unknown record left as it is", extra={"key": key})
+                continue
             record = stored_records.decode(key, value, messages.ProgressStored)
             if record is None and value:
                 # Without its progress the job would run again.
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -456,17 +456,30 @@
         until the deletion keeps its progress.
         """
         subject, _ = make_controller(settings=self.settings)
-        progress = messages.ProgressStored(job="gone", state="completed")
-        subject._stored_progress = {"gone": progress}
+        gone = "c" * 16
+        progress = messages.ProgressStored(job=gone, state="completed")
+        subject._stored_progress = {gone: progress}
         subject._executors_reader = unittest.mock.Mock()
         subject._finish_loading()
         subject._delete_ended_jobs()
-        self.assertEqual(subject._unsaved_deletions, ["gone", "crashes/gone"])
+        self.assertEqual(subject._unsaved_deletions, [gone, f"crashes/{gone}"])
 
 
 class UnreadableProgressTest(unittest.TestCase):
     """Progress that this version cannot read."""
 
+    def test_record_of_a_later_version_is_left_as_it_is(self):
+        """Guards against the deletion of records that only a later version knows."""
+        subject, _ = make_controller()
+        with self.assertLogs(level="WARNING"):
+            subject._on_progress_read(
+                store.NewestRecords(records=[("later/1", b"\x01")], end=1)
+            )
+        subject._executors_reader = unittest.mock.Mock()
+        subject._finish_loading()
+        subject._delete_ended_jobs()
+        self.assertEqual(subject._unsaved_deletions, [])
+
     def test_job_with_unreadable_progress_does_not_run_again(self):
         """Guards against a job that is taken for a new one."""
         subject, _ = make_controller()
