--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,12 +1,42 @@
 """Tests of :mod:`cranberryport.codec`."""
 
+import dataclasses
 import unittest
 
 import cbor2
+import hypothesis
+from hypothesis import strategies as st
 
 from cranberryport import codec
 from cranberryport.generated import messages
 
+STORED = (
+    messages.JobStored,
+    messages.ProgressStored,
+    messages.CancelStored,
+    messages.WaveStored,
+    messages.OrdersStored,
+    messages.CrashesStored,
+)
+TIMES = st.floats(0, 1e12, allow_nan=False)
+# What the types of the fields do not say.
+FIELDS = {
+    messages.ProgressStored: {
+        "tasks": st.lists(
+            st.tuples(
+                *(st.integers(0, 99) for _ in range(5)),
+                st.booleans(),
+                st.text(max_size=8),
+                st.lists(st.lists(st.integers(0, 9) | st.text(), max_size=2)),
+            ).map(list),
+            max_size=3,
+        ),
+        "ended_at": TIMES,
+    },
+    messages.CancelStored: {"at": TIMES},
+    messages.OrdersStored: {"sent": st.dictionaries(st.text(max_size=5), TIMES)},
+}
+
 
 class CodecTest(unittest.TestCase):
     """Messages survive encoding, and other data is rejected."""
@@ -49,3 +79,29 @@
                 with self.assertRaises(codec.DecodeError) as caught:
                     codec.decode(data)
                 self.assertIn(text, str(caught.exception))
+
+
+class StoredRecordsTest(unittest.TestCase):
+    """Records that the controller and the entry instances store for each other."""
+
+    @hypothesis.given(data=st.data(), kind=st.sampled_from(STORED))
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    def test_round_trip_keeps_every_field(self, data, kind):
+        """Guards against progress that a successor reads as another one."""
+        message = data.draw(st.builds(kind, **FIELDS.get(kind, {})))
+        self.assertEqual(codec.decode(codec.encode(message)), message)
+
+    @hypothesis.given(data=st.data(), kind=st.sampled_from(STORED))
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    def test_record_with_a_changed_byte_is_a_message_or_an_error(self, data, kind):
+        """Guards against a damaged record that ends a takeover."""
+        message = data.draw(st.builds(kind, **FIELDS.get(kind, {})))
+        encoded = bytearray(codec.encode(message))
+        encoded[data.draw(st.integers(0, len(encoded) - 1))] = data.draw(
+            st.integers(0, 255)
+        )
+        try:
+            found = codec.decode(bytes(encoded))
+        except codec.DecodeError:
+            return
+        self.assertTrue(dataclasses.is_dataclass(found))
