--- a/tests/test_hand_over_model.py
+++ b/tests/test_hand_over_model.py
@@ -114,92 +114,93 @@
 
 def find_takeover_steps(state, rules):
     """Yield the steps of a takeover beside a predecessor that lives."""
-    s = state
-    if s.now < HORIZON_S:
-        now = s.now + 1
-        is_valid = now <= s.lease_end
+    if state.now < HORIZON_S:
+        now = state.now + 1
+        is_valid = now <= state.lease_end
         yield (
             f"second {now}",
-            s._replace(
+            state._replace(
                 now=now,
-                is_running=s.is_running and is_valid,
+                is_running=state.is_running and is_valid,
                 # After the lease the platform does not count the end as noted.
-                is_done=s.is_done and is_valid,
+                is_done=state.is_done and is_valid,
             ),
             None,
         )
-    if s.role_at is None:
-        yield "predecessor joins", s._replace(proof_at=s.now), None
-        if s.now - s.proof_at >= MEMBER_LIFETIME_S:
-            yield "role changes", s._replace(role_at=s.now), None
-    is_renewed = s.is_running and not s.is_fenced
-    if is_renewed and rules.is_role_proven(s.now - s.proof_at):
-        lease_end = s.now + LEASE_S
-        yield "predecessor renews", s._replace(lease_end=lease_end), None
-    if s.is_running:
-        ended = s._replace(is_running=False, has_ended_done=True, is_done=True)
+    if state.role_at is None:
+        yield "predecessor joins", state._replace(proof_at=state.now), None
+        if state.now - state.proof_at >= MEMBER_LIFETIME_S:
+            yield "role changes", state._replace(role_at=state.now), None
+    is_renewed = state.is_running and not state.is_fenced
+    if is_renewed and rules.is_role_proven(state.now - state.proof_at):
+        lease_end = state.now + LEASE_S
+        yield "predecessor renews", state._replace(lease_end=lease_end), None
+    if state.is_running:
+        ended = state._replace(is_running=False, has_ended_done=True, is_done=True)
         yield "run ends", ended, None
-    if s.link_changes < LINK_CHANGES_LIMIT:
-        changes = s.link_changes + 1
+    if state.link_changes < LINK_CHANGES_LIMIT:
+        changes = state.link_changes + 1
         yield (
             "link changes",
-            s._replace(is_cut_off=not s.is_cut_off, link_changes=changes),
+            state._replace(is_cut_off=not state.is_cut_off, link_changes=changes),
             None,
         )
-    if s.role_at is not None:
-        yield from _find_successor_steps(s, rules)
+    if state.role_at is not None:
+        yield from _find_successor_steps(state, rules)
 
 
-def _find_successor_steps(s, rules):
-    if not s.is_ready:
-        yield "successor has loaded", s._replace(is_ready=True), None
+def _find_successor_steps(state, rules):
+    if not state.is_ready:
+        yield "successor has loaded", state._replace(is_ready=True), None
         return
-    if not s.has_list:
-        yield "list of executors read", s._replace(has_list=True), None
-    if s.has_list and s.is_cut_off:
-        yield "call fails", s._replace(has_asked=True), None
-    if s.has_list and not s.is_cut_off:
-        yield "executor answers", *_answer(s)
-    expire_at = s.role_at + rules.previous_lease_wait_s(LEASE_S)
-    if s.has_list:
-        if s.is_fenced:
+    if not state.has_list:
+        yield "list of executors read", state._replace(has_list=True), None
+    if state.has_list and state.is_cut_off:
+        yield "call fails", state._replace(has_asked=True), None
+    if state.has_list and not state.is_cut_off:
+        yield "executor answers", *_answer(state)
+    expire_at = state.role_at + rules.previous_lease_wait_s(LEASE_S)
+    if state.has_list:
+        if state.is_fenced:
             # The successor has renewed the lease.
-            expire_at = max(expire_at, s.lease_end + executors.LEASE_MARGIN_S)
+            expire_at = max(expire_at, state.lease_end + executors.LEASE_MARGIN_S)
         may_give_up = rules.may_take_lease_for_expired(
-            s.now, expire_at, has_been_asked=s.has_asked
+            state.now, expire_at, has_been_asked=state.has_asked
         )
     else:
         may_give_up = rules.may_give_up_unlisted(
-            s.now, expire_at, has_read_executors=s.has_list
+            state.now, expire_at, has_read_executors=state.has_list
         )
-    if s.task == "restored" and may_give_up:
-        yield "run given up", s._replace(task="waiting"), None
-    if s.task == "waiting":
-        started = s._replace(
-            task="started", is_running_elsewhere=True, was_started_after=s.is_done
+    if state.task == "restored" and may_give_up:
+        yield "run given up", state._replace(task="waiting"), None
+    if state.task == "waiting":
+        started = state._replace(
+            task="started", is_running_elsewhere=True, was_started_after=state.is_done
         )
-        yield "second start", started, _find_violation_of_start(s)
+        yield "second start", started, _find_violation_of_start(state)
 
 
-def _find_violation_of_start(s):
-    if s.is_running:
+def _find_violation_of_start(state):
+    if state.is_running:
         return "two runs at once"
-    if s.has_ended_done and not s.has_asked and not s.is_cut_off:
+    if state.has_ended_done and not state.has_asked and not state.is_cut_off:
         return "a task that is done runs again, and its executor was not asked"
     return None
 
 
-def _answer(s):
+def _answer(state):
     """Return state and violation after the executor has listed its runs."""
-    following = s._replace(has_asked=True, is_fenced=True)
-    if s.has_ended_done:
-        violation = "start after an end that is noted" if s.was_started_after else None
+    following = state._replace(has_asked=True, is_fenced=True)
+    if state.has_ended_done:
+        violation = (
+            "start after an end that is noted" if state.was_started_after else None
+        )
         return following._replace(task="done", is_running_elsewhere=False), violation
-    if s.is_running and s.task == "restored":
-        return following._replace(lease_end=s.now + LEASE_S), None
-    if s.is_running:
+    if state.is_running and state.task == "restored":
+        return following._replace(lease_end=state.now + LEASE_S), None
+    if state.is_running:
         return following._replace(is_running=False), None
-    task = "waiting" if s.task == "restored" else s.task
+    task = "waiting" if state.task == "restored" else state.task
     return following._replace(task=task), None
 
 
@@ -214,33 +215,35 @@
 
 def find_deletion_steps(state, rules):
     """Yield the steps of the deletion of a completed job from two partitions."""
-    s = state
-    if s.is_over:
+    if state.is_over:
         return
     for number in range(2):
-        stored, read = list(s.stored), list(s.read)
-        if s.stored[number]:
+        stored, read = list(state.stored), list(state.read)
+        if state.stored[number]:
             stored[number] = False
-            yield f"deleted in {number}", s._replace(stored=tuple(stored)), None
-        if s.read[number] == 0 or (s.read[number] == 1 and not s.stored[number]):
+            yield f"deleted in {number}", state._replace(stored=tuple(stored)), None
+        if state.read[number] == 0 or (
+            state.read[number] == 1 and not state.stored[number]
+        ):
             read[number] += 1
-            is_new = s.read[number] == 0 and not s.is_known
+            is_new = state.read[number] == 0 and not state.is_known
             yield (
                 f"read in {number}",
-                s._replace(read=tuple(read)),
+                state._replace(read=tuple(read)),
                 "a deleted job is read as a new one" if is_new else None,
             )
     may_forget = rules.may_forget_job(
-        are_records_deleted=not any(s.stored), have_readers_passed=min(s.read) == 2
+        are_records_deleted=not any(state.stored),
+        have_readers_passed=min(state.read) == 2,
     )
-    if s.is_known and may_forget:
-        yield "job forgotten", s._replace(is_known=False), None
-    if not s.is_known and s.has_progress:
-        yield "progress deleted", s._replace(has_progress=False), None
-    is_taken_for_new = any(s.stored) and not s.has_progress
+    if state.is_known and may_forget:
+        yield "job forgotten", state._replace(is_known=False), None
+    if not state.is_known and state.has_progress:
+        yield "progress deleted", state._replace(has_progress=False), None
+    is_taken_for_new = any(state.stored) and not state.has_progress
     yield (
         "controller is lost",
-        s._replace(is_over=True),
+        state._replace(is_over=True),
         "the successor runs a completed job" if is_taken_for_new else None,
     )
 
