Acknowledge an end only after it has been applied

What callers would see: a task that is done runs again.

Change: the number of the last end is noted after the end has been applied. Test: test_end_that_was_not_applied_is_not_acknowledged, which fails before ([...] != []).

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -764,13 +764,14 @@
         for end in report.finished:
             if end.number <= executor.received_end_number:
                 continue
-            executor.received_end_number = end.number
-            self._executors_to_acknowledge[executor.id] = executor
             run = executor.runs.get((end.task, end.run))
             if run is not None:
                 self._end_run(run, end, executor, now, now_unix_s)
             elif end.how == "done":
                 self._accept_late_end(end, executor, now_unix_s)
+            # Only now, so that an end whose handling raises is not acknowledged.
+            executor.received_end_number = end.number
+            self._executors_to_acknowledge[executor.id] = executor
         self._is_first_list = False
         unknown = []
         listed = set()
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+import unittest.mock
 
 from cranberryport.scheduling import model, records, scheduler
 from tests import scheduling
@@ -420,6 +421,28 @@
             self.assertEqual(self.harness.start(), [])
 
 
+class UnappliedEndTest(unittest.TestCase):
+    """An end whose handling raises an exception, which the link to the executor logs."""
+
+    def test_end_that_was_not_applied_is_not_acknowledged(self):
+        """Guards against a task that is done, forgotten by its executor and run again.
+
+        Found by reading: the link asks its executor again after such a list, and the
+        next call acknowledged the end.
+        """
+        harness = scheduling.SchedulerHarness()
+        job = harness.add_job(scheduling.make_job())
+        (run,) = harness.start()
+        with unittest.mock.patch.object(
+            scheduler.Scheduler, "_end_run", side_effect=KeyError
+        ):
+            self.assertRaises(KeyError, harness.finish, run, 1)
+        self.assertEqual(harness.scheduler.take_batch().acknowledgements, [])
+        harness.finish(run, 1)
+        ((_, number, _),) = harness.scheduler.take_batch().acknowledgements
+        self.assertEqual((number, job.state), (1, model.COMPLETED))
+
+
 class LateEndTest(unittest.TestCase):
     """Ends that an executor lists after their runs were given up."""
 
