Begin occurrences that are due at once in turn, in place of refusing their job

A refusal has to depend on what is submitted alone.

Change: the scheduler begins at most as many occurrences of a job as have 10,000 tasks together, and the others as these end. RepeatCount keeps its limit, which does not depend on the time; its reason, the size of a record of the store, stands beside it.

Tests: test_occurrences_that_are_due_at_once_are_begun_in_turn, test_occurrence_larger_than_the_limit_is_begun (both fail without the bound), test_repeated_submission_of_a_recurring_job_stays_valid (the second submission raised InvalidJob before).

--- a/cranberryport/platform/submissions.py
+++ b/cranberryport/platform/submissions.py
@@ -9,7 +9,8 @@
 SPEC_LIMIT_BYTES = 4000
 STEPS_LIMIT = 100
 TASKS_LIMIT = 10_000
-# Numbers of the occurrences that are done are stored with each change of a job.
+# Each progress record has the numbers of all occurrences of its job that are done, and
+# the store takes up to 262,144 bytes in a record (platform's protocol).
 REPEATS_LIMIT = 10_000
 
 
@@ -67,7 +68,7 @@
         raise InvalidJob(
             f"RepeatCount of the job is {repeats}; allowed: up to {REPEATS_LIMIT}"
         )
-    job = model.Job(
+    return model.Job(
         id=job_id,
         queue=queue,
         service=service,
@@ -78,21 +79,6 @@
         interval_s=_parse_number(fields, "IntervalMs", "the job") / 1000,
         repeats=repeats,
     )
-    _check_due_tasks(job, tasks, now_unix_s)
-    return job
-
-
-def _check_due_tasks(job, tasks, now_unix_s):
-    """Raise InvalidJob if too many tasks of several occurrences are due at once."""
-    due = job.occurrence_count
-    passed_s = now_unix_s - job.first_due_at
-    if job.interval_s > 0 and job.interval_s * due > passed_s:
-        due = max(1, int(passed_s / job.interval_s) + 1)
-    if tasks * due > TASKS_LIMIT:
-        raise InvalidJob(
-            f"{due} occurrences of {tasks} tasks are due now; allowed: {TASKS_LIMIT} "
-            "tasks"
-        )
 
 
 def _parse_step(number, row):
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -576,6 +576,11 @@
         """Number of occurrences."""
         return max(1, self.repeats)
 
+    @property
+    def task_count(self):
+        """Number of tasks of an occurrence."""
+        return sum(step.count for step in self.steps)
+
     @property
     def has_ended(self):
         """Whether the job is completed, failed or cancelled."""
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -45,6 +45,9 @@
 STOP_REPEAT_S = 0.6
 # Looking for such stops reads all runs, so it is not done at every decision.
 STOP_CHECK_INTERVAL_S = 0.1
+# Tasks of a job that are in progress at once, at most, if it has several occurrences:
+# as many as a job without any may have (``submissions.TASKS_LIMIT``).
+OPEN_TASKS_LIMIT = 10_000
 
 _logger = logging.getLogger(__name__)
 
@@ -299,7 +302,9 @@
             if number in job.occurrences or number in job.done_occurrences:
                 continue
             due_at = job.occurrence_due_at(number)
-            if due_at > now_unix_s:
+            open_tasks = job.task_count * len(job.occurrences)
+            is_full = open_tasks and open_tasks + job.task_count > OPEN_TASKS_LIMIT
+            if due_at > now_unix_s or is_full:
                 self._jobs_due_later[job.id] = job
                 return
             occurrence = model.Occurrence(job=job, number=number, due_at=due_at)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -74,6 +74,10 @@
             ({"Steps": [{"Count": 1}], "Spec": 5}, "Spec is 5"),
             ({"Steps": [{"Count": 10_001}]}, "10001 tasks"),
             ({"Steps": [3]}, "step 0 is 3"),
+            (
+                {"Steps": [{"Count": 1}], "RepeatCount": 10_001},
+                "RepeatCount of the job is 10001",
+            ),
         ]
         for fields, reason in invalid:
             with (
@@ -82,6 +86,28 @@
             ):
                 read_job(**fields)
 
+    def test_repeated_submission_of_a_recurring_job_stays_valid(self):
+        """Guards against status 400 for a job that was accepted before.
+
+        How many of its occurrences are due grows with the time of the submission.
+        """
+        for now_unix_s in (1e9, 1e9 + 80.0):
+            job = submissions.parse_job(
+                "a" * 16,
+                json.dumps(
+                    {
+                        "StartAtMs": 1e12,
+                        "IntervalMs": 1000,
+                        "RepeatCount": 100,
+                        "Steps": [{"Count": 150}],
+                    }
+                ).encode(),
+                queue="q",
+                service="s",
+                now_unix_s=now_unix_s,
+            )
+            self.assertEqual(job.occurrence_count, 100)
+
 
 # Texts that are no address of an executor; resolving a host name would block.
 ODD_ADDRESSES = (
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -198,6 +198,29 @@
         self.assertFalse(harness.scheduler.add_job(scheduling.make_job(), 0.0))
         self.assertEqual(harness.start(), [])
 
+    def test_occurrences_that_are_due_at_once_are_begun_in_turn(self):
+        """Guards against a job that stops the process for seconds.
+
+        Ten thousand occurrences without an interval are due at once. Refusing such a
+        job by what is due now would refuse a repeated submission of an accepted one.
+        """
+        harness = scheduling.SchedulerHarness()
+        step = scheduling.make_step(count=scheduler.OPEN_TASKS_LIMIT // 2)
+        job = harness.add_job(scheduling.make_job(step, repeats=10_000))
+        self.assertEqual(sorted(job.occurrences), [0, 1])
+        for tasks in job.occurrences[0].tasks:
+            for task in tasks:
+                harness.scheduler._finish_task(task, scheduling.NOW_UNIX_S)
+        harness.scheduler.process_due_events(harness.now, scheduling.NOW_UNIX_S)
+        self.assertEqual(sorted(job.occurrences), [1, 2])
+
+    def test_occurrence_larger_than_the_limit_is_begun(self):
+        """Guards against a job that never starts."""
+        harness = scheduling.SchedulerHarness()
+        step = scheduling.make_step(count=scheduler.OPEN_TASKS_LIMIT + 1)
+        job = harness.add_job(scheduling.make_job(step, repeats=2))
+        self.assertEqual(list(job.occurrences), [0])
+
     def test_occurrences_start_when_they_are_due(self):
         """Guards against early starts of jobs that recur."""
         harness = scheduling.SchedulerHarness()
@@ -422,7 +445,7 @@
 
 
 class UnappliedEndTest(unittest.TestCase):
-    """An end whose handling raises an exception, which the link to the executor logs."""
+    """An end whose handling raises an exception, which the executor's link logs."""
 
     def test_end_that_was_not_applied_is_not_acknowledged(self):
         """Guards against a task that is done, forgotten by its executor and run again.
