--- a/cranberryport/platform/front.py
+++ b/cranberryport/platform/front.py
@@ -27,7 +27,10 @@
 # The same text for a missing, a malformed and an unknown key.
 KEY_ERROR = "a valid key is needed; allowed: Authorization: Token KEY"
 DEFAULT_DEADLINE_S = 3.0
+# Longest time for which a request is kept; callers wait 3 s on the users' deployments.
 DEADLINE_LIMIT_S = 60.0
+# A value of milliseconds with more digits is beyond the limit.
+DEADLINE_LIMIT_DIGITS = 9
 # Subtracted from the caller's deadline, so that the response reaches it in time: at
 # most this, and at most this share. The last try of a caller has little time left.
 DEADLINE_MARGIN_S = 0.3
@@ -584,9 +587,12 @@
 
 
 def _read_deadline_s(headers):
-    """Return how long the caller waits for a response, at most a minute."""
+    """Return how many seconds the caller waits, at most ``DEADLINE_LIMIT_S``."""
     value = headers.get(DEADLINE_HEADER, b"")
     if not value.isdigit():
         return DEFAULT_DEADLINE_S
-    # Converting thousands of digits would fail; twelve are more than the limit.
-    return min(int(value[:12]) / 1000, DEADLINE_LIMIT_S)
+    digits = value.lstrip(b"0")
+    if len(digits) > DEADLINE_LIMIT_DIGITS:
+        # Converting thousands of digits would fail.
+        return DEADLINE_LIMIT_S
+    return min(int(digits or b"0") / 1000, DEADLINE_LIMIT_S)
--- a/tests/test_platform_refusals.py
+++ b/tests/test_platform_refusals.py
@@ -174,6 +174,21 @@
                 response, _ = self._request("POST", results)
             self.assertEqual(response.status, 504)
 
+    def test_deadline_of_any_length_is_read(self):
+        """Guards against a request without time, or without an answer."""
+        for value, seconds in (
+            (b"500", 0.5),
+            (b"000000000000500", 0.5),
+            (b"0" * 5000, 0.0),
+            (b"60001", 60.0),
+            (b"9" * 5000, 60.0),
+            (b"-5", front.DEFAULT_DEADLINE_S),
+            (b"", front.DEFAULT_DEADLINE_S),
+        ):
+            with self.subTest(value=value[:20]):
+                headers = {front.DEADLINE_HEADER: value}
+                self.assertEqual(front._read_deadline_s(headers), seconds)
+
     def test_job_that_the_controller_refuses_is_not_written(self):
         """Guards against a refused job that is stored, and so run."""
         reply = messages.ControllerReply(number=1, is_leading=True, retry_after_s=3)
