Tell the askers apart in the proof that a job does not exist

Cause: the proof remembers when a question came first, by its number and its job. Each entry instance counts its questions from 1, so a question of one instance could be proved with reads that were sent before it, because another one had asked with the same number and given up: a job accepted in between would be answered 410. Change: the link of the asker belongs to the key. The proof is a module of its own, control/absence_proof.py; the controller only asks it.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -9,8 +9,8 @@
 import logging
 import time
 
-from cranberryport import boot_clock
 from cranberryport.control import (
+    absence_proof,
     append_policy,
     call_losses,
     executor_link,
@@ -49,10 +49,6 @@
 # The controller reports the number of waiting jobs only if it has read all jobs within
 # this time.
 JOBS_AGE_LIMIT_S = 2.0
-# All partitions are read at most once in this time to prove that a job does not exist.
-ABSENCE_CHECK_INTERVAL_S = 0.05
-# A question is not repeated for longer than its caller waits.
-ABSENCE_QUESTION_LIFETIME_S = 60.0
 # Jobs loaded at a time, after which other events are handled; 0.1 s at 0.4 ms each.
 LOAD_SLICE_JOBS = 250
 JOB_KEY_PREFIX = "j/"
@@ -107,8 +103,7 @@
     """
 
     __slots__ = (
-        "_absence_checked_at",
-        "_absence_questions",
+        "_absence_proof",
         "_admission",
         "_advice_client",
         "_advice_pending",
@@ -224,9 +219,6 @@
         self._stored_progress = {}
         self._stored_crashes = {}
         self._cancellations = job_ownership.Cancellations()
-        # Time on the boot clock at which each question about an unknown job came first.
-        self._absence_questions = {}
-        self._absence_checked_at = 0.0
         self._has_configuration = False
         self._is_ready = False
         self._is_stopped = False
@@ -242,6 +234,7 @@
             self._make_jobs_reader(number)
             for number in range(settings.store_partitions)
         ]
+        self._absence_proof = absence_proof.AbsenceProof(readers=self._jobs_readers)
         self._deletion = job_deletion.JobDeletion(
             store_client=store_client,
             timers=timers,
@@ -377,13 +370,16 @@
         )
         self.schedule_decision()
 
-    def answer(self, question):
+    def answer(self, question, *, asker=None):
         """Return the reply to a question of this or another entry instance.
 
         Parameters
         ----------
         question : JobQuestion, QueueQuestion or AdmissionQuestion
             The question.
+        asker : cranberryport.peering.peer_link.PeerLink or None
+            Link of the entry instance that has numbered the question; None for this
+            one.
 
         Returns
         -------
@@ -416,32 +412,12 @@
         if job_ownership.is_foreign(jobs.get(question.job), question.organisation):
             # A delay must not tell such a job from one that does not exist.
             state = None
-        reply.is_leading = state is not None or self._is_absence_proven(question)
+        reply.is_leading = state is not None or self._absence_proof.is_complete(
+            asker, question
+        )
         reply.state = state or ""
         return reply
 
-    def _is_absence_proven(self, question):
-        """Return whether a job that is not known did not exist when it was asked about.
-
-        It may have been accepted a moment ago by another entry instance. So all records
-        must have been read after the question came first; it is repeated until then.
-        """
-        now = boot_clock.now_s()
-        key = (question.number, question.job)
-        asked_at = self._absence_questions.setdefault(key, now)
-        if all(reader.has_read_since(asked_at) for reader in self._jobs_readers):
-            del self._absence_questions[key]
-            return True
-        if now - self._absence_checked_at >= ABSENCE_CHECK_INTERVAL_S:
-            self._absence_checked_at = now
-            oldest = now - ABSENCE_QUESTION_LIFETIME_S
-            self._absence_questions = {
-                key: at for key, at in self._absence_questions.items() if at > oldest
-            }
-            for reader in self._jobs_readers:
-                reader.confirm()
-        return False
-
     def on_records_stored(self, message):
         """Read the jobs that an entry instance has stored.
 
--- a/cranberryport/control/controller_client.py
+++ b/cranberryport/control/controller_client.py
@@ -319,7 +319,7 @@
         if controller is None:
             reply = messages.ControllerReply(number=message.number, is_leading=False)
         else:
-            reply = controller.answer(message)
+            reply = controller.answer(message, asker=link)
         link.send(reply)
 
     def _append_for_peer(self, link, question):
--- a/tests/test_control_controller_client.py
+++ b/tests/test_control_controller_client.py
@@ -116,6 +116,16 @@
         )
         self.assertFalse(self.answers[-1].was_sent)
 
+    def test_question_of_a_peer_is_that_of_its_link(self):
+        """Guards against questions of two peers with the same number."""
+        controller = mock.Mock()
+        self.client._local_controller = lambda: controller
+        question = messages.JobQuestion(number=7, job="a" * 16)
+        link = mock.Mock()
+        self.client._on_peer_message(link, question)
+        controller.answer.assert_called_once_with(question, asker=link)
+        link.send.assert_called_once_with(controller.answer.return_value)
+
     def test_append_for_a_peer_is_answered_only_if_its_result_is_known(self):
         """Guards against a peer that takes a record for not stored too early."""
         question = messages.StoreQuestion(
