Leave the text of an exception out of the node's log as well

Change: one function formats exceptions for both formatters. A record that was not applied is logged with the traceback, which says where.

--- a/cranberryport/control/topic_reader.py
+++ b/cranberryport/control/topic_reader.py
@@ -260,14 +260,13 @@
         for record in found:
             try:
                 self._on_records([record])
-            except Exception as error:
+            except Exception:
                 failed_count += 1
-                _logger.error(
+                _logger.exception(
                     "record not applied",
                     extra={
                         "topic": self._topic,
                         "key": record[0][:KEY_LOG_LIMIT_CHARACTERS],
-                        "reason": repr(error)[:KEY_LOG_LIMIT_CHARACTERS],
                     },
                 )
         # The callback of a snapshot also handles what the snapshot lacks.
--- a/cranberryport/observability/logs.py
+++ b/cranberryport/observability/logs.py
@@ -40,14 +40,27 @@
 
     def formatException(self, exc_info):  # noqa: N802
         """Return the traceback and the type of an exception, without its text."""
-        exception_type, _, trace = exc_info
-        return "".join(traceback.format_tb(trace)) + exception_type.__name__
+        return format_exception(exc_info)
 
     def process_log_record(self, log_data):
         """Return the fields that may be written."""
         return {key: log_data[key] for key in log_data if key in self._fields}
 
 
+def format_exception(exc_info):
+    """Return the traceback and the type of an exception, without its text.
+
+    The text can quote a caller's header or body.
+
+    Parameters
+    ----------
+    exc_info : tuple
+        Type, exception and traceback, as of ``sys.exc_info``.
+    """
+    exception_type, _, trace = exc_info
+    return "".join(traceback.format_tb(trace)) + exception_type.__name__
+
+
 def configure(*, instance, level="INFO", stream=None):
     """Write the root logger's records as JSON lines to a stream.
 
--- a/cranberryport/observability/node_logs.py
+++ b/cranberryport/observability/node_logs.py
@@ -13,6 +13,8 @@
 
 from pythonjsonlogger import msgspec as msgspec_logger
 
+from cranberryport.observability import logs
+
 # Rate and burst of a token bucket; lines above it are dropped.
 LINES_PER_S = 600
 BURST_LINES = 1200
@@ -22,7 +24,10 @@
 
 
 class Formatter(msgspec_logger.MsgspecFormatter):
-    """Writes time, level, event, instance and the extra fields of the log call."""
+    """Writes time, level, event, instance and the extra fields of the log call.
+
+    Of an exception it writes the type and the traceback.
+    """
 
     def __init__(self, *, instance):
         super().__init__(
@@ -35,6 +40,10 @@
             static_fields={"instance": instance},
         )
 
+    def formatException(self, exc_info):  # noqa: N802
+        """Return the traceback and the type of an exception, without its text."""
+        return logs.format_exception(exc_info)
+
 
 class BoundedHandler(logging.Handler):
     """Writes log lines to a file descriptor without waiting for its reader.
