Keep one time of the last complete read, and log a confirming read that fails

Cause: the time of a confirming read stood beside that of the regular reads, though both prove the same; an answer other than records was swallowed. Change: both note the newest sent read in one place, which also holds the condition that nothing is left to repair; the log line follows that of a catch-up read, and is left out while the regular reads fail, which log it.

--- a/cranberryport/control/topic_reader.py
+++ b/cranberryport/control/topic_reader.py
@@ -52,7 +52,6 @@
 
     __slots__ = (
         "_complete_read_sent_at",
-        "_confirming_read_sent_at",
         "_expected_end",
         "_has_read_failed",
         "_is_catching_up",
@@ -101,7 +100,6 @@
         self._last_read_sent_at = None
         self._requested_at = 0.0
         self._complete_read_sent_at = None
-        self._confirming_read_sent_at = None
         self._is_confirming = False
         self._is_stopped = False
         self._has_read_failed = False
@@ -142,8 +140,8 @@
         time_s : float
             Time on the boot clock.
         """
-        sent_times = (self._complete_read_sent_at, self._confirming_read_sent_at)
-        return any(sent_at is not None and sent_at >= time_s for sent_at in sent_times)
+        sent_at = self._complete_read_sent_at
+        return sent_at is not None and sent_at >= time_s
 
     def confirm(self):
         """Read without waiting, to learn sooner whether no record is missed.
@@ -164,12 +162,14 @@
 
     def _on_confirmed(self, result, read_offset, sent_at):
         self._is_confirming = False
-        if self._is_stopped or not isinstance(result, store.Records):
+        if self._is_stopped:
             return
-        if not _has_hole(result, read_offset):
+        if not isinstance(result, store.Records):
+            self._log_failure("confirming read failed", result)
+        elif not _has_hole(result, read_offset):
             self._deliver(result, read_offset)
-            if self.has_passed(result.end) and self._repair_at is None:
-                self._confirming_read_sent_at = sent_at
+            if self.has_passed(result.end):
+                self._note_complete_read(sent_at)
 
     def start(self):
         """Start reading with a snapshot."""
@@ -222,10 +222,7 @@
         if isinstance(result, store.Records):
             self._deliver(result, read_offset)
         else:
-            _logger.info(
-                "catch-up read failed",
-                extra={"topic": self._topic, "reason": str(result)},
-            )
+            self._log_failure("catch-up read failed", result)
         self._timers.after(CATCH_UP_DELAY_S, self._read_missing)
 
     def _deliver(self, result, read_offset):
@@ -317,7 +314,7 @@
             if self._apply(self._on_snapshot, result.records):
                 # Later pages of a snapshot are newer than the time at which it was
                 # sent.
-                self._complete_read_sent_at = sent_at
+                self._note_complete_read(sent_at)
             self._send_read()
         elif isinstance(result, store.Records) and _has_hole(result, self._read_offset):
             _logger.error(
@@ -334,8 +331,8 @@
         elif isinstance(result, store.Records):
             self._note_success()
             self._deliver(result, self._read_offset)
-            if result.next >= result.end and self._repair_at is None:
-                self._complete_read_sent_at = sent_at
+            if result.next >= result.end:
+                self._note_complete_read(sent_at)
             elapsed_s = time.monotonic() - self._requested_at
             self._timers.after(self._min_interval_s - elapsed_s, self._send_read)
         elif isinstance(result, store.Expired):
@@ -354,6 +351,20 @@
             self._has_read_failed = False
             _logger.info("store topic readable again", extra={"topic": self._topic})
 
+    def _note_complete_read(self, sent_at):
+        """Note a read that missed no record, unless an earlier one was not applied.
+
+        Reads can be answered in another order than they were sent in.
+        """
+        previous = self._complete_read_sent_at
+        if self._repair_at is None and (previous is None or previous < sent_at):
+            self._complete_read_sent_at = sent_at
+
+    def _log_failure(self, event, result):
+        # A store that answers no read at all is logged once, by the regular reads.
+        if not self._has_read_failed:
+            _logger.info(event, extra={"topic": self._topic, "reason": str(result)})
+
     def _note_failure(self, result):
         if not self._has_read_failed:
             self._has_read_failed = True
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -421,6 +421,27 @@
         waiting.callback(store.Records(first=0, end=4, next=4, records=[]))
         self.assertEqual(self.reader.complete_read_sent_at, 12.0)
 
+    def test_confirming_read_counts_although_the_long_poll_is_answered_later(self):
+        """Guards against a job that has to be asked about until the long poll ends."""
+        self.boot_now_s.return_value = 15.0
+        self.reader.confirm()
+        waiting, confirming = self.store.pop_call("read"), self.store.pop_call("read")
+        confirming.callback(store.Records(first=0, end=4, next=4, records=[]))
+        self.assertTrue(self.reader.has_read_since(15.0))
+        waiting.callback(store.Records(first=0, end=4, next=4, records=[]))
+        self.assertEqual(self.reader.complete_read_sent_at, 15.0)
+
+    def test_failed_confirming_read_proves_nothing_and_is_logged(self):
+        """Guards against status 503 for a question, for which no log line says why."""
+        self.boot_now_s.return_value = 15.0
+        self.reader.confirm()
+        self.store.pop_call("read")
+        with self.assertLogs(level="INFO") as logs:
+            self.store.pop_call("read").callback(store.Refused(status=503))
+        self.assertEqual(logs.records[0].getMessage(), "confirming read failed")
+        self.assertIn("503", logs.records[0].reason)
+        self.assertEqual(self.reader.complete_read_sent_at, 10.0)
+
     def test_records_whose_callback_raises_are_not_taken_as_applied(self):
         """Guards against a configuration that was read but not put in force.
 
