Start connections, quote addresses and parse the controller's in one place

Cause: the guard against names and ports out of range stood in the client's connection and in the peer link; the controller's address was parsed again by hand; the length of a quoted address was a bare number in two places and that of an error had a second limit in the reader of executors' answers. Change: addresses.start_connecting raises OSError for all of them.

--- a/cranberryport/control/controller_client.py
+++ b/cranberryport/control/controller_client.py
@@ -9,6 +9,7 @@
 import time
 
 from cranberryport.generated import messages
+from cranberryport.http import addresses
 from cranberryport.peering import peer_link
 from cranberryport.platform import store
 
@@ -242,11 +243,11 @@
         if self._link is not None and self._link.session != address:
             self._close_link()
         if self._link is None:
-            host, _, port = address.rpartition(":")
+            host, port = addresses.parse(address)
             link = peer_link.dial(
                 watcher=self._watcher,
                 host=host,
-                port=int(port),
+                port=port,
                 on_message=self._on_controller_message,
                 on_open=self._on_open,
                 on_closed=self._on_closed,
--- a/cranberryport/http/connection.py
+++ b/cranberryport/http/connection.py
@@ -16,6 +16,8 @@
 from circuits.core import pollers
 from circuits.core.utils import findcmp
 
+from cranberryport.http import addresses
+
 RESPONSE_BODY_LIMIT_BYTES = 1024 * 1024
 HEADER_LIMIT_BYTES = 16 * 1024
 READ_SIZE_BYTES = 64 * 1024
@@ -433,17 +435,11 @@
             self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._socket.setblocking(False)
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            # Rejects host names: resolving one would block the process.
-            socket.inet_pton(socket.AF_INET, self._host)
-            code = self._socket.connect_ex(self.address)
-        except (OSError, OverflowError, ValueError) as error:
-            # No file descriptor is free, the host is not an IP address, or the port is
-            # out of range.
+            addresses.start_connecting(self._socket, self.address)
+        except OSError as error:
+            # Also if no file descriptor is free.
             self._fail("connect", f"cannot connect to {self.address}: {error}")
             return
-        if code not in (0, errno.EINPROGRESS):
-            self._fail("connect", f"cannot connect: {errno.errorcode.get(code, code)}")
-            return
         self._client.watch(self._socket, self)
 
     def _finish_connecting(self):
--- a/cranberryport/peering/peer_link.py
+++ b/cranberryport/peering/peer_link.py
@@ -4,7 +4,6 @@
 be watched by the single poller of the process.
 """
 
-import errno
 import logging
 import socket
 
@@ -12,6 +11,7 @@
 from websockets import client, exceptions, frames, http11, server, uri
 
 from cranberryport import codec
+from cranberryport.http import addresses
 
 MESSAGE_LIMIT_BYTES = 2 * 1024 * 1024
 READ_SIZE_BYTES = 64 * 1024
@@ -122,18 +122,14 @@
         """Start connecting the socket to the address of the peer."""
         self._is_connecting = True
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._watcher.watch(self._sock, self)
         try:
-            # Rejects host names: resolving one would block the process.
-            socket.inet_pton(socket.AF_INET, address[0])
-            code = self._sock.connect_ex(address)
-        except (OSError, OverflowError, ValueError) as error:
+            addresses.start_connecting(self._sock, address)
+        except OSError as error:
             _logger.warning(
                 "cannot connect to a peer",
                 extra={"address": str(address), "reason": str(error)},
             )
-            code = errno.EINVAL
-        self._watcher.watch(self._sock, self)
-        if code not in (0, errno.EINPROGRESS):
             self.close()
 
     def send(self, message):
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -252,8 +252,7 @@
         finished = [_parse_finished(row) for row in fields.get("Finished") or ()]
     except (IndexError, KeyError, TypeError, ValueError) as error:
         # An unreadable list says nothing about any run, so it counts as no response.
-        reason = repr(error)[: bodies.REASON_LIMIT_CHARACTERS]
-        _logger.error("unreadable list of runs", extra={"reason": reason})
+        _logger.error("unreadable list of runs", extra={"reason": bodies.quote(error)})
         return NoResponse(reason="protocol")
     return ExecutorResponse(
         is_accepted=status == 200,
