Decode a page of records once, and check the token and kind of a list

A token of a page that is neither text nor a number, and a label that is no text, were taken over as their text form. Change: bodies.read_status; a failure decodes its own body; the list of instances is none if a token is malformed, with a log line, and such a kind is unknown.

--- a/cranberryport/platform/bodies.py
+++ b/cranberryport/platform/bodies.py
@@ -79,6 +79,11 @@
     return fields if isinstance(fields, dict) else None
 
 
+def read_status(result):
+    """Return the status of the response of a finished exchange, 0 if there is none."""
+    return result.status if isinstance(result, connection.Response) else 0
+
+
 def read_response(result):
     """Return status and fields of the response of a finished exchange.
 
@@ -93,9 +98,8 @@
         Status, 0 if there was no complete response; and the fields, none if the body
         is not a JSON object.
     """
-    if not isinstance(result, connection.Response):
-        return 0, {}
-    return result.status, decode(result.body) or {}
+    status = read_status(result)
+    return status, (decode(result.body) if status else None) or {}
 
 
 def quote(value):
--- a/cranberryport/platform/machines.py
+++ b/cranberryport/platform/machines.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import logging
 
 import msgspec
 
@@ -17,6 +18,8 @@
 # States of an instance; instances in any other state are ignored.
 STATES = {"up", "moving", "upkeep", "down"}
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
 class OrderResult:
@@ -84,8 +87,14 @@
                 instance = _parse_instance(row)
                 if instance is not None:
                     found[instance.id] = instance
-            if fields.get("NextToken"):
-                request_page(fields["NextToken"])
+            token = fields.get("NextToken") or ""
+            if not isinstance(token, str | int):
+                _logger.error(
+                    "malformed token of a page", extra={"token": bodies.quote(token)}
+                )
+                callback(None)
+            elif token:
+                request_page(token)
             else:
                 callback(found)
 
@@ -141,7 +150,8 @@
     if bodies.get_text(row, "State") not in STATES:
         return None
     labels = row.get("Labels")
-    has_labels = isinstance(labels, list) and bool(labels)
+    # The first label is the kind of the instance, the second its rack.
+    kind = labels[0] if isinstance(labels, list) and labels else ""
     capacity = row.get("Capacity")
     if not isinstance(capacity, dict):
         capacity = {}
@@ -150,8 +160,7 @@
         pool=bodies.get_text(row, "Pool"),
         state=row["State"],
         executor=bodies.get_text(row, "Id"),
-        # The first label is the kind of the instance, the second its rack.
-        kind=str(labels[0]) if has_labels else "",
+        kind=kind if isinstance(kind, str) else "",
         processors=max(0, bodies.get_integer(capacity, "Cpu")),
         memory=max(0, bodies.get_integer(capacity, "MemMb")),
         accelerators=max(0, bodies.get_integer(capacity, "Gpu")),
--- a/cranberryport/platform/store.py
+++ b/cranberryport/platform/store.py
@@ -353,9 +353,8 @@
             self._send("GET", target, b"", timeout_s, on_page)
 
         def on_page(result):
-            status, fields = bodies.read_response(result)
-            if status != 200:
-                callback(_parse_failure(result, status, fields))
+            if bodies.read_status(result) != 200:
+                callback(_parse_failure(result))
                 return
             page = _decode_page(result.body)
             try:
@@ -404,7 +403,7 @@
         def on_result(result):
             status, fields = bodies.read_response(result)
             if status != 200:
-                callback(_parse_failure(result, status, fields))
+                callback(_parse_failure(result))
                 return
             rows = fields.get("parts") or []
             number = bodies.get_integer(fields, "Generation")
@@ -426,11 +425,8 @@
         body = bodies.encode({"group": group, "Member": member})
 
         def on_result(result):
-            status, fields = bodies.read_response(result)
-            left = (
-                LeftGroup() if status == 200 else _parse_failure(result, status, fields)
-            )
-            callback(left)
+            has_left = bodies.read_status(result) == 200
+            callback(LeftGroup() if has_left else _parse_failure(result))
 
         self._send("POST", "/api/log-leave", body, timeout_s, on_result)
 
@@ -442,7 +438,7 @@
             status, fields = bodies.read_response(result)
             rows = _first_list(fields)
             if status != 200 or rows is None:
-                callback(_parse_failure(result, status, fields))
+                callback(_parse_failure(result))
                 return
             members = {
                 row[1]: row[2]
@@ -495,39 +491,43 @@
     return None
 
 
-def _parse_failure(result, status, fields):
+def _parse_failure(result):
     if isinstance(result, connection.ExchangeFailure):
         reason = f"{result.reason}: {result.detail}"
         return NoResponse(reason=reason, was_sent=result.bytes_sent > 0)
+    status, fields = bodies.read_response(result)
     return Refused(status=status, reason=bodies.get_text(fields, "Reason"))
 
 
 def _parse_append(result):
-    status, fields = bodies.read_response(result)
-    if status == 200:
-        if bodies.decode(result.body) is None:
-            return NoResponse(reason="unreadable answer to an append")
-        return Appended(
-            offset=bodies.get_integer(fields, "Offset"),
-            end=bodies.get_integer(fields, "EndOffset"),
-        )
+    status = bodies.read_status(result)
     if status == 0:
-        return _parse_failure(result, status, fields)
+        return _parse_failure(result)
     if status >= 500 and status not in NOTHING_DONE_STATUSES:
         return NoResponse(reason=f"status {status} does not say whether it is stored")
-    return Refused(
-        status=status,
-        reason=bodies.get_text(fields, "Reason"),
-        expected_sequence=bodies.get_integer(fields, "Sequence", None),
+    fields = bodies.decode(result.body)
+    if status != 200:
+        fields = fields or {}
+        return Refused(
+            status=status,
+            reason=bodies.get_text(fields, "Reason"),
+            expected_sequence=bodies.get_integer(fields, "Sequence", None),
+        )
+    if fields is None:
+        return NoResponse(reason="unreadable answer to an append")
+    return Appended(
+        offset=bodies.get_integer(fields, "Offset"),
+        end=bodies.get_integer(fields, "EndOffset"),
     )
 
 
 def _parse_records(result, position):
-    if isinstance(result, connection.Response) and result.status == 410:
+    status = bodies.read_status(result)
+    if status == 410:
         _, fields = bodies.read_response(result)
         return Expired(first=bodies.get_integer(fields, "FirstOffset"))
-    if not isinstance(result, connection.Response) or result.status != 200:
-        return _parse_failure(result, getattr(result, "status", 0), {})
+    if status != 200:
+        return _parse_failure(result)
     try:
         first, end, records = decode_records(result.body)
     except (ValueError, struct.error) as error:
