--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -26,13 +26,13 @@
 from cranberryport.scheduling import (
     admission,
     explaining,
-    hand_over,
     load,
     model,
     organisation_shares,
     records,
     run_logs,
     scheduler,
+    takeover,
     task_planner,
 )
 
@@ -169,7 +169,7 @@
         self._on_superseded = on_superseded
         self._lease_s = min(executor_link.LEASE_S, settings.lease_most_ms / 1000)
         self._started_at = time.monotonic()
-        lease_wait_s = hand_over.previous_lease_wait_s(self._lease_s)
+        lease_wait_s = takeover.previous_lease_wait_s(self._lease_s)
         self._scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self._started_at + lease_wait_s
         )
--- a/cranberryport/control/job_deletion.py
+++ b/cranberryport/control/job_deletion.py
@@ -9,7 +9,7 @@
 import logging
 
 from cranberryport.platform import store
-from cranberryport.scheduling import hand_over
+from cranberryport.scheduling import takeover
 
 APPEND_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.3
@@ -127,7 +127,7 @@
             self._readers[partition].has_passed(end)
             for partition, end in self._ends.items()
         )
-        if not hand_over.may_forget_job(
+        if not takeover.may_forget_job(
             are_records_deleted=len(self._ends) == len(self._readers),
             have_readers_passed=have_readers_passed,
         ):
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -12,7 +12,7 @@
 from cranberryport import boot_clock
 from cranberryport.http import addresses
 from cranberryport.platform import store
-from cranberryport.scheduling import hand_over
+from cranberryport.scheduling import takeover
 
 GROUP = "controllers"
 # A controller that fails is replaced after this time and one join. Up to five joins in
@@ -160,7 +160,7 @@
         """
         if self._epoch is None or self._joined_at is None:
             return False
-        return hand_over.is_role_proven(boot_clock.now_s() - self._joined_at)
+        return takeover.is_role_proven(boot_clock.now_s() - self._joined_at)
 
     def start(self):
         """Join the group, or watch its members if this is a fallback member."""
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -7,7 +7,7 @@
 
 import math
 
-from cranberryport.scheduling import hand_over
+from cranberryport.scheduling import takeover
 
 READY = "ready"
 DRAINING = "draining"
@@ -227,7 +227,7 @@
     def estimate_clock_ms(self, now):
         """Return a lower bound of the executor's clock in milliseconds."""
         return self.clock_ms + int(
-            (now - self.clock_read_at) * 1000 / hand_over.CLOCK_DRIFT_FACTOR
+            (now - self.clock_read_at) * 1000 / takeover.CLOCK_DRIFT_FACTOR
         )
 
     def update_clock(self, clock_ms, now):
@@ -253,7 +253,7 @@
         deadline_ms = self.estimate_clock_ms(now) + int(lease_s * 1000)
         lease_expires_at = (
             self.clock_read_at
-            + (deadline_ms - self.clock_ms) / 1000 * hand_over.CLOCK_DRIFT_FACTOR
+            + (deadline_ms - self.clock_ms) / 1000 * takeover.CLOCK_DRIFT_FACTOR
             + LEASE_MARGIN_S
         )
         self.lease_expires_at = max(self.lease_expires_at or 0.0, lease_expires_at)
@@ -311,7 +311,7 @@
         """
         has_been_asked = self.last_listed_at is not None
         has_been_asked = has_been_asked or self.unreachable_since is not None
-        if not hand_over.may_take_lease_for_expired(
+        if not takeover.may_take_lease_for_expired(
             now, self.lease_expires_at, has_been_asked=has_been_asked
         ):
             return False
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -13,7 +13,6 @@
 
 from cranberryport.scheduling import (
     crashes,
-    hand_over,
     model,
     ordering,
     rebalancing,
@@ -21,6 +20,7 @@
     run_logs,
     stragglers,
     suspicion,
+    takeover,
 )
 
 # An unanswered start may be carried out until this time has passed.
@@ -625,7 +625,7 @@
                 if executor.lapsed_runs and not executor.is_draining:
                     self._record_crash(executor.id, executor.lapsed_runs, host=None)
                 self.remove_executor(executor, "not listed")
-        if self._restored_runs and hand_over.may_give_up_unlisted(
+        if self._restored_runs and takeover.may_give_up_unlisted(
             now,
             self._previous_leases_expire_at,
             has_read_executors=self._has_read_executors,
--- a/cranberryport/scheduling/hand_over.py
+++ b/cranberryport/scheduling/takeover.py
@@ -1,8 +1,9 @@
-"""Rules of a change of the controller, which ``tests/test_hand_over_model.py`` checks.
+"""Rules of a change of the controller.
 
 Load pattern: a controller is cut off from the store, or paused, while another one takes
 over with a slow store. Each rule is a function of what its caller knows; the model
-calls the same functions in all orders of the steps.
+in ``tests/test_scheduling_takeover_model.py`` calls the same functions in all orders of
+the steps.
 """
 
 # Executors' clocks may run 2 % slow (platform's protocol).
@@ -10,7 +11,8 @@
 # Time after a join that has confirmed the role for which the controller may send orders
 # and renew leases. Its successor waits for as long, see :func:`previous_lease_wait_s`.
 # It is longer than the time to live of a member because the store lets no join succeed
-# while it is away, for all members: leases have to outlast an outage of 6 s.
+# while it is away, for all members: with leases of 4 s, the last renewals outlast the
+# longest outage on the users' sheets, 5.9 s.
 ROLE_VALIDITY_S = 5.0
 # Added for clocks of entry instances that run apart, and for the time between the check
 # of the role and the sending of a renewal.
@@ -24,6 +26,11 @@
     ----------
     proof_age_s : float
         Seconds since it has sent the newest join that has confirmed its role.
+
+    Returns
+    -------
+    bool
+        True for less than ``ROLE_VALIDITY_S``.
     """
     return proof_age_s < ROLE_VALIDITY_S
 
@@ -43,6 +50,11 @@
     role_validity_s : float
         Time in seconds for which a controller renews leases after the sending of the
         last join that has confirmed its role.
+
+    Returns
+    -------
+    float
+        Time in seconds on the clock of the new controller.
     """
     return role_validity_s + lease_s * CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
 
@@ -57,6 +69,11 @@
     has_read_executors : bool
         Whether the list of executors has been read. Before that, an executor may be
         listed and hold the runs, or their ends.
+
+    Returns
+    -------
+    bool
+        Whether no executor can have one of the runs.
     """
     return has_read_executors and now >= leases_expire_at
 
@@ -72,6 +89,11 @@
         Monotonic time at which its lease has certainly expired; None if it has none.
     has_been_asked : bool
         Whether it has answered a request of this controller, or failed to.
+
+    Returns
+    -------
+    bool
+        Whether the executor has ended the runs, by its own clock.
     """
     return lease_expires_at is not None and now >= lease_expires_at and has_been_asked
 
@@ -85,5 +107,10 @@
         Whether each partition has confirmed the deletion of the job's records.
     have_readers_passed : bool
         Whether the reader of each partition has passed the deletion.
+
+    Returns
+    -------
+    bool
+        Whether no record of the job can be read any more.
     """
     return are_records_deleted and have_readers_passed
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 import time
 
 from soak import organisations, plan, proxy
-from standins.platform import odd_entries
+from standins.platform import malformed_entries
 
 # Delay of each response of a slow store: 75 times its usual 4 ms.
 SLOW_STORE_DELAY_S = 0.3
@@ -195,10 +195,12 @@
         )
         return lambda: self._deployment.send_order("capacity", instance=fault.target)
 
-    def odd_entry(self, fault):
-        """Write an odd entry, as another program may, beside those of the executors."""
-        value = odd_entries.draw(random.Random(fault.detail))
-        self._deployment.send_order("entry", key=f"odd-{fault.detail}", value=value)
+    def malformed_entry(self, fault):
+        """Write a malformed entry of an executor, as another program may."""
+        value = malformed_entries.draw(random.Random(fault.detail))
+        self._deployment.send_order(
+            "entry", key=f"malformed-{fault.detail}", value=value
+        )
         return _end_nothing
 
     def drain_executor(self, fault):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -29,8 +29,8 @@
         Name of the affected entry instance, or of the affected instance (the first one
         of a wave), or ``entry/service`` for a connection; empty for other kinds.
     detail : str
-        Mode of the proxy for a fault of a connection, seed of an odd entry; otherwise
-        empty.
+        Mode of the proxy for a fault of a connection, seed of a malformed entry; empty
+        for other kinds.
     """
 
     __slots__ = ("detail", "duration_s", "kind", "start_s", "target")
@@ -92,7 +92,7 @@
 
 
 def draw_entries(seed, *, seconds, instances):
-    """Return odd entries of another program, and announcements of leaving executors.
+    """Return malformed entries of executors, and announcements of leaving ones.
 
     A generator of their own keeps the other faults of a seed as they were before.
 
@@ -111,7 +111,7 @@
     while start_s < seconds:
         fault = Fault(
             start_s=start_s,
-            kind=generator.choice(("odd_entry", "drain_executor")),
+            kind=generator.choice(("malformed_entry", "drain_executor")),
             duration_s=0.0,
             target=generator.choice(instances),
             detail=str(generator.randrange(1_000_000)),
--- a/standins/platform/odd_entries.py
+++ b/standins/platform/malformed_entries.py
@@ -1,4 +1,4 @@
-"""Odd entries that another program writes among those of the executors.
+"""Malformed entries that another program writes among those of the executors.
 
 The platform's protocol allows them: fields that are missing or of another type, unknown
 states and services, and bytes that cannot be read. None of them names an executor.
@@ -46,7 +46,7 @@
 
 
 def draw(generator):
-    """Return the value of an odd entry.
+    """Return the value of a malformed entry.
 
     Parameters
     ----------
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -14,7 +14,7 @@
 from tests import scheduling, scripted
 
 # Keys of the entries that name no executor.
-ODD_KEYS = ["odd-1", "odd-2", "odd-3"]
+MALFORMED_KEYS = ["malformed-1", "malformed-2", "malformed-3"]
 
 
 def make_controller(**options):
@@ -138,27 +138,31 @@
         }
         return json.dumps(entry | fields).encode()
 
-    def test_odd_entry_hides_no_executor(self):
+    def test_malformed_entry_hides_no_executor(self):
         """Guards against a pool whose executors are never used.
 
         Review case 3: the entry with port 99999 is in the snapshot that each further
         controller reads.
         """
-        odd = [
-            ("odd-1", self._entry(Address="127.0.0.1:99999")),
-            ("odd-2", b"[" * 100_000),
-            ("odd-3", self._entry(born=10**400)),
+        malformed = [
+            ("malformed-1", self._entry(Address="127.0.0.1:99999")),
+            ("malformed-2", b"[" * 100_000),
+            ("malformed-3", self._entry(born=10**400)),
         ]
         with self.assertLogs(level="WARNING") as logs:
             self.snapshot.callback(
-                store.NewestRecords(records=[*odd, ("e1", self._entry())], end=4)
+                store.NewestRecords(records=[*malformed, ("e1", self._entry())], end=4)
             )
         self.assertEqual(list(self.subject._scheduler.executors), ["e1"])
-        self.assertEqual([record.executor for record in logs.records[:3]], ODD_KEYS)
+        self.assertEqual(
+            [record.executor for record in logs.records[:3]], MALFORMED_KEYS
+        )
         # The job reader has a read open as well.
         read = self.store.calls[-1]
         read.callback(
-            store.Records(first=0, end=8, next=8, records=[*odd, ("e2", self._entry())])
+            store.Records(
+                first=0, end=8, next=8, records=[*malformed, ("e2", self._entry())]
+            )
         )
         self.assertEqual(list(self.subject._scheduler.executors), ["e1", "e2"])
         count = self.subject.event_counts["invalid_entries"]
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -185,7 +185,7 @@
         self.assertFalse(may_stop() or may_renew())
 
     def test_list_that_cannot_be_handled_ends_no_link(self):
-        """Guards against an executor that is not asked again after one odd list."""
+        """Guards against an executor that is not asked again after a malformed list."""
         self.link.open()
         scheduler_ = self.harness.scheduler
         with (
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -12,7 +12,7 @@
 )
 from cranberryport.generated import messages
 from cranberryport.platform import store
-from cranberryport.scheduling import hand_over
+from cranberryport.scheduling import takeover
 from tests import scripted
 
 
@@ -92,10 +92,10 @@
             self.store.pop_call("join")
             boot_now_s.return_value = 101.0
             self._answer(5, 0)
-            boot_now_s.return_value = 100.0 + hand_over.ROLE_VALIDITY_S - 0.01
+            boot_now_s.return_value = 100.0 + takeover.ROLE_VALIDITY_S - 0.01
             self.assertTrue(self.member.is_role_proven)
             self.timers.run()
-            boot_now_s.return_value = 100.0 + hand_over.ROLE_VALIDITY_S
+            boot_now_s.return_value = 100.0 + takeover.ROLE_VALIDITY_S
             self.assertFalse(self.member.is_role_proven)
             self._answer(5, 0)
             self.assertTrue(self.member.is_role_proven)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -110,7 +110,7 @@
 
 
 # Texts that are no address of an executor; resolving a host name would block.
-ODD_ADDRESSES = (
+MALFORMED_ADDRESSES = (
     "127.0.0.1:99999",
     "127.0.0.1:0",
     "127.0.0.1:-1",
@@ -160,8 +160,8 @@
             with self.subTest(value=value[:20]):
                 found = executors.parse_entry("e1", value, 0.0)
                 self.assertIsInstance(found, bodies.Invalid)
-        odd_fields = [
-            *({"Address": text} for text in ODD_ADDRESSES),
+        malformed_fields = [
+            *({"Address": text} for text in MALFORMED_ADDRESSES),
             {"Address": 5},
             {"State": "odd"},
             {"State": ["ready"]},
@@ -178,14 +178,14 @@
             {"born": "now"},
             {"born": 10**30},
         ]
-        for fields in odd_fields:
+        for fields in malformed_fields:
             with self.subTest(fields=fields):
                 self.assertIsInstance(self._parse(**fields), bodies.Invalid)
         valid = json.dumps({"Address": "127.0.0.1:80"}).encode()
         self.assertIsInstance(executors.parse_entry("", valid, 0.0), bodies.Invalid)
 
     def test_reason_names_the_field_and_is_short(self):
-        """Guards against an odd entry that operators cannot find, or fills the log."""
+        """Guards against an entry that operators cannot find, or that fills the log."""
         found = self._parse(Address="127.0.0.1:99999")
         self.assertEqual(found.reason, "port 99999; allowed: 1 to 65535")
         self.assertIn("$.Capacity", self._parse(Capacity="x" * 10_000).reason)
--- a/tests/test_platform_foreign_input.py
+++ b/tests/test_platform_untrusted_input.py
@@ -31,11 +31,11 @@
 from tests import scripted
 
 # The examples of CI are the same in each run; a long run with others is started by hand
-# with FOREIGN_INPUT_EXAMPLES=20000 in the environment.
-EXAMPLES = int(os.environ.get("FOREIGN_INPUT_EXAMPLES", "300"))
+# with UNTRUSTED_INPUT_EXAMPLES=20000 in the environment.
+EXAMPLES = int(os.environ.get("UNTRUSTED_INPUT_EXAMPLES", "300"))
 each_content = settings(
     max_examples=EXAMPLES,
-    derandomize="FOREIGN_INPUT_EXAMPLES" not in os.environ,
+    derandomize="UNTRUSTED_INPUT_EXAMPLES" not in os.environ,
     deadline=None,
     # The first examples take seconds on a busy machine.
     suppress_health_check=[HealthCheck.too_slow],
@@ -120,11 +120,11 @@
 JOINED = {"Generation": 3, "parts": [["control", 0, 5], ["control", 4, 0]]}
 PERMITS = {"Permitted": [["e1", "ticket"]], "ValidMs": 900}
 
-ODD_TEXTS = st.sampled_from(
+MALFORMED_TEXTS = st.sampled_from(
     ("127.0.0.1:99999", "127.0.0.1:0", "a.example:1", "9" * 5000, "")
 )
-ODD_NUMBERS = st.sampled_from((-1, 10**9, 2**63, 10**400, -(10**30), 1e308))
-ODD_VALUES = (
+MALFORMED_NUMBERS = st.sampled_from((-1, 10**9, 2**63, 10**400, -(10**30), 1e308))
+MALFORMED_VALUES = (
     st.none()
     | st.booleans()
     | st.integers()
@@ -133,7 +133,7 @@
     | st.lists(st.integers() | st.text(max_size=3), max_size=3)
     | st.dictionaries(st.text(max_size=3), st.integers(), max_size=2)
 )
-ODD_BYTES = st.binary(max_size=60) | st.sampled_from(
+MALFORMED_BYTES = st.binary(max_size=60) | st.sampled_from(
     (b"[" * 100_000, b'{"a":' * 50_000, b'{"born": 1e999}', b"null", b"\xff", b"{}")
 )
 
@@ -157,13 +157,13 @@
     return json.dumps(valid | fields).encode()
 
 
-def _odd_like(value):
-    """Return a strategy for odd values of the type of a value."""
+def _malformed_like(value):
+    """Return a strategy for malformed values of the type of a value."""
     if isinstance(value, str):
-        return ODD_TEXTS
+        return MALFORMED_TEXTS
     if isinstance(value, int | float):
-        return ODD_NUMBERS
-    return ODD_VALUES
+        return MALFORMED_NUMBERS
+    return MALFORMED_VALUES
 
 
 @st.composite
@@ -176,18 +176,20 @@
         for key in path[:-1]:
             holder = holder[key]
         previous = holder.get(path[-1]) if isinstance(holder, dict) else None
-        odd = _odd_like(previous) if draw(st.booleans()) else ODD_VALUES
+        malformed = (
+            _malformed_like(previous) if draw(st.booleans()) else MALFORMED_VALUES
+        )
         if isinstance(holder, dict) and draw(st.integers(0, 3)) == 0:
             holder.pop(path[-1], None)
         else:
-            holder[path[-1]] = draw(odd)
+            holder[path[-1]] = draw(malformed)
     return json.dumps(fields).encode()
 
 
 @st.composite
 def content(draw, valid):
     """Draw content that another program may have written."""
-    return draw(ODD_BYTES if draw(st.integers(0, 4)) == 0 else changed(valid))
+    return draw(MALFORMED_BYTES if draw(st.integers(0, 4)) == 0 else changed(valid))
 
 
 def _ask(client_type, method, answer, *arguments, **keywords):
@@ -203,11 +205,11 @@
     return result
 
 
-class ForeignInputTest(unittest.TestCase):
-    """Guards against one odd record or message that ends a reader or a process."""
+class UntrustedInputTest(unittest.TestCase):
+    """Guards against a malformed record or message that ends a reader."""
 
     def setUp(self):
-        """Keep the log lines about odd content from the output."""
+        """Keep the log lines about malformed content from the output."""
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
@@ -376,7 +378,7 @@
         found = front._read_deadline_s({front.DEADLINE_HEADER: value})
         self.assertTrue(0 <= found <= front.DEADLINE_LIMIT_S)
 
-    @given(value=ODD_BYTES)
+    @given(value=MALFORMED_BYTES)
     @each_content
     def test_record_of_this_program(self, value):
         """A record is a message, or cannot be decoded."""
--- a/tests/test_scheduling_interleavings.py
+++ b/tests/test_scheduling_interleavings.py
@@ -11,10 +11,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cranberryport.scheduling import (
-    hand_over,
     ordering,
     records,
     scheduler,
+    takeover,
     task_planner,
 )
 from tests import scheduling
@@ -67,7 +67,7 @@
         """Replace the controller by a successor that reads the stored records."""
         self.scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self.now
-            + hand_over.previous_lease_wait_s(LEASE_S, role_validity_s=0.0)
+            + takeover.previous_lease_wait_s(LEASE_S, role_validity_s=0.0)
         )
         self.planner = task_planner.TaskPlanner(state=self.scheduler)
         rules = ordering.QueueRules(name="queue", service="pool", failed_runs_limit=99)
--- a/tests/test_hand_over_model.py
+++ b/tests/test_scheduling_takeover_model.py
@@ -1,7 +1,7 @@
 """Model check of a change of the controller, in all orders of its steps.
 
 The states are small tuples, and the rules are the functions of
-``cranberryport.scheduling.hand_over`` that the program calls. The same models are
+``cranberryport.scheduling.takeover`` that the program calls. The same models are
 explored with the rules of earlier versions, in which the faults must be found.
 """
 
@@ -9,7 +9,7 @@
 import types
 import unittest
 
-from cranberryport.scheduling import executors, hand_over
+from cranberryport.scheduling import executors, takeover
 
 LEASE_S = 4
 # The store gives the role to another member this long after the last join.
@@ -21,7 +21,7 @@
 # The rules before the review: no end of the role, and silence taken for an end.
 EARLIER_RULES = types.SimpleNamespace(
     is_role_proven=lambda proof_age_s: True,
-    previous_lease_wait_s=lambda lease_s: hand_over.previous_lease_wait_s(
+    previous_lease_wait_s=lambda lease_s: takeover.previous_lease_wait_s(
         lease_s, role_validity_s=0.0
     ),
     may_give_up_unlisted=lambda now, expire_at, *, has_read_executors: now >= expire_at,
@@ -256,7 +256,7 @@
 
     def test_takeover_runs_nothing_twice(self):
         """Guards against a change of a rule that lets a task run twice."""
-        count = self._explore(FIRST_TAKEOVER, find_takeover_steps, hand_over)
+        count = self._explore(FIRST_TAKEOVER, find_takeover_steps, takeover)
         self.assertGreater(count, 10_000)
 
     def test_earlier_rules_of_a_takeover_break_it(self):
@@ -272,14 +272,14 @@
             "may_give_up_unlisted",
             "may_take_lease_for_expired",
         ):
-            rules = types.SimpleNamespace(**vars(hand_over))
+            rules = types.SimpleNamespace(**vars(takeover))
             setattr(rules, name, getattr(EARLIER_RULES, name))
             with self.subTest(name=name), self.assertRaises(ViolationFound):
                 self._explore(FIRST_TAKEOVER, find_takeover_steps, rules)
 
     def test_deletion_leaves_no_job_to_run_again(self):
         """Guards against a change of the order in which records are deleted."""
-        self._explore(FIRST_DELETION, find_deletion_steps, hand_over)
+        self._explore(FIRST_DELETION, find_deletion_steps, takeover)
 
     def test_earlier_rule_of_a_deletion_breaks_it(self):
         """Guards against a model that misses the faults of the review's case 2."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -71,7 +71,7 @@
         self.assertNotEqual(draw_texts(3), draw_texts(4))
 
     def test_same_seed_gives_the_same_entries(self):
-        """Guards against an odd entry whose effect cannot be reproduced."""
+        """Guards against a malformed entry whose effect cannot be reproduced."""
 
         def draw_texts(seed):
             drawn = plan.draw_entries(seed, seconds=60.0, instances=["m1", "m2"])
@@ -80,7 +80,7 @@
         self.assertEqual(draw_texts(3), draw_texts(3))
         self.assertNotEqual(draw_texts(3), draw_texts(4))
         kinds = {text.split()[1] for text in draw_texts(3)}
-        self.assertEqual(kinds, {"odd_entry", "drain_executor"})
+        self.assertEqual(kinds, {"malformed_entry", "drain_executor"})
 
     def test_all_faults_end_within_the_fault_phase(self):
         """Guards against faults that last into the time allowed for recovery."""
