--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,4 +1,4 @@
-"""Takeovers beside a controller that is cut off from the store, with processes."""
+"""Outages of the store, for all or only for the controller, with processes."""
 
 import pathlib
 import time
@@ -11,6 +11,10 @@
 LOG_DIRECTORY = pathlib.Path(__file__).resolve().parent.parent / "build" / "takeover"
 HEADERS = {"Host": "fleet.example", "Deadline-Ms": "3000"}
 TIMEOUT_S = 25.0
+OUTAGE_S = 6.0
+# Time after the outage in which runs without a lease would end.
+AFTER_OUTAGE_S = 5.0
+SAMPLE_INTERVAL_S = 0.1
 INSTANCE_COUNT = 6
 LASTING_STEP = {"count": 3, "ms": 0, "processors": 1000, "memory": 100, "lasts": True}
 STEP = {"count": 4, "ms": 6000, "processors": 500, "memory": 100}
@@ -39,8 +43,8 @@
         self.addCleanup(self.deployment.stop)
         self.deployment.start()
         jobs = [(LASTING_STEP,)] * 4 + [(STEP,)] * 4
-        for steps in jobs:
-            self._submit(*steps)
+        names = [self._submit(*steps) for steps in jobs]
+        self.lasting_jobs = set(names[:4])
         expected = sum(step["count"] for (step,) in jobs)
         calls.wait_until(
             lambda: len(self.deployment.findings()["running"]) == expected,
@@ -63,6 +67,13 @@
             return response.status == 200
 
         calls.wait_until(is_accepted, TIMEOUT_S, "the job is accepted")
+        return job
+
+    def _count_lasting_runs(self):
+        return sum(
+            task.partition(".")[0] in self.lasting_jobs
+            for task in self.deployment.findings()["running"]
+        )
 
     def _find_controllers(self):
         """Return the names of the entry instances that have the controller role."""
@@ -104,6 +115,21 @@
         time.sleep(5.0)
         self.assertEqual(self.deployment.findings()["violations"], [])
 
+    def test_outage_of_the_store_ends_no_run(self):
+        """Guards against leases that lapse everywhere while no join succeeds."""
+        expected = 4 * LASTING_STEP["count"]
+        self.assertEqual(self._count_lasting_runs(), expected)
+        self.deployment.send_order("store", is_down=True)
+        began_at = time.monotonic()
+        counts = set()
+        while (elapsed_s := time.monotonic() - began_at) < OUTAGE_S + AFTER_OUTAGE_S:
+            if elapsed_s > OUTAGE_S:
+                self.deployment.send_order("store")
+            counts.add(self._count_lasting_runs())
+            time.sleep(SAMPLE_INTERVAL_S)
+        self.assertEqual(counts, {expected})
+        self.assertEqual(self.deployment.findings()["violations"], [])
+
     def test_slow_successor_runs_nothing_twice(self):
         """Guards against runs that are given up before the executors are known.
 
