--- a/cranberryport/platform/advice.py
+++ b/cranberryport/platform/advice.py
@@ -5,15 +5,12 @@
 """
 
 import dataclasses
-import logging
 
 from cranberryport.platform import bodies
 
 # The service accepts this many executors in one call.
 EXECUTORS_PER_CALL_LIMIT = 100
 
-_logger = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
 class Permits:
@@ -72,18 +69,8 @@
             if status != 200 or not isinstance(rows, list):
                 callback(None)
                 return
-            tickets = {
-                row[0]: row[1]
-                for row in rows
-                if isinstance(row, list)
-                and len(row) > 1
-                and isinstance(row[0], str)
-                and isinstance(row[1], str)
-            }
-            if len(tickets) < len(rows):
-                _logger.warning(
-                    "malformed rows of permits", extra={"rows": bodies.quote(rows)}
-                )
+            found = bodies.select_rows(rows, (str, str), "malformed rows of permits")
+            tickets = {executor_id: ticket for executor_id, ticket, *_ in found}
             callback(
                 Permits(
                     tickets=tickets,
--- a/cranberryport/platform/bodies.py
+++ b/cranberryport/platform/bodies.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import logging
 import typing
 
 import msgspec
@@ -25,6 +26,7 @@
 )
 Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
 
+_logger = logging.getLogger(__name__)
 _UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
@@ -111,6 +113,35 @@
     return text[:REASON_LIMIT_CHARACTERS]
 
 
+def select_rows(rows, types, event):
+    """Return the rows that begin with values of the given types.
+
+    Parameters
+    ----------
+    rows : list
+        Decoded rows of a table.
+    types : tuple of type
+        Type of each of the first columns.
+    event : str
+        Event of the log line that is written if any row is left out.
+
+    Returns
+    -------
+    list of list
+        The usable rows, in order.
+    """
+    found = [
+        row
+        for row in rows
+        if isinstance(row, list)
+        and len(row) >= len(types)
+        and all(map(isinstance, row, types))
+    ]
+    if len(found) < len(rows):
+        _logger.warning(event, extra={"rows": quote(rows)})
+    return found
+
+
 def is_number(value):
     """Return whether a decoded value is a number within ``NUMBER_LIMIT``."""
     if isinstance(value, bool) or not isinstance(value, int | float):
--- a/cranberryport/platform/store.py
+++ b/cranberryport/platform/store.py
@@ -440,18 +440,10 @@
             if status != 200 or rows is None:
                 callback(_parse_failure(result))
                 return
-            members = {
-                row[1]: row[2]
-                for row in rows
-                if isinstance(row, list)
-                and len(row) > 2
-                and isinstance(row[1], int)
-                and isinstance(row[2], str)
-            }
-            if len(members) < len(rows):
-                _logger.warning(
-                    "malformed rows of owners", extra={"rows": bodies.quote(rows)}
-                )
+            found = bodies.select_rows(
+                rows, (object, int, str), "malformed rows of owners"
+            )
+            members = {partition: member for _, partition, member, *_ in found}
             callback(PartitionOwners(members=members))
 
         self._send("GET", target, b"", timeout_s, on_result)
