--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -34,6 +34,8 @@
 UPKEEP_S = 2.0
 MOVE_S = 1.5
 ENDS_PER_ANSWER = 500
+# A task that lasts is at work this long after its start.
+STARTUP_S = 0.7
 CONNECTIONS_PER_EXECUTOR = 64
 READY_TIMEOUT_S = 20.0
 HOST = "127.0.0.1"
@@ -82,13 +84,20 @@
         self.duration_s = duration_s
         self.started_at = time.monotonic()
 
+    def progress_percent(self, now):
+        """Return the progress; a task that lasts is at work after a short startup."""
+        age_s = now - self.started_at
+        if self.step.get("lasts"):
+            return 100 if age_s > STARTUP_S else 0
+        return min(99, int(100 * age_s / self.duration_s))
+
 
 class Worker:
     """A machine and the life of its executor.
 
     The specification of a job says how its tasks behave: ``steps``, each with the
     ``ms`` that its first task takes, the ``spread_ms`` that its last one takes longer,
-    ``count``, ``cpu`` and ``mem``.
+    ``count``, ``cpu``, ``mem`` and, for tasks that last, ``lasts``.
     """
 
     def __init__(self, *, platform, machine, pool, host, rack, cpu, mem):
@@ -300,7 +309,7 @@
                 run.task,
                 run.number,
                 "",
-                min(99, int(100 * (now - run.started_at) / run.duration_s)),
+                run.progress_percent(now),
                 run.step["cpu"],
             ]
             for run in self.runs.values()
