--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -328,7 +328,9 @@
         self.starts = []
         self.ends = []
         self.order_filter = None
+        # Later starts of its task, by task and number of a run that ended ``done``.
         self._done = {}
+        # Task and number of the runs whose end ``done`` was taken note of.
         self._noted = set()
         self._wave_records = {}
         self._version = 0
@@ -442,15 +444,15 @@
                 f"{run.task} run {run.number} on {worker.machine} begins while "
                 f"another run of it is at work on {others}"
             )
-        if run.task in self._done:
-            self._done[run.task].append((run.number, worker.machine))
+        for number, starts in self._done.get(run.task, {}).items():
+            starts.append(f"run {run.number} on {worker.machine} after run {number}")
 
     def on_end(self, worker, run, how):
         """Note that a run has ended."""
         self.record.add(f"end {run.task} run {run.number} on {worker.machine}: {how}")
         self.ends.append(how)
         if how == "done":
-            self._done.setdefault(run.task, [])
+            self._done.setdefault(run.task, {})[run.number] = []
 
     def on_lost(self, worker, run):
         """Note that a run has ended with its executor."""
@@ -459,14 +461,15 @@
     def on_acked(self, worker, end):
         """Note that an end was taken note of."""
         if end[3] == "done":
-            self._noted.add(end[1])
+            self._noted.add((end[1], end[2]))
 
     def find_repeats(self):
         """Return the tasks started after an end ``done`` that was taken note of."""
         return {
             task: starts
-            for task, starts in self._done.items()
-            if starts and task in self._noted
+            for task, ends in self._done.items()
+            for number, starts in ends.items()
+            if starts and (task, number) in self._noted
         }
 
     # Machines
@@ -696,7 +699,7 @@
         return await asyncio.wait_for(
             _call(host, port, method, path, body, headers or {}), timeout_s
         )
-    except (OSError, TimeoutError, ValueError, IndexError):
+    except (OSError, EOFError, TimeoutError, ValueError, IndexError):
         return 0, ""
 
 
