--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -213,9 +213,16 @@
             # taken note of.
             self.lapsed_through = self.end_number
         now = time.monotonic()
-        for key, run in list(self.runs.items()):
-            if now - run.started_at >= run.duration_s:
-                self._end(key, "failed" if self.fails_all else "done")
+        due = [
+            key
+            for key, run in self.runs.items()
+            if now - run.started_at >= run.duration_s
+        ]
+        if due and self.fails_all:
+            # An unhealthy executor fails everything that it runs.
+            due = list(self.runs)
+        for key in due:
+            self._end(key, "failed" if self.fails_all else "done")
 
     def _end(self, key, how):
         run = self.runs.pop(key)
