--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -804,8 +804,16 @@
         raise CannotRun("no entry instance says that it schedules the jobs")
 
     async def submit(self, entry, pool, job_id, body, *, tries=5):
-        """Hand a job in as a client does, with retries; return whether accepted."""
-        for _ in range(tries):
+        """Hand a job in as a client does; retries reach other entry instances.
+
+        Returns
+        -------
+        bool
+            Whether the job was accepted.
+        """
+        first = self.entries.index(entry)
+        for number in range(tries):
+            entry = self.entries[(first + number) % len(self.entries)]
             status, _ = await entry.request("POST", f"/{pool}/{job_id}", body)
             if 200 <= status < 300:
                 return True
