--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,7 @@
 """Jobs wait for an executor that refuses all starts, and do not count as pending.
 
-Eleven of twelve executors are full of tasks that last. The last one has room, but is unhealthy:
-it answers each start with 503, which does nothing.
+Eleven of twelve executors are full of tasks that last. The last one has room, but is
+unhealthy: it answers each start with 503, which does nothing.
 """
 
 import asyncio
