Keep runs that an incomplete list of ended runs lacks

Cause: Scheduler.on_runs_listed took the list of ends for complete. Change: the adapter tells whether a list has all ends; by another one no run is given up, be it a restored run, one of a cancelled job, or one whose failure has still to be counted. Each of the four tests of IncompleteListTest and the random test of job interleavings, whose executors now list two ends at a time, fail with the fault put back and pass with the fix.

--- a/bench/place_waits.py
+++ b/bench/place_waits.py
@@ -294,7 +294,9 @@
             if finished or is_progress_listed:
                 self._scheduler.on_runs_listed(
                     executor,
-                    types.SimpleNamespace(running=running, finished=finished),
+                    types.SimpleNamespace(
+                        running=running, finished=finished, are_ends_complete=True
+                    ),
                     requested_at=self._now,
                     now=self._now,
                     now_unix_s=START_UNIX_S + self._now,
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -17,6 +17,9 @@
 INSTANCE_HEADER = b"expected-instance"
 # Longer checkpoints are not kept, so that a task fits into its record.
 CHECKPOINT_LIMIT_BYTES = 200
+# Most ends of runs in one list (platform's protocol); more are listed once these are
+# acknowledged.
+ENDS_PER_LIST_LIMIT = 500
 _logger = logging.getLogger(__name__)
 # Reasons of the platform that are passed on unchanged, but "fence" becomes "fenced".
 _KEPT_REASONS = {"fence", "old", "late", "room", "ticket"}
@@ -98,6 +101,9 @@
         Runs in progress; only in the response to ``list_runs``.
     finished : list of FinishedEntry
         Runs that have ended and are not acknowledged; only in that response.
+    are_ends_complete : bool
+        Whether ``finished`` has all of them. If not, a run that is in neither list may
+        have ended.
     """
 
     is_accepted: bool
@@ -106,6 +112,7 @@
     started_at_ms: int | None = None
     running: list[RunningEntry] = dataclasses.field(default_factory=list)
     finished: list[FinishedEntry] = dataclasses.field(default_factory=list)
+    are_ends_complete: bool = True
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
@@ -263,6 +270,7 @@
         started_at_ms=bodies.get_integer(fields, "born", None),
         running=running,
         finished=finished,
+        are_ends_complete=len(finished) < ENDS_PER_LIST_LIMIT,
     )
 
 
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -95,7 +95,7 @@
         They are being stopped and occupy resources until they have ended.
     given_up_runs : set of (str, int)
         Task and number of the runs that were given up as its lease expired; empty after
-        its next list, which may still have their ends.
+        its next complete list, which may still have their ends.
     tickets : dict of str to ((str, float) or None)
         Ticket and monotonic end of its validity by name of the step; None for a step
         that the advice service does not permit here.
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -847,6 +847,14 @@
                 unknown.append(key)
                 continue
             self._update_run(run, entry, now)
+        executor.unknown_runs = tuple(unknown)
+        if not report.are_ends_complete:
+            # A run that is not listed may have ended; its end is listed later.
+            _logger.info(
+                "list of ended runs is incomplete",
+                extra={"executor": executor.id, "ends": len(report.finished)},
+            )
+            return unknown
         for key, run in list(executor.runs.items()):
             if key in listed or run.state == model.PLANNED:
                 continue
@@ -860,7 +868,6 @@
             )
             if was_confirmed or (run.state != model.STOPPING and has_start_expired):
                 self._remove_lost_run(run, "not in the executor's list")
-        executor.unknown_runs = tuple(unknown)
         executor.given_up_runs = set()
         return unknown
 
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -56,7 +56,7 @@
     )
 
 
-def make_report(running=(), finished=()):
+def make_report(running=(), finished=(), *, are_ends_complete=True):
     """Return an executor's answer with its lists of runs.
 
     Parameters
@@ -66,6 +66,8 @@
         percent.
     finished : iterable of (int, str, int, str)
         Number of the end, task, number of the run, and how it ended.
+    are_ends_complete : bool
+        Whether all ends are listed.
     """
     return types.SimpleNamespace(
         running=[
@@ -82,6 +84,7 @@
             types.SimpleNamespace(number=n, task=task, run=run, how=how, checkpoint="")
             for n, task, run, how in finished
         ],
+        are_ends_complete=are_ends_complete,
     )
 
 
@@ -140,11 +143,19 @@
         self.list_runs(executor)
         return executor
 
-    def list_runs(self, executor, running=(), finished=(), *, requested_at=None):
+    def list_runs(
+        self,
+        executor,
+        running=(),
+        finished=(),
+        *,
+        requested_at=None,
+        are_ends_complete=True,
+    ):
         """Pass an executor's lists to the scheduler; return the unknown runs."""
         return self.scheduler.on_runs_listed(
             executor,
-            make_report(running, finished),
+            make_report(running, finished, are_ends_complete=are_ends_complete),
             requested_at=self.now if requested_at is None else requested_at,
             now=self.now,
             now_unix_s=NOW_UNIX_S,
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -246,6 +246,15 @@
         found = machines._parse_order_result(scripted.no_answer())
         self.assertEqual((found.is_accepted, found.reason), (False, ""))
 
+    def test_as_many_ends_as_a_list_can_have_may_not_be_all(self):
+        """Guards against ended runs that are given up as no list has them."""
+        limit = executors.ENDS_PER_LIST_LIMIT
+        for count, is_complete in ((0, True), (limit - 1, True), (limit, False)):
+            with self.subTest(count=count):
+                rows = [[n, f"a.0.0.{n}", 1, "done", ""] for n in range(1, count + 1)]
+                found = executors.parse_response(scripted.answer(Finished=rows))
+                self.assertEqual(found.are_ends_complete, is_complete)
+
 
 class PermitsTest(unittest.TestCase):
     """Parsing of the responses of the advice service."""
--- a/tests/test_scheduling_job_interleavings.py
+++ b/tests/test_scheduling_job_interleavings.py
@@ -35,6 +35,8 @@
 JOBS_LIMIT = 8
 STEP_KINDS = ("plain", "copied", "gang", "lasting")
 DISTURBANCES = ("refuse", "lose start", "lose start and stop", "cancel and lose stop")
+# An executor lists the other ends once these are acknowledged.
+ENDS_PER_LIST_LIMIT = 2
 # Interval of the lists and decisions while nothing goes wrong.
 ROUND_S = 0.2
 # Every task whose turn has come runs within this time after the last disruption: the
@@ -345,7 +347,8 @@
             executor,
             scheduling.make_report(
                 [(*run.key, "", run.percent) for run in simulated.running.values()],
-                [end[:4] for end in simulated.ends],
+                [end[:4] for end in simulated.ends[:ENDS_PER_LIST_LIMIT]],
+                are_ends_complete=len(simulated.ends) < ENDS_PER_LIST_LIMIT,
             ),
             requested_at=self.now,
             now=self.now,
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -4,7 +4,7 @@
 import unittest
 import unittest.mock
 
-from cranberryport.scheduling import model, records, scheduler
+from cranberryport.scheduling import model, ordering, records, scheduler
 from tests import scheduling
 
 
@@ -400,6 +400,81 @@
         self.assertEqual(unknown, [("other.0.0.0", 3)])
 
 
+class IncompleteListTest(unittest.TestCase):
+    """Lists without all ends, as more wait for the store than a list can have."""
+
+    def setUp(self):
+        """Start a task that ends while the executor lists only other ends."""
+        self.harness = scheduling.SchedulerHarness()
+        self.job = self.harness.add_job(scheduling.make_job())
+        (self.run_,) = self.harness.start()
+        self.executor = self.harness.executors[0]
+        self.other_end = (1, "other.0.0.0", 1, "done")
+        self.end = (2, self.run_.task.name, self.run_.number, "done")
+
+    def _list_other_end(self, executor):
+        self.harness.now += 0.1
+        self.harness.list_runs(
+            executor, finished=[self.other_end], are_ends_complete=False
+        )
+
+    def test_run_without_a_listed_end_is_kept(self):
+        """Guards against a second run of a task that has ended as done.
+
+        Review case 7: over 500 ends waited at an executor while the store was down.
+        """
+        self._list_other_end(self.executor)
+        self.assertEqual(self.run_.task.runs, [self.run_])
+        self.harness.list_runs(self.executor, finished=[self.end])
+        self.assertEqual(self.job.state, model.COMPLETED)
+
+    def test_stopped_run_keeps_its_resources(self):
+        """Guards against a run of a cancelled job that is forgotten before its end."""
+        self.harness.scheduler.cancel_job(self.job.id, scheduling.NOW_UNIX_S)
+        self.harness.scheduler.on_stop_confirmed(self.run_, self.harness.now)
+        self._list_other_end(self.executor)
+        self.assertEqual(list(self.executor.runs.values()), [self.run_])
+        self.harness.now += 0.1
+        self.harness.list_runs(self.executor, finished=[self.other_end])
+        self.assertEqual(self.executor.runs, {})
+
+    def test_restored_run_is_kept(self):
+        """Guards against a second run by a controller that reads such a list first."""
+        record = records.progress_to_record(self.job)
+        successor = scheduling.SchedulerHarness(count=0)
+        job = scheduling.make_job()
+        successor.scheduler.restore_job(job, record, scheduling.NOW_UNIX_S)
+        executor = successor.scheduler.add_or_update_executor(
+            scheduling.make_executor(self.run_.executor), successor.now
+        )
+        successor.list_runs(
+            executor, finished=[self.other_end], are_ends_complete=False
+        )
+        self.assertEqual(len(executor.runs), 1)
+        successor.list_runs(executor, finished=[self.end])
+        self.assertEqual(job.state, model.COMPLETED)
+
+    def test_failure_of_a_run_that_was_given_up_is_counted_from_a_later_list(self):
+        """Guards against a start beyond the limit of failed runs."""
+        self.harness.scheduler.set_queues(
+            {
+                "queue": ordering.QueueRules(
+                    name="queue", service="pool", failed_runs_limit=1
+                )
+            }
+        )
+        self.executor.lease_expires_at = self.harness.now + 1.0
+        self.harness.now += 2.0
+        self.harness.scheduler.process_due_events(
+            self.harness.now, scheduling.NOW_UNIX_S
+        )
+        self.assertEqual(self.run_.task.runs, [])
+        self._list_other_end(self.executor)
+        failure = (*self.end[:3], "failed")
+        self.harness.list_runs(self.executor, finished=[self.other_end, failure])
+        self.assertEqual(self.job.state, model.FAILED)
+
+
 class FailedTaskTest(unittest.TestCase):
     """Tasks with copies whose runs have failed as often as the queue allows."""
 
