Count a job as waiting until one of its runs has started

Cause: plan_run marked the job as started before its start was stored or sent, and the mark was restored by the next controller. Change: Job.mark_started is called when an executor confirms a start, or lists a run or its end.

--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -501,7 +501,8 @@
     ended_at : float or None
         Unix time in seconds at which the job ended.
     has_started : bool
-        Whether a run of any task was planned.
+        Whether a run of any task is known to have started. A planned run, or an order
+        that an executor refuses, is no start.
     stored_crash_keys : set of str
         Keys of the records that the store has of the crashes under its tasks.
     stored_task_parts : dict of int to (list or None)
@@ -612,6 +613,12 @@
             return self.state
         return ACTIVE
 
+    def mark_started(self):
+        """Record that a run of a task has started."""
+        self.has_started = True
+        if self.state == ACCEPTED:
+            self.state = ACTIVE
+
     def occurrence_due_at(self, number):
         """Return the Unix time in seconds from which an occurrence may start."""
         return self.first_due_at + number * self.interval_s
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -753,6 +753,10 @@
 
     def on_run_started(self, run, now):
         """Record that an executor has confirmed the start of a run or has listed it."""
+        run.task.job.mark_started()
+        self._confirm_run(run, now)
+
+    def _confirm_run(self, run, now):
         if run.state == model.ORDERED:
             run.state = model.RUNNING
             run.progressed_at = now
@@ -776,7 +780,7 @@
         """
         executor = self._executors.get(run.executor)
         if reason == "old":
-            self.on_run_started(run, now)
+            self._confirm_run(run, now)
             return
         if executor is not None and reason == "room":
             executor.backoff_until = now + NO_ROOM_DELAY_S
@@ -888,6 +892,7 @@
 
     def _end_run(self, run, end, executor, now, now_unix_s):
         task, job = run.task, run.task.job
+        job.mark_started()
         if end.how != "done" or run.number > 1:
             # The first runs of tasks that end well are summed up by step.
             _logger.info(
@@ -945,6 +950,7 @@
                 "how": end.how,
             },
         )
+        task.job.mark_started()
         if is_failure:
             self._fail_task(task, executor, now_unix_s)
         else:
@@ -1044,12 +1050,8 @@
         task.next_run_number = number + 1
         task.runs.append(run)
         executor.runs[(task.name, number)] = run
-        job = task.job
-        job.has_started = True
-        if job.state == model.ACCEPTED:
-            job.state = model.ACTIVE
         self._planned_runs.append(run)
-        self._mark_changed(job)
+        self._mark_changed(task.job)
 
     # Storing
 
@@ -1198,7 +1200,7 @@
         return None if job is None else job.reported_state
 
     def waiting_job_count(self, queue):
-        """Return the number of open jobs of a queue without any planned run so far."""
+        """Return the number of open jobs of a queue of which no run has started."""
         return sum(
             job.queue == queue and not job.has_started
             for job in self._open_jobs.values()
--- a/tests/test_scheduling_job_interleavings.py
+++ b/tests/test_scheduling_job_interleavings.py
@@ -94,6 +94,8 @@
         self.failed_runs_limit = 2
         self.jobs = {}
         self.cancelled = set()
+        # Jobs of which a task has started.
+        self.begun = set()
         self.stored = test_scheduling_record_groups.StoredRecords()
         self.simulated = {name: SimulatedExecutor() for name in EXECUTORS}
         # Names of the tasks, or of the steps of gangs, that have ended as done, and
@@ -267,6 +269,7 @@
         if not started.is_lasting:
             failures = self.acknowledged_failures[started.limit_key]
             assert len(failures) < self.failed_runs_limit, "run beyond the limit"
+        self.begun.add(started.job)
         simulated.running[started.key] = started
         simulated.lease_expires_at = max(
             simulated.lease_expires_at, self.now + scheduler.START_VALIDITY_S
@@ -610,6 +613,16 @@
         )
         assert not [name for name, count in names.items() if count > 1]
 
+    @invariant()
+    def check_waiting_jobs(self):
+        """Check that an open job counts as waiting until one of its tasks starts."""
+        open_jobs = self.scheduler.open_jobs.values() if self.jobs else ()
+        waiting = [job for job in open_jobs if job.id not in self.begun]
+        assert not [job.id for job in waiting if job.has_started]
+        assert not [job.id for job in waiting if job.state != model.ACCEPTED]
+        if self.jobs:
+            assert self.scheduler.waiting_job_count("queue") >= len(waiting)
+
     @invariant()
     def check_ended_jobs(self):
         """Check that each ended job has a cause for its end."""
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -475,6 +475,58 @@
         self.assertEqual(self.job.state, model.FAILED)
 
 
+class WaitingJobTest(unittest.TestCase):
+    """Jobs of which runs are planned and none has started."""
+
+    def setUp(self):
+        """Plan and store a run."""
+        self.harness = scheduling.SchedulerHarness()
+        self.job = self.harness.add_job(scheduling.make_job())
+        batch = self.harness.plan()
+        (self.run_,) = self.harness.scheduler.commit(batch, self.harness.now)
+        (self.record,) = batch.progress_records
+
+    def test_job_whose_start_is_refused_waits(self):
+        """Guards against jobs that no caller sees waiting.
+
+        Review case 10: an unhealthy executor refused the starts of four jobs, and none
+        of them counted as pending.
+        """
+        scheduler_ = self.harness.scheduler
+        self.assertEqual(scheduler_.waiting_job_count("queue"), 1)
+        for reason in ("unhealthy", "room", "old"):
+            with self.subTest(reason=reason):
+                scheduler_.on_start_refused(self.run_, reason, self.harness.now)
+                self.assertEqual(scheduler_.waiting_job_count("queue"), 1)
+                self.assertEqual(scheduler_.job_state(self.job.id), model.ACCEPTED)
+
+    def test_job_with_a_confirmed_or_listed_run_does_not_wait(self):
+        """Guards against a job that is at work and counts as pending."""
+        self.harness.scheduler.on_run_started(self.run_, self.harness.now)
+        self.assertEqual(self.harness.scheduler.waiting_job_count("queue"), 0)
+        self.assertEqual(self.harness.scheduler.job_state(self.job.id), model.ACTIVE)
+
+    def test_restored_job_waits_until_its_run_is_listed(self):
+        """Guards against a planned run that counts as started after a takeover."""
+        key = (self.run_.task.name, self.run_.number)
+        for running, finished, expected in (
+            ((), (), 1),
+            ((key,), (), 0),
+            ((), [(1, *key, "failed")], 0),
+        ):
+            with self.subTest(running=running, finished=finished):
+                successor = scheduling.SchedulerHarness(count=0)
+                job = scheduling.make_job()
+                successor.scheduler.restore_job(job, self.record, scheduling.NOW_UNIX_S)
+                self.assertEqual(successor.scheduler.waiting_job_count("queue"), 1)
+                executor = successor.scheduler.add_or_update_executor(
+                    scheduling.make_executor(self.run_.executor), successor.now
+                )
+                successor.list_runs(executor, running, finished)
+                count = successor.scheduler.waiting_job_count("queue")
+                self.assertEqual(count, expected)
+
+
 class FailedTaskTest(unittest.TestCase):
     """Tasks with copies whose runs have failed as often as the queue allows."""
 
