--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import time
 
 from cranberryport.control import (
@@ -166,7 +167,8 @@
         self._started_at = time.monotonic()
         lease_wait_s = takeover.previous_lease_wait_s(self._lease_s)
         self._scheduler = scheduler.Scheduler(
-            previous_leases_expire_at=self._started_at + lease_wait_s
+            previous_leases_expire_at=self._started_at + lease_wait_s,
+            longest_lease_s=settings.lease_most_ms / 1000,
         )
         self._shares = organisation_shares.OrganisationShares(state=self._scheduler)
         self._planner = task_planner.TaskPlanner(
@@ -607,11 +609,13 @@
         for executor_id in list(self._scheduler.executors):
             if executor_id not in listed:
                 self._scheduler.mark_entry_removed(executor_id, now)
-        self._scheduler.on_executors_read()
+        self._scheduler.on_executors_read(
+            self._executors_reader.last_read_sent_at or -math.inf
+        )
         self._on_executor_records(items)
 
     def _on_executor_records(self, items):
-        now = time.monotonic()
+        now, now_unix_s = time.monotonic(), time.time()
         for key, value in dict(items).items():
             executor = executors.parse_entry(key, value, now) if value else None
             if executor is None or isinstance(executor, bodies.Invalid):
@@ -620,17 +624,15 @@
                 continue
             self._invalid_entries.pop(key, None)
             previous = self._scheduler.executors.get(key)
-            start_times = {
-                executor.started_at_ms,
-                None if previous is None else previous.started_at_ms,
-            } - {None}
-            if previous is not None and len(start_times) == 2:
-                self._scheduler.on_executor_restarted(previous, executor.started_at_ms)
-            current = self._scheduler.add_or_update_executor(executor, now)
+            current = self._scheduler.add_or_update_executor(
+                executor, now, now_unix_s=now_unix_s
+            )
             if current is None:
                 continue
             if current is not previous:
                 self._open_link(current)
+            elif key in self._links:
+                self._links[key].list_after_restart()
         self.schedule_decision()
 
     def _log_invalid_entry(self, key, entry):
@@ -729,6 +731,8 @@
         if self._is_stopped or not self._is_ready or not self._has_configuration:
             return
         now, now_unix_s = time.monotonic(), time.time()
+        if self._has_read_executors():
+            self._scheduler.on_executors_read(self._executors_reader.last_read_sent_at)
         self._scheduler.process_due_events(now, now_unix_s)
         for executor_id in list(self._links):
             if executor_id not in self._scheduler.executors:
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -3,6 +3,12 @@
 One call renews the lease and lists the runs. It is a long poll: the executor answers
 when a run ends or after the time that the call allows. The next call acknowledges the
 reported ends of runs that have been stored; the executor no longer lists these.
+
+An executor that restarts may be back under its id at once, and its address and id do
+not tell which of its lives has answered a call. Each call is sent for the life that is
+known then (:attr:`executors.Executor.life`), and each answer is examined: lists of runs
+name the life, other answers have only its clock. What another life answers proves
+nothing about the one that was meant.
 """
 
 import logging
@@ -10,7 +16,7 @@
 
 from cranberryport.control import call_losses
 from cranberryport.platform import executors
-from cranberryport.scheduling import model, pacing
+from cranberryport.scheduling import model, pacing, takeover
 
 # Long enough that no run ends while a new controller replaces one that has failed.
 LEASE_S = 4.0
@@ -39,6 +45,20 @@
 _logger = logging.getLogger(__name__)
 
 
+class _Call:
+    """A call to an executor, which was meant for the life that was known then."""
+
+    __slots__ = ("end_number", "life", "name", "sent_at", "started_at_ms")
+
+    def __init__(self, *, name, executor, sent_at):
+        self.name = name
+        self.life = executor.life
+        self.started_at_ms = executor.started_at_ms
+        self.sent_at = sent_at
+        # Number of the last end that the call acknowledges.
+        self.end_number = executor.unconfirmed_end_number
+
+
 class ExecutorLink:
     """Sends calls to one executor and passes the responses to the scheduler.
 
@@ -53,7 +73,7 @@
     timers : cranberryport.timers.Timers
         Timers of the process.
     epoch : int
-        Epoch of the controller; the executor refuses calls with an earlier one.
+        Epoch of the controller; the executor refuses calls of an earlier one.
     lease_s : float
         Duration of the lease in seconds.
     on_change : callable
@@ -75,13 +95,12 @@
         "_executor",
         "_has_list_call_failed",
         "_is_closed",
-        "_is_list_pending",
         "_is_role_proven",
         "_lease_s",
-        "_list_sent_at",
         "_losses",
         "_on_change",
         "_on_superseded",
+        "_pending_list",
         "_scheduler",
         "_timers",
     )
@@ -111,8 +130,8 @@
         self._on_superseded = on_superseded
         self._is_closed = False
         self._has_list_call_failed = False
-        self._is_list_pending = False
-        self._list_sent_at = 0.0
+        # The call for a list whose answer counts; None if there is none.
+        self._pending_list = None
         self._losses = losses or call_losses.CallLosses()
 
     @property
@@ -128,6 +147,24 @@
         """Send no more calls; responses to pending calls are ignored."""
         self._is_closed = True
 
+    def list_after_restart(self):
+        """List the runs at once if a pending request was meant for a former life."""
+        pending = self._pending_list
+        if pending is not None and pending.life != self._executor.life:
+            self._list_runs_again()
+
+    def _list_runs_again(self):
+        """List the runs without waiting for the answer to the pending request."""
+        self._pending_list = None
+        self._list_runs()
+
+    def _make_call(self, name):
+        return _Call(name=name, executor=self._executor, sent_at=time.monotonic())
+
+    @property
+    def _token(self):
+        return takeover.order_token(self._epoch, self._executor.life)
+
     def start(self, run):
         """Order the executor to start a run that is stored."""
         now = time.monotonic()
@@ -146,12 +183,14 @@
             return
         if run.deadline_ms is None:
             run.deadline_ms = self._executor.extend_lease(now, validity_s)
+        run.start_sent_at = now
+        call = self._make_call("start")
         self._client.start_run(
             self._executor,
             run,
             deadline_ms=run.deadline_ms,
-            epoch=self._epoch,
-            callback=lambda response: self._on_start(run, response),
+            token=self._token,
+            callback=lambda response: self._on_start(run, call, response),
             timeout_s=min(ORDER_TIMEOUT_S, validity_s),
             may_send=self._is_role_proven,
         )
@@ -161,12 +200,13 @@
         if self._is_closed or not self._is_role_proven():
             return
         run.stop_sent_at = time.monotonic()
+        call = self._make_call("stop")
         self._client.stop_run(
             self._executor,
             run.task.name,
             run.number,
-            epoch=self._epoch,
-            callback=lambda response: self._on_stop(run, response),
+            token=self._token,
+            callback=lambda response: self._on_stop(run, call, response),
             timeout_s=ORDER_TIMEOUT_S,
             may_send=self._is_role_proven,
         )
@@ -175,17 +215,18 @@
         """Order the executor to limit a run to a percentage of its speed."""
         if self._is_closed or not self._is_role_proven():
             return
+        call = self._make_call("pace")
         self._client.set_pace(
             self._executor,
             run,
             percent,
-            epoch=self._epoch,
-            callback=lambda response: self._on_pace(run, percent, response),
+            token=self._token,
+            callback=lambda response: self._on_pace(run, percent, call, response),
             timeout_s=ORDER_TIMEOUT_S,
             may_send=self._is_role_proven,
         )
 
-    def _on_start(self, run, response):
+    def _on_start(self, run, call, response):
         if self._is_closed:
             return
         now = time.monotonic()
@@ -195,12 +236,12 @@
                 self._losses.record_loss(now)
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
             return
-        if self._is_unusable(response):
+        if self._is_unusable(call, response):
             return
-        if response.is_accepted:
-            self._executor.last_alive_at = now
-            self._scheduler.on_run_started(run, now)
-        else:
+        # A refused start has done nothing in any life, except that after "old" the run
+        # may exist.
+        is_refused = not response.is_accepted and response.reason != "old"
+        if is_refused or response.reason == "old":
             _logger.info(
                 "start refused",
                 extra={
@@ -211,24 +252,38 @@
                     "reason": response.reason,
                 },
             )
+        if not is_refused and not self._is_of_life_meant(call, response):
+            # Whether the life that was meant has the run is not known.
+            run.has_unanswered_start = True
+        elif response.is_accepted:
+            self._executor.last_alive_at = now
+            is_proven = (
+                response.clock_ms is not None
+                and self._executor.is_clock_of_present_life(response.clock_ms, now)
+            )
+            life = call.life if is_proven else None
+            self._scheduler.on_run_started(run, now, life=life)
+        else:
             self._scheduler.on_start_refused(run, response.reason, now)
         self._on_change()
 
-    def _on_stop(self, run, response):
+    def _on_stop(self, run, call, response):
         if self._is_closed or isinstance(response, executors.NoResponse):
             return
-        if self._is_unusable(response):
+        if self._is_unusable(call, response) or not response.is_accepted:
             return
-        if response.is_accepted:
+        if self._is_of_life_meant(call, response):
             self._scheduler.on_stop_confirmed(run, time.monotonic())
 
-    def _on_pace(self, run, percent, response):
+    def _on_pace(self, run, percent, call, response):
         if self._is_closed or isinstance(response, executors.NoResponse):
             return
-        if not self._is_unusable(response) and response.is_accepted:
+        if self._is_unusable(call, response) or not response.is_accepted:
+            return
+        if self._is_of_life_meant(call, response):
             run.pace = percent
 
-    def _is_unusable(self, response):
+    def _is_unusable(self, call, response):
         """Return whether a response must be ignored.
 
         Also gives up the controller role if the executor has refused the call because
@@ -236,6 +291,10 @@
         the response is usable.
         """
         executor = self._executor
+        if response.reason == "fenced" and call.life != executor.life:
+            # Refused because of a call to the present life, which has a higher token.
+            self._log_other_life(call, response)
+            return True
         if response.reason == "fenced":
             self._on_superseded()
             return True
@@ -253,17 +312,58 @@
                 and response.started_at_ms < executor.started_at_ms
             ):
                 # The executor sent this response before its restart.
+                self._log_other_life(call, response)
                 return True
             if executor.started_at_ms is not None:
                 self._scheduler.on_executor_restarted(executor, response.started_at_ms)
+                self.list_after_restart()
             executor.started_at_ms = response.started_at_ms
         return False
 
+    def _is_of_life_meant(self, call, response):
+        """Return whether the life that a call was meant for has answered, if known.
+
+        Otherwise the executor has restarted. If this is not known yet, the runs are
+        listed at once, as the list names the life.
+        """
+        executor = self._executor
+        if call.life != executor.life:
+            self._log_other_life(call, response)
+            return False
+        if response.clock_ms is not None and executor.is_clock_behind(
+            response.clock_ms, call.sent_at
+        ):
+            self._log_other_life(call, response)
+            pending = self._pending_list
+            if pending is None or pending.sent_at < call.sent_at:
+                self._list_runs_again()
+            return False
+        return True
+
+    def _log_other_life(self, call, response):
+        executor = self._executor
+        _logger.info(
+            "answer may be of another life of the executor",
+            extra={
+                "executor": executor.id,
+                "call": call.name,
+                "life_meant": call.started_at_ms,
+                "life_known": executor.started_at_ms,
+                # Only lists of runs name it.
+                "life_answered": response.started_at_ms,
+                "clock_ms": response.clock_ms,
+                "clock_ms_read": executor.clock_ms,
+                "is_accepted": response.is_accepted,
+                "reason": response.reason,
+            },
+        )
+
     def _list_runs(self):
-        if self._is_closed or self._is_list_pending:
+        if self._is_closed or self._pending_list is not None:
             return
         executor = self._executor
-        now = self._list_sent_at = executor.list_requested_at = time.monotonic()
+        call = self._pending_list = self._make_call("list")
+        now = executor.list_requested_at = call.sent_at
         lease_end_ms, may_send = None, None
         is_renewal = executor.clock_ms is not None and not self._has_list_call_failed
         if is_renewal and self._is_role_proven():
@@ -276,23 +376,24 @@
             long_poll_s = min(long_poll_s, BEST_EFFORT_LONG_POLL_S)
         if executor.clock_ms is None or self._has_list_call_failed:
             long_poll_s = 0.0
-        self._is_list_pending = True
         self._client.list_runs(
             executor,
+            end_number=call.end_number,
             lease_end_ms=lease_end_ms,
-            epoch=self._epoch,
+            token=self._token,
             wait_s=long_poll_s,
-            callback=self._on_runs_listed,
+            callback=lambda response: self._on_runs_listed(call, response),
             timeout_s=self._losses.list_timeout_s(now),
             may_send=may_send,
         )
 
-    def _on_runs_listed(self, response):
-        self._is_list_pending = False
-        if self._is_closed:
+    def _on_runs_listed(self, call, response):
+        if self._is_closed or call is not self._pending_list:
+            # A later request does not depend on this one.
             return
+        self._pending_list = None
         try:
-            self._handle_list(response)
+            self._handle_list(call, response)
         except Exception:
             # The executor is asked again, whatever its list contains.
             _logger.exception(
@@ -300,7 +401,7 @@
             )
             self._timers.after(LIST_RETRY_DELAY_S, self._list_runs)
 
-    def _handle_list(self, response):
+    def _handle_list(self, call, response):
         now = time.monotonic()
         executor = self._executor
         executor.list_requested_at = None
@@ -313,7 +414,10 @@
             )
             self._on_no_response(response.reason)
             return
-        is_unusable = self._is_unusable(response)
+        is_unusable = self._is_unusable(call, response)
+        if not is_unusable and response.started_at_ms is None:
+            # Without its start time the list could be of any life since the call.
+            is_unusable = call.life != executor.life
         if not is_unusable:
             executor.record_answer(now)
         if is_unusable or not response.is_accepted:
@@ -324,15 +428,21 @@
             _logger.info("executor answers again", extra={"executor": executor.id})
         is_clock_new = executor.clock_ms is None
         if response.clock_ms is not None:
-            executor.update_clock(response.clock_ms, now)
-        # The executor now refuses calls of earlier controllers.
-        executor.has_accepted_epoch = True
+            executor.update_clock(response.clock_ms, now, requested_at=call.sent_at)
+        if call.life == executor.life:
+            # It now refuses calls of earlier controllers, and those that were meant for
+            # its former lives.
+            executor.has_accepted_epoch = True
+            executor.forgotten_end_number = max(
+                executor.forgotten_end_number, call.end_number
+            )
         unknown_runs = self._scheduler.on_runs_listed(
             executor,
             response,
-            requested_at=self._list_sent_at,
+            requested_at=call.sent_at,
             now=now,
             now_unix_s=time.time(),
+            life=call.life,
         )
         for task, run in unknown_runs if self._is_role_proven() else ():
             _logger.info(
@@ -343,14 +453,14 @@
                 executor,
                 task,
                 run,
-                epoch=self._epoch,
+                token=self._token,
                 callback=self._on_unknown_stopped,
                 timeout_s=ORDER_TIMEOUT_S,
                 may_send=self._is_role_proven,
             )
         self._adjust_pace()
         self._on_change()
-        if is_clock_new:
+        if is_clock_new or call.life != executor.life:
             self._list_runs()
         else:
             self._timers.after(LIST_DELAY_S, self._list_runs_once_stored)
--- a/cranberryport/platform/executors.py
+++ b/cranberryport/platform/executors.py
@@ -133,9 +133,10 @@
     """Sends orders to executors; results are passed to callbacks.
 
     All calls take the executor (:class:`cranberryport.scheduling.executors.Executor`),
-    the epoch of the controller, a callback that is called once with an
-    ``ExecutorResponse`` or a ``NoResponse``, the time after which the call fails, and
-    ``may_send``, see :meth:`cranberryport.http.connection_pool.ConnectionPool.send`.
+    the token that orders the calls (:func:`takeover.order_token`), a callback that is
+    called once with an ``ExecutorResponse`` or a ``NoResponse``, the time after which
+    the call fails, and ``may_send``, see
+    :meth:`cranberryport.http.connection_pool.ConnectionPool.send`.
 
     Parameters
     ----------
@@ -154,7 +155,7 @@
         run,
         *,
         deadline_ms,
-        epoch,
+        token,
         callback,
         timeout_s,
         may_send=None,
@@ -168,7 +169,7 @@
             "RunId": run.number,
             "Spec": run.task.job.spec,
             "DeadlineMs": deadline_ms,
-            "FencingToken": epoch,
+            "FencingToken": token,
         }
         if run.checkpoint:
             body["Checkpoint"] = run.checkpoint
@@ -177,21 +178,21 @@
         self._send(executor, "/api/run-start", body, callback, timeout_s, may_send)
 
     def stop_run(
-        self, executor, task, run, *, epoch, callback, timeout_s, may_send=None
+        self, executor, task, run, *, token, callback, timeout_s, may_send=None
     ):
         """Stop a run; a start of this run that arrives later is refused."""
-        body = {"Task": task, "RunId": run, "FencingToken": epoch}
+        body = {"Task": task, "RunId": run, "FencingToken": token}
         self._send(executor, "/api/run-stop", body, callback, timeout_s, may_send)
 
     def set_pace(
-        self, executor, run, percent, *, epoch, callback, timeout_s, may_send=None
+        self, executor, run, percent, *, token, callback, timeout_s, may_send=None
     ):
         """Limit a run to a percentage of its full speed."""
         body = {
             "Task": run.task.name,
             "RunId": run.number,
             "Percent": percent,
-            "FencingToken": epoch,
+            "FencingToken": token,
         }
         self._send(executor, "/api/pace", body, callback, timeout_s, may_send)
 
@@ -199,8 +200,9 @@
         self,
         executor,
         *,
+        end_number,
         lease_end_ms,
-        epoch,
+        token,
         wait_s,
         callback,
         timeout_s,
@@ -212,10 +214,12 @@
         ----------
         executor : cranberryport.scheduling.executors.Executor
             The executor.
+        end_number : int
+            Number up to which the executor deletes its ends; 0 for none.
         lease_end_ms : int or None
             New end of the lease on the executor's clock; None to leave it as it is.
-        epoch : int
-            Epoch of the controller.
+        token : int
+            Token that orders the calls.
         wait_s : float
             Seconds for which the executor may delay its response until a run ends.
         callback : callable
@@ -226,8 +230,8 @@
             Whether the call may still be sent.
         """
         body = {
-            "FencingToken": epoch,
-            "AckedThrough": executor.acknowledged_end_number,
+            "FencingToken": token,
+            "AckedThrough": end_number,
             "WaitMs": int(wait_s * 1000),
         }
         if lease_end_ms is not None:
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -7,7 +7,7 @@
 
 import math
 
-from cranberryport.scheduling import takeover
+from cranberryport.scheduling import model, takeover
 
 READY = "ready"
 DRAINING = "draining"
@@ -17,6 +17,15 @@
 # An executor answers a request for its runs within a second. After this time without an
 # answer it counts as silent.
 SILENCE_TIMEOUT_S = 1.6
+# An executor's clock is taken for behind if it is by this share of the time since it
+# was read, and by this time, behind what it should show. More than the drift of 2 %
+# that the platform allows.
+CLOCK_BEHIND_SHARE = 0.03
+CLOCK_BEHIND_MS = 50.0
+# Allowed difference of the time of day between an executor and this process.
+CLOCK_DIFFERENCE_S = 2.0
+# An executor's clock begins anew at a value below this when it restarts.
+FIRST_CLOCK_LIMIT_MS = 5000.0
 
 
 class Executor:
@@ -55,6 +64,15 @@
         Its clock as last read; None before its first answer after a start.
     clock_read_at : float or None
         Monotonic time at which the clock was read.
+    clock_requested_at : float or None
+        Monotonic time at which the call was sent whose answer had the clock. The life
+        with this clock had begun before the answer.
+    life : int
+        Number of its present life as this controller knows it. A life is the time
+        between two starts of the process; all lives of executors that a controller
+        learns of are numbered from 1.
+    listed_life : int or None
+        Life of its last answer to a request for its runs that was meant for that life.
     runs : dict of (str, int) to model.Run
         Runs by name of the task and number of the run.
     received_end_number : int
@@ -62,11 +80,15 @@
         a run has ended; the executor numbers them from 1.
     acknowledged_end_number : int
         Number of the last end that is stored, so that the executor may delete it.
+    forgotten_end_number : int
+        Number of the last end that it has certainly deleted.
     found_at : float
         Monotonic time at which its entry was first read.
     has_accepted_epoch : bool
-        Whether it has accepted the epoch of this controller, after which it rejects
-        orders of previous controllers.
+        Whether its present life has accepted a call that was meant for it, after which
+        it rejects orders of previous controllers and those meant for its former lives.
+    has_restarted : bool
+        Whether it has restarted under its id since this controller found it.
     has_store_entry : bool
         Whether the store has an entry of it.
     is_being_vacated : bool
@@ -112,19 +134,24 @@
         "backoff_until",
         "clock_ms",
         "clock_read_at",
+        "clock_requested_at",
         "data_centre",
+        "forgotten_end_number",
         "found_at",
         "given_up_runs",
         "has_accepted_epoch",
-        "id",
+        "has_restarted",
         "has_store_entry",
+        "id",
         "is_being_vacated",
         "labels",
         "lapsed_runs",
         "last_alive_at",
         "last_listed_at",
+        "life",
         "lease_expires_at",
         "list_requested_at",
+        "listed_life",
         "memory",
         "processors",
         "rack",
@@ -171,13 +198,18 @@
         self.started_at_ms = None
         self.clock_ms = None
         self.clock_read_at = None
+        self.clock_requested_at = None
+        self.life = 0
+        self.listed_life = None
         self.runs = {}
         self.lapsed_runs = []
         self.acknowledged_end_number = 0
         self.received_end_number = 0
+        self.forgotten_end_number = 0
         self.found_at = 0.0
         self.given_up_runs = set()
         self.has_accepted_epoch = False
+        self.has_restarted = False
         self.has_store_entry = True
         self.unknown_runs = ()
         self.is_being_vacated = False
@@ -206,6 +238,29 @@
             and self.acknowledged_end_number >= self.received_end_number
         )
 
+    def age_s(self, now_unix_s):
+        """Return for how long its process has run, in seconds; infinity if not known.
+
+        Parameters
+        ----------
+        now_unix_s : float
+            Unix time in seconds.
+        """
+        if self.started_at_ms is None:
+            return math.inf
+        return max(0.0, now_unix_s - self.started_at_ms / 1000 - CLOCK_DIFFERENCE_S)
+
+    @property
+    def unconfirmed_end_number(self):
+        """Number up to which it is asked to delete its ends; 0 if it has done so.
+
+        So a request that a later life carries out deletes none of that life's ends, but
+        for the short time in which ends are being acknowledged.
+        """
+        if self.acknowledged_end_number <= self.forgotten_end_number:
+            return 0
+        return self.acknowledged_end_number
+
     @property
     def is_draining(self):
         """Whether it has announced that it will terminate."""
@@ -235,10 +290,73 @@
             (now - self.clock_read_at) * 1000 / takeover.CLOCK_DRIFT_FACTOR
         )
 
-    def update_clock(self, clock_ms, now):
-        """Record the clock that an answer contained which has just arrived."""
+    def update_clock(self, clock_ms, now, *, requested_at=None):
+        """Record the clock that an answer contained which has just arrived.
+
+        Parameters
+        ----------
+        clock_ms : int
+            The clock in milliseconds.
+        now : float
+            Monotonic time in seconds.
+        requested_at : float, optional
+            Monotonic time at which the call was sent; by default the present.
+        """
         self.clock_ms = clock_ms
         self.clock_read_at = now
+        self.clock_requested_at = now if requested_at is None else requested_at
+
+    def is_clock_behind(self, clock_ms, sent_at):
+        """Return whether a clock shows too little for the life whose clock was read.
+
+        Then another life has answered, or the executor was suspended.
+
+        Parameters
+        ----------
+        clock_ms : int
+            Clock in an answer in milliseconds.
+        sent_at : float
+            Monotonic time at which the call was sent.
+        """
+        if self.clock_ms is None:
+            return False
+        passed_ms = (sent_at - self.clock_read_at) * 1000
+        if passed_ms > 0:
+            passed_ms *= 1 - CLOCK_BEHIND_SHARE
+        return clock_ms < self.clock_ms + passed_ms - CLOCK_BEHIND_MS
+
+    def is_clock_of_present_life(self, clock_ms, now):
+        """Return whether a clock can only be that of the life whose clock was read.
+
+        A later life has begun after that clock was requested, so its own clock shows no
+        more than the time since then.
+
+        Parameters
+        ----------
+        clock_ms : int
+            Clock in an answer in milliseconds.
+        now : float
+            Monotonic time in seconds at which the answer arrived.
+        """
+        if self.clock_ms is None:
+            return False
+        latest_ms = (now - self.clock_requested_at) * 1000 + FIRST_CLOCK_LIMIT_MS
+        return clock_ms > latest_ms
+
+    def may_begin_later(self, run):
+        """Return whether a start of a run may be carried out after a restart.
+
+        A start without an answer may still arrive, and an answer may have come from the
+        new life before this controller has learned of it.
+
+        Parameters
+        ----------
+        run : model.Run
+            A run on this executor.
+        """
+        if run.state == model.PLANNED:
+            return False
+        return run.has_unanswered_start or run.begun_in_life != self.life
 
     def extend_lease(self, now, lease_s):
         """Extend the lease and return its end on the executor's clock.
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -154,14 +154,23 @@
     ordered_at : float or None
         Monotonic time at which the start was stored and could be sent; None for a run
         that a previous controller started.
+    start_sent_at : float or None
+        Monotonic time at which this controller last sent the start, or found the
+        executor of a run that a previous one started; None if there was neither.
     start_expires_at : float or None
         Monotonic time after which an unanswered start is not carried out any more;
         None for a run that a previous controller started.
     has_unanswered_start : bool
-        Whether an attempt to send the start had no response, and may have been carried
-        out.
+        Whether an attempt to send the start had no response, or one of another life of
+        the executor, and may have been or still be carried out. True for a run that a
+        previous controller started.
     is_start_withdrawn : bool
-        Whether the start is not sent again, as the executor has crashed since.
+        Whether the start is not sent again, as the executor has restarted since.
+    life : int or None
+        Life of the executor for which the run was ordered, or in which it was listed;
+        None for a run that a previous controller started.
+    begun_in_life : int or None
+        Life of the executor in which the run has certainly begun; None if not known.
     deadline_ms : int or None
         Deadline sent with the start, on the executor's clock.
     stop_sent_at : float or None
@@ -189,12 +198,14 @@
     """
 
     __slots__ = (
+        "begun_in_life",
         "checkpoint",
         "confirmed_at",
         "deadline_ms",
         "executor",
         "has_unanswered_start",
         "is_start_withdrawn",
+        "life",
         "number",
         "ordered_at",
         "pace",
@@ -204,6 +215,7 @@
         "remote_factor",
         "reported_load",
         "start_expires_at",
+        "start_sent_at",
         "state",
         "stop_sent_at",
         "task",
@@ -218,8 +230,11 @@
         self.confirmed_at = None
         self.ordered_at = None
         self.start_expires_at = None
+        self.start_sent_at = None
         self.has_unanswered_start = False
         self.is_start_withdrawn = False
+        self.life = None
+        self.begun_in_life = None
         self.deadline_ms = None
         self.stop_sent_at = None
         self.checkpoint = ""
--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -226,3 +226,6 @@
         model.Run(task=task, number=n, executor=executor, state=model.ORDERED)
         for n, executor in runs
     ]
+    for run in task.runs:
+        # It is not stored whether each attempt to send the start had a response.
+        run.has_unanswered_start = True
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -29,6 +29,14 @@
 START_VALIDITY_S = 2.0
 # Executors shorten longer leases; the limits of the deployments are 6 s and 10 s.
 LONGEST_LEASE_S = 10.0
+# An order without an answer may be carried out until this time has passed, if nothing
+# that the executor knows forbids it. Its validity does not: that is a time of the clock
+# of the life that the order was meant for.
+LATE_ORDER_LIMIT_S = 12.0
+# Time from the start of an executor until its entry is in the store. Entries that an
+# outage of the store has removed are back within 2 s of its return (platform's
+# protocol).
+REGISTRATION_LIMIT_S = 2.5
 # Delay before a task that could not be started is tried again.
 RETRY_DELAY_S = 0.2
 # Backoff after a refusal for lack of resources; by then the executor's next list of
@@ -118,11 +126,18 @@
     previous_leases_expire_at : float
         Monotonic time by which the leases of the previous controller have expired on
         all executors.
+    longest_lease_s : float
+        Longest lease that executors grant, in seconds.
     """
 
-    def __init__(self, *, previous_leases_expire_at):
+    def __init__(self, *, previous_leases_expire_at, longest_lease_s=LONGEST_LEASE_S):
         self._previous_leases_expire_at = previous_leases_expire_at
+        self._longest_lease_s = longest_lease_s
+        # Number of the lives of executors that this controller has learned of.
+        self._life_count = 0
         self._has_read_executors = False
+        # Monotonic time at which the newest read of the list of executors was sent.
+        self._executors_read_sent_at = -math.inf
         self._jobs = {}
         self._open_jobs = {}
         self._executors = {}
@@ -366,15 +381,20 @@
 
     # Executors
 
-    def add_or_update_executor(self, executor, now):
+    def add_or_update_executor(self, executor, now, *, now_unix_s=None):
         """Add an executor that the store lists, or update the known one.
 
+        A known executor with a later start time has restarted. An entry with an earlier
+        one was written before the restart and is ignored.
+
         Parameters
         ----------
         executor : executors.Executor
             Executor as read from its entry in the store.
         now : float
             Monotonic time in seconds.
+        now_unix_s : float, optional
+            Unix time in seconds; without it an executor that is found counts as old.
 
         Returns
         -------
@@ -388,6 +408,25 @@
         ):
             return None
         known = self._executors.get(executor.id)
+        has_restarted = False
+        if known is not None and None not in (
+            known.started_at_ms,
+            executor.started_at_ms,
+        ):
+            if executor.started_at_ms < known.started_at_ms:
+                _logger.info(
+                    "entry of an executor's former life ignored",
+                    extra={
+                        "executor": known.id,
+                        "life_known": known.started_at_ms,
+                        "life_read": executor.started_at_ms,
+                    },
+                )
+                return known
+            has_restarted = executor.started_at_ms > known.started_at_ms
+        # An executor that is back at another address has restarted as well.
+        if has_restarted or (known is not None and known.address != executor.address):
+            self.on_executor_restarted(known, executor.started_at_ms, now=now)
         if known is not None and known.address == executor.address:
             is_changed = known.state != executor.state or not known.has_store_entry
             known.state = executor.state
@@ -406,14 +445,32 @@
                     extra={"executor": known.id, "state": known.state},
                 )
             return known
-        if known is not None:
-            self._remove_runs_on(known, "restarted", has_crashed=True)
         self._executors[executor.id] = executor
         executor.found_at = now
+        executor.life = self._next_life()
         executor.lease_expires_at = self._previous_leases_expire_at
+        if now < self._previous_leases_expire_at and now_unix_s is not None:
+            # Orders that a previous controller meant for a former life of it.
+            executor.lease_expires_at = max(
+                executor.lease_expires_at,
+                takeover.former_orders_end_at(
+                    now,
+                    age_s=executor.age_s(now_unix_s),
+                    late_order_limit_s=LATE_ORDER_LIMIT_S,
+                    longest_lease_s=self._longest_lease_s,
+                ),
+            )
+        if known is not None:
+            executor.has_restarted = True
+            executor.runs = known.runs
+            executor.lease_expires_at = max(
+                executor.lease_expires_at, known.lease_expires_at or 0.0
+            )
         executor.given_up_runs = self._given_up_runs.pop(executor.id, set())
         for run in self._restored_runs.pop(executor.id, {}).values():
             executor.runs[(run.task.name, run.number)] = run
+            # The previous controller sent its last orders before.
+            run.start_sent_at = now
         _logger.info(
             "executor found",
             extra={
@@ -424,9 +481,21 @@
         )
         return executor
 
-    def on_executors_read(self):
-        """Record that the list of executors has been read at least once."""
+    def _next_life(self):
+        self._life_count += 1
+        return self._life_count
+
+    def on_executors_read(self, sent_at=math.inf):
+        """Record that the list of executors has been read.
+
+        Parameters
+        ----------
+        sent_at : float, optional
+            Monotonic time at which the newest answered request for it was sent; by
+            default it is taken to be up to date at any time.
+        """
         self._has_read_executors = True
+        self._executors_read_sent_at = sent_at
 
     def mark_entry_removed(self, executor_id, now):
         """Mark an executor whose entry is not in the store any more.
@@ -442,9 +511,10 @@
     def on_executor_restarted(self, executor, started_at_ms, *, now=None):
         """Record that an executor has restarted under its id.
 
-        Its confirmed runs have ended. An unanswered start may still reach the restarted
-        executor, so its run is kept until a list of runs shows whether it exists, or
-        its lease has expired as the executor does not answer any more.
+        The runs that have certainly begun before have ended. A start without an answer
+        may still be carried out by the restarted executor, and one with an answer may
+        have been answered by it. The runs of these are kept until the first list that
+        the new life is asked for, or until its lease has expired as it does not answer.
 
         Parameters
         ----------
@@ -455,23 +525,43 @@
         now : float, optional
             Monotonic time in seconds; by default that of this call.
         """
+        now = time.monotonic() if now is None else now
         self._remove_runs_on(
-            executor, "restarted", has_crashed=True, is_kept=_is_unanswered
+            executor, "restarted", has_crashed=True, is_kept=executor.may_begin_later
+        )
+        _logger.info(
+            "executor restarted",
+            extra={
+                "executor": executor.id,
+                "life_before": executor.started_at_ms,
+                "life_now": started_at_ms,
+                "kept": [[run.task.name, run.number] for run in executor.runs.values()],
+            },
         )
         for run in executor.runs.values():
-            # The deadline refers to the executor's clock, which restarts as well.
+            # The deadline refers to the executor's clock, which restarts as well. The
+            # start is not repeated: whether it was carried out has to be certain first.
             run.deadline_ms = None
-            # If this start has crashed the executor, a repetition would crash it again.
-            run.is_start_withdrawn = crashes.is_suspect(run.task)
+            run.is_start_withdrawn = True
+            run.has_unanswered_start = True
+            run.confirmed_at = None
+            run.progressed_at = None
+            if run.state == model.RUNNING:
+                run.state = model.ORDERED
+        executor.life = self._next_life()
+        executor.has_restarted = True
         executor.started_at_ms = started_at_ms
         executor.acknowledged_end_number = 0
         executor.received_end_number = 0
+        executor.forgotten_end_number = 0
         executor.clock_ms = None
         executor.lease_expires_at = None
         if executor.runs:
-            now = time.monotonic() if now is None else now
-            executor.lease_expires_at = (
-                now + START_VALIDITY_S + (LONGEST_LEASE_S * takeover.CLOCK_DRIFT_FACTOR)
+            executor.lease_expires_at = takeover.former_orders_end_at(
+                now,
+                age_s=0.0,
+                late_order_limit_s=LATE_ORDER_LIMIT_S,
+                longest_lease_s=self._longest_lease_s,
             )
         executor.has_accepted_epoch = False
         executor.unknown_runs = ()
@@ -652,7 +742,11 @@
         """
         for executor in list(self._executors.values()):
             is_lease_expired = executor.is_lease_expired(now)
-            if executor.runs and is_lease_expired:
+            if (
+                executor.runs
+                and is_lease_expired
+                and not self._may_have_restarted_unseen(executor)
+            ):
                 # Whether it has crashed or was cut off shows later.
                 lapsed_runs = [
                     (run, executor.run_age_s(run)) for run in executor.runs.values()
@@ -680,6 +774,24 @@
             self._activate_due_occurrences(job, now_unix_s)
         self._repeat_stops(now)
 
+    def _may_have_restarted_unseen(self, executor):
+        """Return whether a start may run in a life that is not known yet.
+
+        It would have a lease by another clock than the one that has expired. The list
+        of executors shows the restart if it was read late enough.
+        """
+        newest = max(
+            (
+                run.start_sent_at
+                for run in executor.runs.values()
+                if run.start_sent_at is not None
+                and run.life in (None, executor.life)
+                and executor.may_begin_later(run)
+            ),
+            default=-math.inf,
+        )
+        return self._executors_read_sent_at < newest + REGISTRATION_LIMIT_S
+
     def _repeat_stops(self, now):
         if now - self._stops_checked_at < STOP_CHECK_INTERVAL_S:
             return
@@ -751,9 +863,22 @@
         self._pending_stops.clear()
         return result
 
-    def on_run_started(self, run, now):
-        """Record that an executor has confirmed the start of a run or has listed it."""
+    def on_run_started(self, run, now, *, life=None):
+        """Record that an executor has confirmed the start of a run or has listed it.
+
+        Parameters
+        ----------
+        run : model.Run
+            The run.
+        now : float
+            Monotonic time in seconds.
+        life : int, optional
+            Life of the executor in which it certainly has begun; by default this is not
+            known.
+        """
         run.task.job.mark_started()
+        if life is not None:
+            run.begun_in_life = life
         self._confirm_run(run, now)
 
     def _confirm_run(self, run, now):
@@ -805,7 +930,9 @@
         if run.confirmed_at is None:
             run.confirmed_at = now
 
-    def on_runs_listed(self, executor, report, *, requested_at, now, now_unix_s):
+    def on_runs_listed(
+        self, executor, report, *, requested_at, now, now_unix_s, life=None
+    ):
         """Update the state by an executor's lists of running and ended runs.
 
         Parameters
@@ -820,6 +947,10 @@
             Monotonic time in seconds.
         now_unix_s : float
             Unix time in seconds.
+        life : int, optional
+            Life of the executor for which the request was meant; by default its present
+            one. After an answer to such a request it refuses the orders that were meant
+            for its former lives and those of previous controllers.
 
         Returns
         -------
@@ -827,8 +958,13 @@
             Name of the task and number of each running run that is not known and must
             be stopped.
         """
+        is_meant_for_life = life is None or life == executor.life
         self._is_first_list = executor.last_listed_at is None
         executor.last_listed_at = now
+        if is_meant_for_life and executor.listed_life != executor.life:
+            executor.listed_life = executor.life
+            if executor.has_restarted:
+                self._bound_lease(executor, now)
         for end in report.finished:
             if end.number <= executor.received_end_number:
                 continue
@@ -850,7 +986,7 @@
             if run is None:
                 unknown.append(key)
                 continue
-            self._update_run(run, entry, now)
+            self._update_run(run, entry, executor, now)
         executor.unknown_runs = tuple(unknown)
         if not report.are_ends_complete:
             # A run that is not listed may have ended; its end is listed later.
@@ -862,6 +998,12 @@
         for key, run in list(executor.runs.items()):
             if key in listed or run.state == model.PLANNED:
                 continue
+            if run.life != executor.life:
+                # The order was meant for a former life, or a previous controller sent
+                # it. The executor refuses it from now on.
+                if is_meant_for_life:
+                    self._remove_lost_run(run, "not in the list of the new life")
+                continue
             # A list that was requested before the confirmation, or while the start
             # could still arrive, does not show whether a run exists that it lacks.
             was_confirmed = (
@@ -875,16 +1017,29 @@
         executor.given_up_runs = set()
         return unknown
 
-    def _update_run(self, run, entry, now):
-        self.on_run_started(run, now)
+    def _bound_lease(self, executor, now):
+        """Count with the longest lease where an unknown renewal may have been accepted.
+
+        A renewal that was meant for a former life names a time of another clock. The
+        executor shortens it only to the longest lease that it grants.
+        """
+        executor.lease_expires_at = max(
+            executor.lease_expires_at or 0.0,
+            takeover.former_orders_end_at(
+                now,
+                age_s=0.0,
+                late_order_limit_s=0.0,
+                longest_lease_s=self._longest_lease_s,
+            ),
+        )
+
+    def _update_run(self, run, entry, executor, now):
+        run.life = executor.life
+        self.on_run_started(run, now, life=executor.life)
         if crashes.clear_outlived_crashes(run.task, now - run.confirmed_at):
             self._mark_changed(run.task.job)
         if run.progress_percent != entry.progress_percent or run.progressed_at is None:
-            executor = self._executors.get(run.executor)
-            if executor is not None:
-                stragglers.update_progress_rate(
-                    executor, run, entry.progress_percent, now
-                )
+            stragglers.update_progress_rate(executor, run, entry.progress_percent, now)
             run.progress_percent = entry.progress_percent
             run.progressed_at = now
         run.checkpoint = entry.checkpoint
@@ -1124,6 +1279,7 @@
             if run.state != model.PLANNED or run not in run.task.runs:
                 continue
             run.state = model.ORDERED
+            run.life = self._executors[run.executor].life
             run.ordered_at = now
             run.start_expires_at = now + START_VALIDITY_S
             starts.append(run)
@@ -1210,7 +1366,3 @@
 def _is_index(text):
     # Longer numbers come from no task of this program.
     return text.isdecimal() and len(text) < 10
-
-
-def _is_unanswered(run):
-    return run.state == model.ORDERED and run.confirmed_at is None
--- a/cranberryport/scheduling/takeover.py
+++ b/cranberryport/scheduling/takeover.py
@@ -1,7 +1,8 @@
-"""Rules of a change of the controller.
+"""Rules of a change of the controller, and of an executor's restart under its id.
 
 Load pattern: a controller is cut off from the store, or paused, while another one takes
-over with a slow store. Each rule is a function of what its caller knows; the model
+over with a slow store; executors crash and are back under their ids at once, while
+calls to them are under way. Each rule is a function of what its caller knows; the model
 in ``tests/test_scheduling_takeover_model.py`` calls the same functions in all orders of
 the steps.
 """
@@ -17,6 +18,59 @@
 # Added for clocks of entry instances that run apart, and for the time between the check
 # of the role and the sending of a renewal.
 TAKEOVER_MARGIN_S = 0.5
+# Lives of executors that one controller can tell apart in its orders.
+LIVES_LIMIT = 1 << 16
+
+
+def order_token(epoch, life):
+    """Return the number that a call to an executor carries, by which calls are ordered.
+
+    An executor refuses calls with a lower number than it has received. It forgets the
+    numbers when it restarts, and calls that were meant for its former life may still
+    arrive then. The first call to the new life has a higher number than these, so that
+    none of them is carried out after it.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the controller.
+    life : int
+        Number of the executor's life, see :class:`executors.Executor`.
+
+    Returns
+    -------
+    int
+        Larger for a later epoch, and within an epoch for a later life.
+    """
+    return epoch * LIVES_LIMIT + min(life, LIVES_LIMIT - 1)
+
+
+def former_orders_end_at(now, *, age_s, late_order_limit_s, longest_lease_s):
+    """Return when nothing runs any more by an order that was meant for a former life.
+
+    Such an order names a time of another clock, so neither its validity nor the lease
+    that it asks for bounds it: it was sent before the present life began, is carried
+    out in time, and an executor shortens its lease to the longest one.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds.
+    age_s : float
+        Age of the present life in seconds.
+    late_order_limit_s : float
+        Time in seconds within which an order without an answer is carried out; 0 if the
+        executor refuses such orders from now on.
+    longest_lease_s : float
+        Longest lease that executors grant, in seconds.
+
+    Returns
+    -------
+    float
+        Monotonic time in seconds.
+    """
+    lease_s = longest_lease_s * CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
+    return now - age_s + late_order_limit_s + lease_s
 
 
 def is_role_proven(proof_age_s):
--- a/tests/test_scheduling_organisation_limits.py
+++ b/tests/test_scheduling_organisation_limits.py
@@ -395,6 +395,7 @@
             copy = records.job_from_record(records.job_to_record(job))
             progress = records.progress_to_record(job)
             successor.scheduler.restore_job(copy, progress, scheduling.NOW_UNIX_S)
+        successor.scheduler.on_executors_read()
         for executor in harness.executors:
             found = successor.scheduler.add_or_update_executor(
                 scheduling.make_executor(executor.id), successor.now
--- /dev/null
+++ b/tests/test_scheduling_restart_interleavings.py
@@ -0,0 +1,651 @@
+"""Random orders of calls to executors that restart under their ids.
+
+They guard against a task that runs twice at the same time, or again after an end that
+was acknowledged, because a call or an answer belongs to another life of the executor
+than the controller takes it for. The links, the scheduler and the planner are those of
+the controller; what runs is what the simulated executors run.
+
+Two orders of events are left out, as no call of a controller prevents them: a start
+that the controller has given up in the life that it was meant for is carried out by the
+next life before the first call that is meant for that life; and in the same way an
+acknowledgement that was under way.
+"""
+
+import heapq
+import itertools
+import logging
+import types
+import unittest.mock
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from cranberryport.control import executor_link, stored_state
+from cranberryport.platform import executors as executor_client
+from cranberryport.scheduling import (
+    model,
+    ordering,
+    records,
+    scheduler,
+    takeover,
+    task_planner,
+)
+from tests import scheduling, test_scheduling_record_groups
+
+LEASE_S = 4.0
+LONGEST_LEASE_S = 6.0
+NAMES = ("e1", "e2", "e3")
+NOW_UNIX_S = scheduling.NOW_UNIX_S
+# Rates of the executors' clocks.
+CLOCK_RATES = {"e1": 1.0, "e2": 0.98, "e3": 1.0}
+JOBS_LIMIT = 6
+ROUND_S = 0.1
+# Without disruptions every job ends within this time: the longest lease after a late
+# order, and some rounds.
+SETTLING_S = 40.0
+# Ways in which a call ends.
+OUTCOMES = ("answered", "lost", "answer lost", "late", "answered late")
+
+
+class FakeTimers:
+    """Calls functions when they are due on a clock that a test advances."""
+
+    def __init__(self):
+        self.now = 100.0
+        self._heap = []
+        self._numbers = itertools.count()
+
+    def after(self, delay_s, callback):
+        """Schedule a call."""
+        heapq.heappush(self._heap, (self.now + delay_s, next(self._numbers), callback))
+
+    def advance(self, seconds):
+        """Advance the clock and make the calls that are due."""
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            due_at, _, callback = heapq.heappop(self._heap)
+            self.now = max(self.now, due_at)
+            callback()
+        self.now = end
+
+
+class Call:
+    """A call under way to an executor."""
+
+    def __init__(self, *, kind, name, born, sent_at, callback, timeout_s, **values):
+        self.kind = kind
+        self.name = name
+        # Start time of the life that is known to the controller.
+        self.born = born
+        self.sent_at = sent_at
+        self.callback = callback
+        self.timeout_s = timeout_s
+        self.values = types.SimpleNamespace(**values)
+
+    def fail(self):
+        """Tell the sender that there was no answer."""
+        self.callback(executor_client.NoResponse(reason="timeout"))
+
+
+class FakeClient:
+    """Client of the executors whose calls wait until the test ends them."""
+
+    def __init__(self, machine):
+        self._machine = machine
+
+    def _add(self, kind, executor, callback, timeout_s, **values):
+        call = Call(
+            kind=kind,
+            name=executor.id,
+            born=executor.started_at_ms,
+            sent_at=self._machine.now,
+            callback=callback,
+            timeout_s=timeout_s,
+            **values,
+        )
+        self._machine.calls.append(call)
+
+    def start_run(
+        self, executor, run, *, deadline_ms, token, callback, timeout_s, may_send
+    ):
+        """Start a run."""
+        self._add(
+            "start",
+            executor,
+            callback,
+            timeout_s,
+            run=run,
+            key=(run.task.name, run.number),
+            deadline_ms=deadline_ms,
+            token=token,
+        )
+
+    def stop_run(
+        self, executor, task, run, *, token, callback, timeout_s, may_send=None
+    ):
+        """Stop a run."""
+        self._add("stop", executor, callback, timeout_s, key=(task, run), token=token)
+
+    def list_runs(
+        self,
+        executor,
+        *,
+        end_number,
+        lease_end_ms,
+        token,
+        wait_s,
+        callback,
+        timeout_s,
+        may_send=None,
+    ):
+        """Renew the lease, acknowledge ends and list the runs."""
+        self._add(
+            "list",
+            executor,
+            callback,
+            timeout_s + wait_s,
+            end_number=end_number,
+            deadline_ms=lease_end_ms,
+            token=token,
+        )
+
+
+class SimulatedExecutor:
+    """An executor, which forgets everything when it restarts."""
+
+    def __init__(self, name, now):
+        self.name = name
+        self.born = 1
+        self.is_cut = False
+        # Runs that the controller had not given up when the present life began.
+        self.held_at_restart = set()
+        self.forget(now)
+
+    def forget(self, now):
+        """Begin a life."""
+        self.began_at = now
+        self.token = 0
+        self.lease_end_ms = 0
+        self.lapsed_at = now
+        self.running = {}
+        self.refused = {}
+        self.ends = []
+        self.end_count = 0
+
+    def clock_ms(self, now):
+        """Return the clock, which begins at 0 in each life."""
+        return int((now - self.began_at) * CLOCK_RATES[self.name] * 1000)
+
+    def end(self, key, how, now):
+        """End a run."""
+        self.end_count += 1
+        del self.running[key]
+        self.ends.append((self.end_count, *key, how, now))
+        self.refused[key[0]] = max(key[1], self.refused.get(key[0], 0))
+
+    def extend_lease(self, deadline_ms, now):
+        """Extend the lease, not beyond the longest one."""
+        limit_ms = self.clock_ms(now) + int(LONGEST_LEASE_S * 1000)
+        self.lease_end_ms = max(self.lease_end_ms, min(deadline_ms, limit_ms))
+
+
+class RestartMachine(RuleBasedStateMachine):
+    """A controller and its successors, calls under way, and executors that restart."""
+
+    def __init__(self):
+        super().__init__()
+        logging.disable(logging.CRITICAL)
+        self.timers = FakeTimers()
+        clock = types.SimpleNamespace(
+            monotonic=lambda: self.now, time=lambda: self.now_unix_s
+        )
+        self._patches = [
+            unittest.mock.patch.object(module, "time", clock)
+            for module in (executor_link, scheduler)
+        ]
+        for patch in self._patches:
+            patch.start()
+        self.calls = []
+        # Calls without an answer that are carried out later.
+        self.late_calls = []
+        # Calls that were carried out, with answers under way.
+        self.answers = []
+        self.jobs = {}
+        self.epoch = 0
+        self.stored = test_scheduling_record_groups.StoredRecords()
+        self.simulated = {name: SimulatedExecutor(name, self.now) for name in NAMES}
+        self.links = {}
+        # Times at which runs of each task have begun.
+        self.starts = {}
+        self.has_failed = False
+        # Tasks that last, which are restarted however they end.
+        self.lasting = set()
+
+    @property
+    def now(self):
+        """Monotonic time in seconds."""
+        return self.timers.now
+
+    @property
+    def now_unix_s(self):
+        """Unix time in seconds."""
+        return NOW_UNIX_S + self.timers.now
+
+    @initialize(count=st.integers(1, 3))
+    def start_with_running_job(self, count):
+        """Submit a job and start its tasks."""
+        self.take_over()
+        self.play_rounds(3)
+        self.submit_job(count, False)
+        self.play_rounds(2)
+
+    # The controller and its callers
+
+    @rule()
+    def take_over(self):
+        """Replace the controller by one that reads the store."""
+        for link in self.links.values():
+            link.close()
+        self.links = {}
+        self.epoch += 1
+        self.scheduler = scheduler.Scheduler(
+            previous_leases_expire_at=self.now
+            + takeover.previous_lease_wait_s(LEASE_S, role_validity_s=0.0),
+            longest_lease_s=LONGEST_LEASE_S,
+        )
+        self.planner = task_planner.TaskPlanner(state=self.scheduler)
+        rules = ordering.QueueRules(name="queue", service="pool", failed_runs_limit=99)
+        self.scheduler.set_queues({"queue": rules})
+        state = stored_state.StoredState()
+        state.add(sorted(self.stored.items()))
+        for job_id, record in self.jobs.items():
+            job = records.job_from_record(record)
+            state.prepare_job(job)
+            if job_id in state.progress:
+                progress = state.progress[job_id]
+                self.scheduler.restore_job(job, progress, NOW_UNIX_S)
+            else:
+                self.scheduler.add_job(job, NOW_UNIX_S)
+        self.read_entries()
+
+    @precondition(lambda self: len(self.jobs) < JOBS_LIMIT)
+    @rule(count=st.integers(1, 3), is_lasting=st.booleans())
+    def submit_job(self, count, is_lasting):
+        """Submit a job of one step."""
+        step = scheduling.make_step(count, processors=500, is_lasting=is_lasting)
+        job = scheduling.make_job(step, job=f"{len(self.jobs):016x}")
+        self.jobs[job.id] = records.job_to_record(job)
+        self.scheduler.add_job(job, NOW_UNIX_S)
+
+    @rule(number=st.integers(0, 20))
+    def stop_run(self, number):
+        """Stop a run, as to move it elsewhere."""
+        runs = [
+            run
+            for executor in self.scheduler.executors.values()
+            for run in executor.runs.values()
+            if run.state in (model.ORDERED, model.RUNNING)
+        ]
+        if runs:
+            self.scheduler.stop_run(runs[number % len(runs)])
+
+    def read_entries(self):
+        """Read the list of executors."""
+        for name in NAMES:
+            self.read_entry(name)
+        self.scheduler.on_executors_read(self.now)
+
+    @rule()
+    def decide(self):
+        """Plan and store runs, and send stops and starts."""
+        self.scheduler.process_due_events(self.now, NOW_UNIX_S)
+        for name in list(self.links):
+            if name not in self.scheduler.executors:
+                self.links.pop(name).close()
+        self.planner.plan(self.now, NOW_UNIX_S)
+        batch = self.scheduler.take_batch()
+        self.stored.apply(batch.groups)
+        for run in self.scheduler.commit(batch, self.now):
+            self.links[run.executor].start(run)
+        for run in self.scheduler.take_pending_stops():
+            if run.executor in self.links:
+                self.links[run.executor].stop(run)
+
+    @rule(name=st.sampled_from(NAMES), is_of_former_life=st.booleans())
+    def read_entry(self, name, is_of_former_life=False):
+        """Read an executor's entry in the store, or one that is older than that."""
+        previous = self.scheduler.executors.get(name)
+        if is_of_former_life and previous is None:
+            return
+        entry = scheduling.make_executor(name)
+        entry.started_at_ms = self.simulated[name].born - is_of_former_life
+        current = self.scheduler.add_or_update_executor(
+            entry, self.now, now_unix_s=self.now_unix_s
+        )
+        if current is previous:
+            self.links[name].list_after_restart()
+            return
+        self.links[name] = executor_link.ExecutorLink(
+            executor=current,
+            scheduler=self.scheduler,
+            client=FakeClient(self),
+            timers=self.timers,
+            epoch=self.epoch,
+            lease_s=LEASE_S,
+            on_change=lambda: None,
+            on_superseded=self._fail_superseded,
+            is_role_proven=lambda: True,
+        )
+        self.links[name].open()
+
+    def _fail_superseded(self):
+        raise AssertionError("a call of the only controller was refused as superseded")
+
+    # Calls
+
+    @rule(number=st.integers(0, 9), outcome=st.sampled_from(OUTCOMES))
+    def end_call(self, number, outcome):
+        """Carry out one of the calls under way, or lose it, or its answer."""
+        if self.calls:
+            self._end_call(self.calls.pop(number % len(self.calls)), outcome)
+
+    def _end_call(self, call, outcome):
+        if self.simulated[call.name].is_cut and outcome != "late":
+            outcome = "lost"
+        if outcome in ("answered", "answer lost", "answered late"):
+            response = self._carry_out(call)
+        if outcome == "answered":
+            call.callback(response)
+        elif outcome == "answered late":
+            self.answers.append((call, response))
+        else:
+            call.fail()
+        if outcome == "late":
+            self.late_calls.append(call)
+
+    @precondition(lambda self: self.late_calls)
+    @rule(number=st.integers(0, 9))
+    def carry_out_late(self, number):
+        """Carry out a call that got no answer."""
+        call = self.late_calls.pop(number % len(self.late_calls))
+        if self.now - call.sent_at <= scheduler.LATE_ORDER_LIMIT_S:
+            self._carry_out(call)
+
+    @precondition(lambda self: self.answers)
+    @rule(number=st.integers(0, 9))
+    def deliver_answer(self, number):
+        """Deliver an answer that was under way."""
+        call, response = self.answers.pop(number % len(self.answers))
+        call.callback(response)
+
+    def _carry_out(self, call):
+        """Let an executor carry out a call and return its response."""
+        simulated, values = self.simulated[call.name], call.values
+        is_meant = call.born == simulated.born
+        if not is_meant and self._is_left_out(call):
+            return executor_client.NoResponse(reason="timeout")
+        clock = simulated.clock_ms(self.now)
+
+        def respond(reason="", **fields):
+            return executor_client.ExecutorResponse(
+                is_accepted=not reason, reason=reason, clock_ms=clock, **fields
+            )
+
+        if values.token < simulated.token:
+            return respond("fenced")
+        simulated.token = values.token
+        if call.kind == "list":
+            return self._list(simulated, values, is_meant, respond)
+        task, number = values.key
+        if call.kind == "stop":
+            simulated.refused[task] = max(number, simulated.refused.get(task, 0))
+            if values.key in simulated.running:
+                simulated.end(values.key, "stopped", self.now)
+            return respond()
+        if clock > values.deadline_ms:
+            return respond("late")
+        if values.key not in simulated.running:
+            if number <= simulated.refused.get(task, 0):
+                return respond("old")
+            self._begin(simulated, values.run)
+        simulated.extend_lease(values.deadline_ms, self.now)
+        return respond()
+
+    def _is_left_out(self, call):
+        """Return whether a start was given up before the present life began."""
+        simulated = self.simulated[call.name]
+        if call.kind != "start" or call.sent_at >= simulated.began_at:
+            return False
+        return call.values.key not in simulated.held_at_restart
+
+    def _list(self, simulated, values, is_meant, respond):
+        acknowledged = values.end_number if is_meant else 0
+        for number, task, _, how, ended_at in simulated.ends:
+            is_binding = how == "done" and simulated.lapsed_at <= ended_at
+            if is_binding and number <= acknowledged and task not in self.lasting:
+                later = [at for at in self.starts.get(task, ()) if at > ended_at]
+                self._check(not later, f"{task} was started after its end as done")
+        simulated.ends = [end for end in simulated.ends if end[0] > acknowledged]
+        if values.deadline_ms is not None:
+            simulated.extend_lease(values.deadline_ms, self.now)
+        return respond(
+            started_at_ms=simulated.born,
+            running=[
+                executor_client.RunningEntry(
+                    task=task, run=run, checkpoint="", progress_percent=50, load=0
+                )
+                for task, run in simulated.running
+            ],
+            finished=[
+                executor_client.FinishedEntry(
+                    number=number, task=task, run=run, how=how, checkpoint=""
+                )
+                for number, task, run, how, _ in simulated.ends
+            ],
+        )
+
+    def _check(self, is_kept, violation):
+        self.has_failed |= not is_kept
+        assert is_kept, violation
+
+    def _begin(self, simulated, run):
+        name = run.task.name
+        for other in self.simulated.values():
+            running = {task for task, _ in other.running}
+            self._check(name not in running, f"{name} runs on {other.name} as well")
+        simulated.running[(name, run.number)] = run
+        if run.task.step.is_lasting:
+            self.lasting.add(name)
+        self.starts.setdefault(name, []).append(self.now)
+
+    # Executors
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        seconds=st.floats(0.0, 1.0),
+        is_entry_read=st.booleans(),
+        is_cut=st.booleans(),
+    )
+    def restart(self, name, seconds, is_entry_read, is_cut):
+        """Restart an executor under its id, maybe behind a partition."""
+        simulated = self.simulated[name]
+        simulated.forget(self.now)
+        simulated.born = max(simulated.born + 1, int(self.now_unix_s * 1000))
+        executor = self.scheduler.executors.get(name)
+        simulated.held_at_restart = set(
+            self.scheduler.restored_runs.get(name, {})
+            if executor is None
+            else executor.runs
+        )
+        self.pass_time(seconds)
+        if is_entry_read:
+            self.read_entry(name)
+        simulated.is_cut = is_cut
+
+    @rule(name=st.sampled_from(NAMES), is_cut=st.booleans())
+    def cut(self, name, is_cut):
+        """Partition an executor from the controller, or end that."""
+        self.simulated[name].is_cut = is_cut
+
+    @rule(
+        count=st.integers(1, 3),
+        outcomes=st.lists(st.sampled_from(OUTCOMES), min_size=1, max_size=3),
+        is_before=st.booleans(),
+        is_entry_read=st.booleans(),
+        is_cut=st.booleans(),
+        rounds=st.integers(0, 60),
+        are_entries_read=st.booleans(),
+        late_interval=st.integers(0, 6),
+    )
+    def restart_while_starting(
+        self,
+        count,
+        outcomes,
+        is_before,
+        is_entry_read,
+        is_cut,
+        rounds,
+        are_entries_read,
+        late_interval,
+    ):
+        """Restart an executor just before or after it is sent starts."""
+        if len(self.jobs) == JOBS_LIMIT:
+            return
+        self.submit_job(count, True)
+        self.decide()
+        starts = [call for call in self.calls if call.kind == "start"]
+        self.calls = [call for call in self.calls if call.kind != "start"]
+        if not starts:
+            return
+        name = starts[0].name
+        if is_before:
+            self.restart(name, 0.0, False, False)
+        for number, call in enumerate(starts):
+            self._end_call(call, outcomes[number % len(outcomes)])
+        if not is_before:
+            self.restart(name, 0.5, False, False)
+        if is_entry_read:
+            self.read_entry(name)
+        self.simulated[name].is_cut = is_cut
+        self.play_rounds(rounds, are_entries_read, late_interval)
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        is_taken_over=st.booleans(),
+        is_cut=st.booleans(),
+        rounds=st.integers(0, 4),
+    )
+    def restart_with_calls_under_way(self, name, is_taken_over, is_cut, rounds):
+        """Let the next life carry out all that is under way, and be cut off later."""
+        if len(self.jobs) == JOBS_LIMIT:
+            return
+        self.submit_job(3, True)
+        self.decide()
+        for call in [call for call in self.calls if call.name == name]:
+            self.calls.remove(call)
+            self._end_call(call, "late")
+        # The starts are repeated, with answers.
+        self.play_rounds(2)
+        if is_taken_over:
+            self.take_over()
+            self.play_rounds(2)
+        self.restart(name, 0.1, False, False)
+        for call in [call for call in self.late_calls if call.name == name]:
+            self.late_calls.remove(call)
+            self._carry_out(call)
+        self.play_rounds(rounds)
+        self.simulated[name].is_cut = is_cut
+        self.play_rounds(60)
+
+    @rule(name=st.sampled_from(NAMES), how=st.sampled_from(("done", "failed")))
+    def end_run(self, name, how):
+        """End one of an executor's runs."""
+        simulated = self.simulated[name]
+        if simulated.running:
+            simulated.end(min(simulated.running), how, self.now)
+
+    @rule(seconds=st.floats(0.05, 3.0))
+    def pass_time(self, seconds):
+        """Advance the time; calls time out, and runs end with their leases."""
+        end = self.now + seconds
+        while self.now < end:
+            self.timers.advance(min(ROUND_S, end - self.now))
+            self._end_leases()
+            overdue = [c for c in self.calls if self.now - c.sent_at > c.timeout_s]
+            for call in overdue:
+                self.calls.remove(call)
+                self._end_call(call, "late")
+            for answer in list(self.answers):
+                if self.now - answer[0].sent_at > answer[0].timeout_s:
+                    self.answers.remove(answer)
+                    answer[0].fail()
+
+    def _end_leases(self):
+        for simulated in self.simulated.values():
+            if simulated.clock_ms(self.now) > simulated.lease_end_ms:
+                simulated.lapsed_at = self.now
+                for key in list(simulated.running):
+                    simulated.end(key, "lapsed", self.now)
+
+    @rule(
+        count=st.integers(1, 60),
+        are_entries_read=st.booleans(),
+        late_interval=st.integers(0, 6),
+    )
+    def play_rounds(self, count, are_entries_read=True, late_interval=0):
+        """Answer the calls and decide, at short intervals.
+
+        The store may be down, and late calls may be carried out after so many rounds.
+        """
+        for number in range(count):
+            if late_interval and number % late_interval == 0 and self.late_calls:
+                self.carry_out_late(0)
+            if are_entries_read:
+                self.read_entries()
+            calls, self.calls = self.calls, []
+            for call in calls:
+                self._end_call(call, "answered")
+            self.decide()
+            self.pass_time(ROUND_S)
+
+    def teardown(self):
+        """Let all work: each job ends, and each lasting task runs."""
+        try:
+            if self.links and not self.has_failed:
+                self._settle()
+        finally:
+            for patch in self._patches:
+                patch.stop()
+            logging.disable(logging.NOTSET)
+
+    def _settle(self):
+        for simulated in self.simulated.values():
+            simulated.is_cut = False
+        deadline = self.now + SETTLING_S
+        while self._find_idle_tasks():
+            assert self.now < deadline, f"nothing runs of {self._find_idle_tasks()}"
+            for simulated in self.simulated.values():
+                for key in list(simulated.running):
+                    if key[0] not in self.lasting:
+                        simulated.end(key, "done", self.now)
+            self.play_rounds(1)
+
+    def _find_idle_tasks(self):
+        running = {
+            task
+            for simulated in self.simulated.values()
+            for task, _ in simulated.running
+        }
+        return [
+            task.name
+            for job in self.scheduler.open_jobs.values()
+            for task in job.tasks()
+            if task.name not in running and not task.is_done
+        ]
+
+
+RestartInterleavingsTest = RestartMachine.TestCase
+RestartInterleavingsTest.settings = settings(
+    max_examples=2000, stateful_step_count=30, deadline=None, derandomize=True
+)
