Count a failed run of a gang once

Cause: each end was counted, and the count taken over to all members. Change: a member keeps the number of the last run that was counted, which is stored; an end of that run counts no more.

--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -269,6 +269,9 @@
         Number of the next run.
     failed_run_count : int
         Number of runs that failed; members of a gang share the largest number.
+    last_failed_run : int
+        Number of the last run of a gang that counts as failed, for each of its members;
+        0 for none and for other tasks.
     is_done : bool
         Whether the task is completed.
     replacements : int
@@ -299,6 +302,7 @@
         "failed_run_count",
         "index",
         "is_done",
+        "last_failed_run",
         "last_run_s",
         "name",
         "next_run_number",
@@ -320,6 +324,7 @@
         self.name = f"{self.step_name}.{index}"
         self.next_run_number = 1
         self.failed_run_count = 0
+        self.last_failed_run = 0
         self.is_done = False
         self.replacements = 0
         self.checkpoint = ""
--- a/cranberryport/scheduling/record_groups.py
+++ b/cranberryport/scheduling/record_groups.py
@@ -23,7 +23,7 @@
 TASKS_PER_RECORD = 300
 # Bytes that a task takes in a record without its checkpoint and runs, at most, that a
 # run takes without the id of its executor, and a text without its characters.
-TASK_BYTES = 28
+TASK_BYTES = 37
 RUN_BYTES = 9
 TEXT_BYTES = 3
 # Bytes that the crash history of a task takes without its hosts, at most.
--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -189,7 +189,7 @@
 
 
 def _task_to_row(task):
-    return [
+    row = [
         task.occurrence.number,
         task.step_number,
         task.index,
@@ -199,6 +199,8 @@
         task.checkpoint,
         [[run.number, run.executor] for run in task.runs],
     ]
+    # Only the rows of gangs that have failed have this field.
+    return [*row, task.last_failed_run] if task.last_failed_run else row
 
 
 def _restore_task(job, row):
@@ -211,6 +213,7 @@
         is_done,
         checkpoint,
         runs,
+        *last_failed_run,
     ) = row
     occurrence = job.occurrences.get(number)
     if occurrence is None:
@@ -220,6 +223,7 @@
     task = occurrence.tasks[step_number][index]
     task.next_run_number = next_run_number
     task.failed_run_count = failed_run_count
+    task.last_failed_run = last_failed_run[0] if last_failed_run else 0
     task.is_done = is_done
     task.checkpoint = checkpoint
     task.runs = [
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -1073,7 +1073,7 @@
         if end.how == "done" and not task.step.is_lasting:
             self._finish_task(task, now_unix_s)
         elif end.how == "failed":
-            self._fail_task(task, executor, now_unix_s)
+            self._fail_task(task, run.number, executor, now_unix_s)
         elif was_stopping:
             task.avoided_executors = (executor.id,)
 
@@ -1107,7 +1107,7 @@
         )
         task.job.mark_started()
         if is_failure:
-            self._fail_task(task, executor, now_unix_s)
+            self._fail_task(task, end.run, executor, now_unix_s)
         else:
             self._finish_task(task, now_unix_s)
 
@@ -1125,15 +1125,17 @@
         tasks = occurrence.tasks[step_number]
         return tasks[index] if index < len(tasks) else None
 
-    def _fail_task(self, task, executor, now_unix_s):
+    def _fail_task(self, task, run_number, executor, now_unix_s):
         job = task.job
-        task.failed_run_count += 1
         task.avoided_executors = (*task.avoided_executors, executor.id)[-2:]
-        if task.step.is_gang:
+        if not task.step.is_gang:
+            task.failed_run_count += 1
+        elif run_number > task.last_failed_run:
+            # The members of a gang share the number of a run, which may fail for all.
+            count = task.failed_run_count + 1
             for member in task.occurrence.tasks[task.step_number]:
-                member.failed_run_count = max(
-                    member.failed_run_count, task.failed_run_count
-                )
+                member.failed_run_count = count
+                member.last_failed_run = run_number
         self._mark_changed(job)
         self._failed_tasks[task.name] = task
         if self._has_failed(task):
--- a/tests/test_scheduling_job_interleavings.py
+++ b/tests/test_scheduling_job_interleavings.py
@@ -92,6 +92,8 @@
         super().__init__()
         self.now = 100.0
         self.failed_runs_limit = 2
+        # Whether all members of a gang fail with the first one, or are broken off.
+        self.is_failure_shared = False
         self.jobs = {}
         self.cancelled = set()
         # Jobs of which a task has started.
@@ -117,10 +119,12 @@
         limit=st.integers(1, 3),
         counts=st.lists(st.integers(1, 3), min_size=1, max_size=2),
         kind=st.sampled_from(STEP_KINDS),
+        is_failure_shared=st.booleans(),
     )
-    def start_with_running_job(self, limit, counts, kind):
+    def start_with_running_job(self, limit, counts, kind, is_failure_shared):
         """Set the limit of failed runs, submit a job and start its first tasks."""
         self.failed_runs_limit = limit
+        self.is_failure_shared = is_failure_shared
         self.take_over(read=set(EXECUTORS))
         self.submit_job(counts, kind)
         self.list_and_decide(set(EXECUTORS))
@@ -384,13 +388,14 @@
         elif how == "failed":
             self.failures[run.limit_key].add(run.key[1])
         if run.gang is not None and how != "done":
-            self._break_gang(run.gang)
+            is_shared = how == "failed" and self.is_failure_shared
+            self._break_gang(run.gang, how="failed" if is_shared else "broken")
 
-    def _break_gang(self, gang):
+    def _break_gang(self, gang, *, how="broken"):
         for simulated in self.simulated.values():
             for key, run in list(simulated.running.items()):
                 if run.gang == gang:
-                    simulated.end(key, "broken")
+                    simulated.end(key, how)
 
     @rule(name=st.sampled_from(EXECUTORS), is_seen=st.booleans())
     def crash(self, name, is_seen):
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -572,6 +572,67 @@
                 self.assertEqual(count, expected)
 
 
+class FailedGangTest(unittest.TestCase):
+    """Gangs of which all members fail in the same run.
+
+    Guards against a job that is given up after one run. Review case 8: an executor
+    that failed all that it ran listed an end `failed` for each of four members.
+    """
+
+    def setUp(self):
+        """Start a gang of three members on one executor."""
+        self.harness = scheduling.SchedulerHarness(failed_runs_limit=2)
+        self.job = self.harness.add_job(
+            scheduling.make_job(scheduling.make_step(3, is_gang=True))
+        )
+        self.end_number = 0
+
+    def _fail(self, runs):
+        """List ends of runs, together."""
+        ends = []
+        for run in runs:
+            self.end_number += 1
+            ends.append((self.end_number, run.task.name, run.number, "failed"))
+        executor = self.harness.scheduler.executors[runs[0].executor]
+        running = [key for key, r in executor.runs.items() if r not in runs]
+        self.harness.now += 0.01
+        self.harness.list_runs(executor, running, ends)
+
+    def _failed_run_counts(self, job):
+        return [task.failed_run_count for task in job.tasks()]
+
+    def test_members_that_fail_together_count_once(self):
+        self._fail(self.harness.start())
+        self.assertEqual(self._failed_run_counts(self.job), [1, 1, 1])
+        self.assertEqual(self.job.state, model.ACTIVE)
+
+    def test_members_that_fail_one_after_the_other_count_once(self):
+        first, *others = self.harness.start()
+        self._fail([first])
+        self._fail(others)
+        self.assertEqual(self._failed_run_counts(self.job), [1, 1, 1])
+
+    def test_every_run_counts(self):
+        self._fail(self.harness.start())
+        self.harness.now += 5.0
+        self._fail(self.harness.start())
+        self.assertEqual(self.job.state, model.FAILED)
+
+    def test_successor_counts_the_other_members_of_a_run_not_again(self):
+        first, *others = self.harness.start()
+        self._fail([first])
+        record = records.progress_to_record(self.job)
+        self.harness = scheduling.SchedulerHarness(count=0, failed_runs_limit=2)
+        job = scheduling.make_job(scheduling.make_step(3, is_gang=True))
+        self.harness.scheduler.restore_job(job, record, scheduling.NOW_UNIX_S)
+        self.harness.scheduler.add_or_update_executor(
+            scheduling.make_executor(first.executor), self.harness.now
+        )
+        self._fail(others)
+        self.assertEqual(self._failed_run_counts(job), [1, 1, 1])
+        self.assertEqual(job.state, model.ACTIVE)
+
+
 class FailedTaskTest(unittest.TestCase):
     """Tasks with copies whose runs have failed as often as the queue allows."""
 
