Do not look for a place near the data on an executor that has failed the task

Cause: it was the only executor near the data, and the choice of a near place did not look at the executors that the tasks avoid. Change: they are no near places, for gangs and for single tasks. The new test of a gang fails without the change.

--- a/cranberryport/scheduling/place_waits.py
+++ b/cranberryport/scheduling/place_waits.py
@@ -281,6 +281,7 @@
             return choose(permitted), False
         groups = places.racks(permitted)
         local = [c for rack in racks for c in groups.get(rack, ())]
+        local = _without_avoided(local, [task])
         wait = task.place_wait
         if wait is not None and not wait.is_over:
             if any(packing.has_room(step, e, free) for e, free in local):
@@ -374,7 +375,11 @@
             return place(permitted), False
         step = tasks[0].step
         groups = places.racks(permitted)
-        local = {r: c for r, c in groups.items() if step.rack in ("", r)}
+        local = {
+            rack: _without_avoided(candidates, tasks)
+            for rack, candidates in groups.items()
+            if step.rack in ("", rack)
+        }
         best, best_factor = None, self._remote_factor
         for _, candidates in sorted(local.items()):
             if not _racks_with_room(step, {"": candidates}, len(tasks), {}):
@@ -646,6 +651,15 @@
     return now - wait.recheck_at < RECHECK_INTERVAL_S
 
 
+def _without_avoided(candidates, tasks):
+    """Return the candidates on which none of the tasks has failed or was stopped.
+
+    A place near the data is no reason to fail there again.
+    """
+    avoided = {name for task in tasks for name in task.avoided_executors}
+    return [c for c in candidates if c[0].id not in avoided]
+
+
 def _is_split(placements):
     step = placements[0][0].step
     racks = {executor.rack for _, executor in placements}
--- a/tests/test_scheduling_place_waits.py
+++ b/tests/test_scheduling_place_waits.py
@@ -327,6 +327,22 @@
         harness.submit(3, rack="", is_gang=True)
         self.assertEqual(harness.racks(), ["r2"] * 3)
 
+    def test_gang_avoids_a_near_executor_that_has_failed_it(self):
+        """Guards against all runs of a gang on one executor that fails everything.
+
+        Review case 8: the executor was the only one near its data.
+        """
+        harness = PlaceWaitsHarness(processors=(8000, 8000), failed_runs_limit=3)
+        harness.submit(2, is_gang=True)
+        runs = harness.start()
+        self.assertEqual({run.executor for run in runs}, {"e1"})
+        ends = [
+            (number, run.task.name, run.number, "failed")
+            for number, run in enumerate(runs, 1)
+        ]
+        harness.list_runs(harness.near, finished=ends)
+        self.assertEqual(harness.racks(), ["r2", "r2"])
+
     def test_gang_waits_for_one_rack(self):
         """Guards against a split gang of 3 s while a rack is free in 0.5 s."""
         harness = PlaceWaitsHarness(processors=(1000, 2000))
