Bound the time of a decision about large jobs

Change: steps and executors are read once for each decision; a decision plans 1,000 runs at most, and an executor gets no further starts while 64 have no answer.

--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -250,6 +250,14 @@
             return math.inf
         return max(0.0, now_unix_s - self.started_at_ms / 1000 - CLOCK_DIFFERENCE_S)
 
+    @property
+    def unanswered_start_count(self):
+        """Number of its runs of which neither an answer nor a list is known."""
+        return sum(
+            run.confirmed_at is None and run.state != model.STOPPING
+            for run in self.runs.values()
+        )
+
     @property
     def unconfirmed_end_number(self):
         """Number up to which it is asked to delete its ends; 0 if it has done so.
@@ -483,19 +491,6 @@
         capacity = (self.processors, self.memory, self.accelerators)
         return [a - b for a, b in zip(capacity, self.used_resources(), strict=True)]
 
-    def is_overfull_for(self, step):
-        """Return whether its runs, one of a step among them, exceed its capacity.
-
-        Only the resources that the step needs count. This happens if the executor
-        reports less capacity than before.
-        """
-        processors = 0 if step.is_filling else step.processors
-        needs = (processors, step.memory, step.accelerators)
-        return any(
-            need and free < 0
-            for need, free in zip(needs, self.free_resources(), strict=True)
-        )
-
     def can_accept_runs(self, now):
         """Return whether new runs may be planned on this executor."""
         return (
@@ -509,3 +504,23 @@
             and now >= self.backoff_until
             and self.last_listed_at is not None
         )
+
+
+def is_overfull_for(step, free_resources):
+    """Return whether the runs on an executor, one of a step among them, exceed it.
+
+    Only the resources that the step needs count. This happens if the executor reports
+    less capacity than before.
+
+    Parameters
+    ----------
+    step : model.Step
+        The step.
+    free_resources : list of int
+        Result of :meth:`Executor.free_resources`.
+    """
+    processors = 0 if step.is_filling else step.processors
+    needs = (processors, step.memory, step.accelerators)
+    return any(
+        need and free < 0 for need, free in zip(needs, free_resources, strict=True)
+    )
--- a/cranberryport/scheduling/locality.py
+++ b/cranberryport/scheduling/locality.py
@@ -96,24 +96,37 @@
     remote_factor : float
         Factor by which a remote run takes longer.
     """
+    tasks_by_rack = {}
     for executor, _ in candidates:
         for run in executor.runs.values():
             if run.remote_factor is not None:
                 continue
             task = run.task
-            tasks = task.occurrence.tasks[task.step_number]
+            key = (task.occurrence, task.step_number)
+            if key not in tasks_by_rack:
+                tasks_by_rack[key] = _tasks_by_rack(task, executors)
             others = {
-                executors[other.executor].rack
-                for member in tasks
-                for other in member.runs
-                if member is not task and other.executor in executors
+                rack
+                for rack, tasks in tasks_by_rack[key].items()
+                if len(tasks) > (task in tasks)
             }
             # Which of the racks was first is not known: all runs of a split step count.
             is_split = is_remote(task.step, executor.rack, others, remote_factor) or (
                 len(others) > 1 and (task.step.is_coupled or task.step.is_gang)
             )
             run.remote_factor = remote_factor if is_split else 1.0
-            task.occurrence.update_remote_factor(task.step_number)
+    for occurrence, number in tasks_by_rack:
+        occurrence.update_remote_factor(number)
+
+
+def _tasks_by_rack(task, executors):
+    """Return the tasks of a task's step that have runs, as sets by rack."""
+    result = {}
+    for member in task.occurrence.tasks[task.step_number]:
+        for run in member.runs:
+            if run.executor in executors:
+                result.setdefault(executors[run.executor].rack, set()).add(member)
+    return result
 
 
 def expected_remaining_s(run, executor, now):
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -441,6 +441,15 @@
         if not self.remaining_counts[number]:
             self._step_ended_at[number] = now_unix_s
 
+    def raise_remote_factor(self, number, factor):
+        """Take the factor of a further run of a step into the remaining critical path.
+
+        Unlike :meth:`update_remote_factor` it does not read the other runs.
+        """
+        if factor > self._remote_factors.get(number, 1.0):
+            self._remote_factors[number] = factor
+            self._remaining_cache = None
+
     def update_remote_factor(self, number):
         """Take the largest factor of a step's runs into the remaining critical path."""
         factor = max(
--- a/cranberryport/scheduling/place_waits.py
+++ b/cranberryport/scheduling/place_waits.py
@@ -176,6 +176,7 @@
     __slots__ = (
         "_now",
         "_now_unix_s",
+        "_planned_steps",
         "_policy",
         "_queue_weights",
         "_remote_factor",
@@ -188,6 +189,8 @@
         self._remote_factor = remote_factor
         self._policy = ExpectedCost() if policy is None else policy
         self._queue_weights = {}
+        # Occurrences and numbers of the steps with runs planned in the last decision.
+        self._planned_steps = set()
         self._started_at_unix_s = None
         self._now = self._now_unix_s = 0.0
 
@@ -204,6 +207,10 @@
     def begin_decision(self, now, now_unix_s):
         """Set the monotonic time and the Unix time of a decision, in seconds."""
         self._now, self._now_unix_s = now, now_unix_s
+        # Once for each step, as it reads all its runs.
+        for occurrence, number in self._planned_steps:
+            occurrence.update_remote_factor(number)
+        self._planned_steps = set()
         if self._started_at_unix_s is None:
             self._started_at_unix_s = now_unix_s
 
@@ -430,7 +437,8 @@
         run.remote_factor = self._remote_factor if is_remote else 1.0
         if not self.is_active:
             return
-        task.occurrence.update_remote_factor(task.step_number)
+        task.occurrence.raise_remote_factor(task.step_number, run.remote_factor)
+        self._planned_steps.add((task.occurrence, task.step_number))
         counts = self._state.event_counts
         if is_remote:
             counts["remote_starts"] += 1
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from cranberryport.generated import messages
 from cranberryport.scheduling import (
     crashes,
+    executors,
     model,
     ordering,
     rebalancing,
@@ -1293,16 +1294,21 @@
         They may have been lost since, or have reported less capacity.
         """
         gangs = set()
+        # By executor; worked out once, as all its runs are read for it.
+        free_resources = {}
         for run in planned_runs:
             task, executor = run.task, self._executors.get(run.executor)
             if run.state != model.PLANNED or run not in task.runs:
                 continue
+            if executor is not None and executor.id not in free_resources:
+                free_resources[executor.id] = executor.free_resources()
             if (
                 executor is None
                 or not executor.can_accept_runs(now)
-                or executor.is_overfull_for(task.step)
+                or executors.is_overfull_for(task.step, free_resources[executor.id])
             ):
                 self._remove_run(run)
+                free_resources.pop(run.executor, None)
                 if task.step.is_gang:
                     gangs.add((task.occurrence, task.step_number))
         for run in planned_runs:
--- a/cranberryport/scheduling/task_planner.py
+++ b/cranberryport/scheduling/task_planner.py
@@ -24,6 +24,12 @@
 
 # Progress is listed about once a second, so more frequent checks find nothing new.
 STRAGGLER_CHECK_INTERVAL_S = 0.1
+# Runs that one decision plans at most, shared by the pools with waiting tasks; the next
+# decision follows as soon as they are stored. A gang is planned as a whole.
+RUNS_PER_DECISION_LIMIT = 1000
+# Runs on one executor whose starts have no answer yet, at most. Executors take 64
+# connections each (platform's sheets); further orders would expire while they wait.
+UNANSWERED_STARTS_LIMIT = 64
 
 _logger = logging.getLogger(__name__)
 
@@ -43,6 +49,8 @@
         Free resources of slow executors that may get one task, by id.
     now : float
         Monotonic time in seconds.
+    runs_limit : int
+        Number of runs that may be planned.
 
     Attributes
     ----------
@@ -56,6 +64,10 @@
         Number of long-running tasks on each executor.
     places : locality.Places
         Room that is expected on these executors.
+    planned_count : int
+        Number of runs that were planned.
+    startable : dict of str to int
+        Number of runs that may still be planned on each executor.
     unplaceable : packing.UnplaceableNeeds
         Needs for which no executor had room.
     """
@@ -67,11 +79,23 @@
         "isolation",
         "long_running",
         "places",
+        "planned_count",
         "probes",
+        "runs_limit",
+        "startable",
         "unplaceable",
     )
 
-    def __init__(self, *, candidates, pool_isolation, slow_executor_ids, probes, now):
+    def __init__(
+        self,
+        *,
+        candidates,
+        pool_isolation,
+        slow_executor_ids,
+        probes,
+        now,
+        runs_limit,
+    ):
         self.all_candidates = candidates
         self.isolation = pool_isolation
         self.candidates = pool_isolation.ordinary
@@ -84,10 +108,22 @@
             candidates=self.candidates, excluded_ids=slow_executor_ids, now=now
         )
         self.probes = probes
+        self.planned_count = 0
+        self.runs_limit = runs_limit
+        self.startable = {
+            executor.id: UNANSWERED_STARTS_LIMIT - executor.unanswered_start_count
+            for executor, _ in candidates
+        }
         self.unplaceable = packing.UnplaceableNeeds()
 
+    @property
+    def is_at_limit(self):
+        """Whether no further run is planned in this decision."""
+        return self.planned_count >= self.runs_limit
+
     def add_planned_run(self, step, executor, used_racks=(), remote_factor=1.0):
         """Count a planned run of a step in the state of an executor."""
+        self.planned_count += 1
         self.long_running[executor.id] += step.is_lasting
         planned_s = locality.expected_run_s(step, executor, used_racks, remote_factor)
         self.busy_s[executor.id] = max(self.busy_s[executor.id], planned_s)
@@ -95,6 +131,11 @@
         if executor.id in self.probes:
             # One task shows whether the executor has recovered.
             self.probes.pop(executor.id)[:] = (-1, -1, -1)
+        self.startable[executor.id] -= 1
+        if self.startable[executor.id] <= 0:
+            for candidate, free in self.all_candidates:
+                if candidate is executor:
+                    free[:] = (-1, -1, -1)
 
 
 class TaskPlanner:
@@ -165,9 +206,14 @@
                         ):
                             due_services.add(job.service)
         services = ready if checks_stragglers else due_services
+        runs_limit = max(1, RUNS_PER_DECISION_LIMIT // max(1, len(due_services)))
         pools = {}
         for executor in self._state.executors.values():
-            if executor.service in services and executor.can_accept_runs(now):
+            if (
+                executor.service in services
+                and executor.can_accept_runs(now)
+                and executor.unanswered_start_count < UNANSWERED_STARTS_LIMIT
+            ):
                 candidate = (executor, executor.free_resources())
                 pools.setdefault(executor.service, []).append(candidate)
         for service in services:
@@ -195,6 +241,7 @@
                 slow_executor_ids=slow_executor_ids,
                 probes=probes,
                 now=now,
+                runs_limit=runs_limit,
             )
             if checks_stragglers and self._place_waits.is_active:
                 locality.set_missing_remote_factors(
@@ -261,6 +308,8 @@
                     self._plan_suspects(occurrence, number, pool, now)
         for occurrence in occurrences_in_order:
             for number in sorted(occurrence.ready_steps):
+                if pool.is_at_limit:
+                    return
                 self._plan_step(occurrence, number, pool, now)
 
     def _plan_step(self, occurrence, number, pool, now):
@@ -312,6 +361,8 @@
                 waiting, choose, permitted, pool.places, task_counts, used_racks
             )
         for position, task in enumerate(waiting):
+            if pool.is_at_limit:
+                return
             if is_coupled:
                 executor = choose(offered, task)
                 is_limited = offered and offered is not permitted
@@ -371,6 +422,8 @@
         task_counts, used_racks = self._count_placements(tasks)
         unplaced = []
         for task in suspects:
+            if pool.is_at_limit:
+                break
             candidates = pool.isolation.candidates_for(task, now)
             permitted = self._permitted_candidates(occurrence, number, candidates, now)
             executor = packing.choose_executor(
@@ -560,6 +613,7 @@
         checkpoint = max(task.checkpoint for task in tasks)
         for task, executor in placements:
             task.checkpoint = checkpoint
+            pool.planned_count += 1
             pool.isolation.add_planned_run(task, executor)
             self._plan_run(
                 task,
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -1,8 +1,10 @@
 """Tests for the decision functions of the scheduling package."""
 
+import collections
 import math
 import time
 import unittest
+import unittest.mock
 
 from cranberryport.scheduling import (
     admission,
@@ -10,6 +12,7 @@
     executors,
     instances,
     load,
+    locality,
     maintenance,
     model,
     ordering,
@@ -18,6 +21,7 @@
     rebalancing,
     stragglers,
     suspicion,
+    task_planner,
 )
 from tests import scheduling
 
@@ -809,3 +813,91 @@
         evacuation.evacuate_draining(harness.scheduler, harness.now)
         states = [run.state for run in runs]
         self.assertEqual(states, [model.STOPPING, model.RUNNING])
+
+
+class LargeJobTest(unittest.TestCase):
+    """Jobs of far more tasks than one decision should plan.
+
+    Review case 6: a decision about 10,000 tasks took longer than the membership of the
+    controller lasts, so that the role went round and no job of any queue was started.
+    """
+
+    def _make_harness(self, count, *, executors=1, **values):
+        harness = scheduling.SchedulerHarness(
+            count=executors, processors=10**6, memory=10**7, **values
+        )
+        step = scheduling.make_step(count, processors=1, memory=1)
+        (self.job,) = scheduling.make_jobs(harness, 1, step)
+        return harness
+
+    def test_one_decision_plans_a_bounded_number_of_runs(self):
+        """Guards against a decision that grows with the size of a job."""
+        limit = task_planner.RUNS_PER_DECISION_LIMIT
+        harness = self._make_harness(2 * limit, executors=40)
+        self.assertEqual([len(harness.start()) for _ in range(3)], [limit, limit, 0])
+
+    def test_pools_share_the_runs_of_a_decision(self):
+        """Guards against a job that keeps the tasks of other pools waiting."""
+        limit = task_planner.RUNS_PER_DECISION_LIMIT
+        harness = self._make_harness(2 * limit, executors=40)
+        harness.add_executor("other", service="other")
+        other = scheduling.make_job(job="c" * 16)
+        other.service = "other"
+        harness.add_job(other)
+        runs = harness.start()
+        self.assertEqual(len(runs), limit // 2 + 1)
+        self.assertIn("other", {run.executor for run in runs})
+
+    def test_executor_gets_no_further_starts_while_many_have_no_answer(self):
+        """Guards against orders that expire while they wait for a connection."""
+        limit = task_planner.UNANSWERED_STARTS_LIMIT
+        harness = self._make_harness(3 * limit)
+        starts = harness.scheduler.commit(harness.plan(), harness.now)
+        self.assertEqual(len(starts), limit)
+        self.assertTrue(harness.plan().is_empty)
+        harness.scheduler.on_run_started(starts[0], harness.now)
+        self.assertEqual(len(harness.plan().planned_runs), 1)
+
+    def test_work_of_a_decision_does_not_grow_with_the_square_of_the_tasks(self):
+        """Guards against reading all runs of a step or an executor for each of them."""
+        harness = self._make_harness(60, executors=2, remote_factor=3.0)
+        reads = collections.Counter()
+
+        def count(owner, name):
+            original = getattr(owner, name)
+
+            def call(*arguments):
+                reads[name] += 1
+                return original(*arguments)
+
+            return unittest.mock.patch.object(owner, name, call)
+
+        with (
+            count(executors.Executor, "used_resources"),
+            count(model.Occurrence, "update_remote_factor"),
+        ):
+            self.assertEqual(len(harness.start()), 60)
+            harness.plan()
+        self.assertLessEqual(reads["used_resources"], 6)
+        self.assertLessEqual(reads["update_remote_factor"], 1)
+
+    def test_remote_factors_of_restored_runs_are_worked_out_by_step(self):
+        """Guards against a takeover that reads all runs of a step for each of them."""
+        harness = scheduling.SchedulerHarness(count=0, remote_factor=3.0)
+        racks = [harness.add_executor(f"e{n}", rack=f"r{n % 2}") for n in range(3)]
+        harness.add_job(scheduling.make_job(scheduling.make_step(3, is_coupled=True)))
+        (job,) = harness.scheduler.jobs.values()
+        for task, executor in zip(job.tasks(), racks, strict=True):
+            harness.scheduler.plan_run(task, executor, 1)
+            task.runs[0].remote_factor = None
+        with unittest.mock.patch.object(
+            locality, "_tasks_by_rack", wraps=locality._tasks_by_rack
+        ) as read:
+            locality.set_missing_remote_factors(
+                [(executor, None) for executor in racks],
+                harness.scheduler.executors,
+                3.0,
+            )
+        self.assertEqual(read.call_count, 1)
+        factors = [task.runs[0].remote_factor for task in job.tasks()]
+        self.assertEqual(factors, [3.0, 3.0, 3.0])
