--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -92,6 +92,10 @@
         soak.proxy.Proxy
             Proxy between the predecessor and the store.
         """
+        # The role may move once more while the last entry instances join.
+        calls.wait_until(
+            lambda: len(self._find_controllers()) == 1, TIMEOUT_S, "one has the role"
+        )
         (name,) = self._find_controllers()
         self.proxy_thread.set_mode(self.proxies[name], proxy.SILENT)
         # The successor gets its role, but is not ready before the next change.
