Revert "Count the late orders of an earlier controller against the limit of a wave"

Cause: the instances with a late order got no new runs for 13 s after each change of the controller, and where orders are fenced nearly all orders of that time count as unanswered, as their acceptance is not stored.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -138,7 +138,6 @@
         "_has_clock_stepped",
         "_has_read_executors",
         "_inherited_unanswered",
-        "_late_orders_until",
         "_instances",
         "_is_fleet_short",
         "_is_list_pending",
@@ -212,9 +211,6 @@
         self._order_times = {}
         # Unix times of earlier controllers' orders that had no response.
         self._inherited_unanswered = {}
-        # Monotonic time until which an order of an earlier controller may be carried
-        # out, by instance.
-        self._late_orders_until = {}
         self._rebalancer = rebalancing.PoolRebalancer(moves_per_s=settings.orders_per_s)
         self._instances = {}
         self._list_sent_at = None
@@ -247,9 +243,6 @@
     def restore_orders(self, sent, unanswered, now_unix_s):
         """Delay orders for instances that the previous controller has ordered lately.
 
-        Its orders without a response may be carried out until they expire or an order
-        of this controller fences them off. Until then they count as carried out.
-
         The platform sets a minimum time between the orders of two controllers for the
         same instance. Where it does not refuse an order after one of a later
         controller, an order without a response also has to be carried out or expire
@@ -277,11 +270,6 @@
                 wait_s -= max(0.0, now_unix_s - sent_at)
             if wait_s > 0:
                 self._order_not_before[instance_id] = now + wait_s
-            if instance_id in unanswered:
-                age_s = 0.0
-                if not self._has_clock_stepped():
-                    age_s = max(0.0, now_unix_s - sent_at)
-                self._late_orders_until[instance_id] = now + ORDER_LIFETIME_S - age_s
         self._order_times = dict(sent)
         self._inherited_unanswered = {
             instance_id: sent[instance_id]
@@ -289,14 +277,6 @@
             if instance_id in sent
         }
 
-    def _late_orders(self, now):
-        """Return the instances for which an earlier order may still be carried out."""
-        return {
-            instance_id
-            for instance_id, until in self._late_orders_until.items()
-            if now < until
-        }
-
     def _is_orderable(self, instance_id, now):
         """Return whether this controller may give an order for an instance now."""
         if instance_id in self._orders:
@@ -370,10 +350,6 @@
             return
         self._instances = listed
         self._list_sent_at = list_sent_at
-        for instance_id, instance in listed.items():
-            if instance.state in (instances.MAINTENANCE, instances.MOVING):
-                # The order is carried out, and once only.
-                self._late_orders_until.pop(instance_id, None)
         self._close_finished_orders(list_sent_at)
         self._retire_executors_without_instance(list_sent_at)
         if self._has_read_executors():
@@ -465,22 +441,18 @@
             wave = self._waves[number]
             reserved |= self._decide_maintenance(wave, demand_ratios, now)
         self._decide_moves(reserved, now)
-        reserved |= self._executors_with_open_orders(now)
+        reserved |= self._executors_with_open_orders()
         for executor in self._scheduler.executors.values():
             executor.is_being_vacated = executor.id in reserved
         evacuation.evacuate_draining(self._scheduler, now)
         self._on_decided()
 
-    def _executors_with_open_orders(self, now):
+    def _executors_with_open_orders(self):
         """Return the executors that an order will end which is not accepted yet.
 
         After a crash an instance has another executor than when the order was decided.
-        The orders may be those of an earlier controller.
         """
-        found = {
-            self._instances[instance_id].executor
-            for instance_id in self._late_orders(now) & self._instances.keys()
-        }
+        found = set()
         for instance_id, order in self._orders.items():
             instance = self._instances.get(instance_id)
             if instance is not None and instance.executor and not order.is_accepted:
@@ -533,7 +505,6 @@
             maintenance_s=self._settings.upkeep_s,
             now=now,
             is_fleet_short=self._is_fleet_short,
-            late_orders=self._late_orders(now),
         )
         for instance_id in chosen:
             instance = self._instances[instance_id]
@@ -656,8 +627,6 @@
             return
         if result.is_accepted:
             order.accepted_at = time.monotonic()
-            # The platform refuses earlier orders for the instance from now on.
-            self._late_orders_until.pop(instance_id, None)
             if order.wave is not None:
                 order.wave.accepted_instances.add(instance_id)
             if not self._settings.are_orders_fenced:
--- a/cranberryport/scheduling/maintenance.py
+++ b/cranberryport/scheduling/maintenance.py
@@ -95,7 +95,6 @@
     maintenance_s,
     now,
     is_fleet_short=False,
-    late_orders=frozenset(),
 ):
     """Choose the instances to evacuate and take down next.
 
@@ -115,24 +114,14 @@
         Monotonic time in seconds.
     is_fleet_short : bool, default=False
         Whether some pool lacks instances and no other pool has any to spare.
-    late_orders : collection of str
-        Instances that an order of an earlier controller may still take down. A further
-        order for one of them takes the place of that order.
 
     Returns
     -------
     list of str
-        Instances, at most as many as may go down beside those that are down already or
-        may go down by earlier orders.
+        Instances, at most as many as may go down beside those that are down already.
     """
     pending = pending_instances(wave, listed)
-    down = instances_down(wave, listed)
-    down_count = len(down)
-    late = {
-        instance_id
-        for instance_id in late_orders
-        if instance_id in wave.instances and instance_id in listed
-    }
+    down_count = len(instances_down(wave, listed))
     allowed = wave.max_down - down_count
     if is_fleet_short:
         limit = paced_limit(wave, len(pending), maintenance_s=maintenance_s, now=now)
@@ -178,11 +167,7 @@
         ):
             continue
         candidates.append(instance_id)
-    # Those with an earlier order come first, as they may go down in any case.
-    chosen = [instance_id for instance_id in candidates if instance_id in late]
-    others = [instance_id for instance_id in candidates if instance_id not in late]
-    chosen += others[: max(0, wave.max_down - len(down | late))]
-    return chosen[:allowed]
+    return candidates[:allowed]
 
 
 def may_stop(run, executors):
