Log what is known of the start of a lost run, and a task that runs twice

Cause for callers: tasks ran twice. When a run was given up the log did not say whether the executor's known life had listed it, or whether a life that is not known may have carried out its start, so that the three hypotheses could not be told apart; nor did the stop of an unknown run say that its task runs elsewhere. Change: 'run lost' has the kind of evidence and the age of the last start, 'stopping unknown run' the known runs of the task. No decision changes. Tests: test_line_of_a_lost_run_tells_what_is_known_of_its_start and test_line_about_an_unknown_run_names_the_known_runs_of_its_task.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -447,7 +447,12 @@
         for task, run in unknown_runs if self._is_role_proven() else ():
             _logger.info(
                 "stopping unknown run",
-                extra={"task": task, "run": run, "executor": executor.id},
+                extra={
+                    "task": task,
+                    "run": run,
+                    "executor": executor.id,
+                    "known_runs": self._scheduler.runs_of_task(task),
+                },
             )
             self._client.stop_run(
                 executor,
--- a/cranberryport/scheduling/run_logs.py
+++ b/cranberryport/scheduling/run_logs.py
@@ -3,6 +3,8 @@
 import logging
 import time
 
+from cranberryport.scheduling import model
+
 _logger = logging.getLogger(__name__)
 
 
@@ -66,6 +68,35 @@
     )
 
 
+def describe_start(run, executor):
+    """Return what is known of the start of a run.
+
+    Parameters
+    ----------
+    run : model.Run
+        The run.
+    executor : executors.Executor or None
+        Its executor; None if it is not known.
+
+    Returns
+    -------
+    {'restored', 'listed', 'unanswered', 'confirmed', 'sent', 'not sent'}
+        ``restored`` if a previous controller started it and no list has shown it yet,
+        ``listed`` if the executor's present life has listed it, ``unanswered`` if an
+        attempt to send the start had no answer, and ``confirmed`` if all had one. The
+        life that has answered is known in none of the last two.
+    """
+    if executor is not None and run.begun_in_life == executor.life:
+        return "listed"
+    if run.ordered_at is None and run.state != model.PLANNED:
+        return "restored"
+    if run.has_unanswered_start:
+        return "unanswered"
+    if run.confirmed_at is not None:
+        return "confirmed"
+    return "not sent" if run.start_sent_at is None else "sent"
+
+
 def log_step_end(tasks):
     """Log the end of a step, with its slowest task."""
     slowest = max(tasks, key=lambda task: task.last_run_s or 0.0)
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -711,6 +711,9 @@
         """Remove a run whose end no executor will list."""
         self._event_counts["runs_lost"] += 1
         history = run.task.crash_history
+        start_age_s = None
+        if run.start_sent_at is not None:
+            start_age_s = round(time.monotonic() - run.start_sent_at, 3)
         _logger.info(
             "run lost",
             extra={
@@ -719,6 +722,10 @@
                 "run": run.number,
                 "executor": run.executor,
                 "reason": reason,
+                "start": run_logs.describe_start(
+                    run, self._executors.get(run.executor)
+                ),
+                "start_age_s": start_age_s,
                 "crashes": 0 if history is None else history.crash_count,
                 "is_suspect": crashes.is_suspect(run.task),
             },
@@ -1115,6 +1122,22 @@
         else:
             self._finish_task(task, now_unix_s)
 
+    def runs_of_task(self, name):
+        """Return number and executor of each present run of a task.
+
+        Parameters
+        ----------
+        name : str
+            Name of the task, which may be unknown.
+
+        Returns
+        -------
+        list of (int, str)
+            Empty if the task is not known or has no run.
+        """
+        task = self._find_task(name)
+        return [] if task is None else [(run.number, run.executor) for run in task.runs]
+
     def _find_task(self, name):
         """Return a task of a known job by its name, None if there is none."""
         job_id, _, place = name.partition(".")
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -446,6 +446,14 @@
             self.harness.scheduler.process_due_events(later, scheduling.NOW_UNIX_S)
             self.assertEqual(self.run_.task.runs, kept)
 
+    def test_line_about_an_unknown_run_names_the_known_runs_of_its_task(self):
+        """Guards against logs that do not show that a task runs twice."""
+        self.link.open()
+        with self.assertLogs(level="INFO") as logs:
+            self._list((self.run_.task.name, 7), started_at_ms=5)
+        (line,) = (r for r in logs.records if r.getMessage() == "stopping unknown run")
+        self.assertEqual(line.known_runs, [(1, self.executor.id)])
+
     def test_acknowledged_ends_are_named_until_they_are_deleted(self):
         """Guards against an acknowledgement that deletes the ends of a new life."""
         self.executor.received_end_number = self.executor.acknowledged_end_number = 7
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -1019,6 +1019,36 @@
             {"executors_lost_with_runs": 1, "runs_lost": 3},
         )
 
+    def test_line_of_a_lost_run_tells_what_is_known_of_its_start(self):
+        """Guards against logs that do not tell in which life a run has begun."""
+        harness = scheduling.SchedulerHarness()
+        (executor,) = harness.executors
+        runs = []
+        for job_id in ("a", "b", "c", "d"):
+            harness.add_job(scheduling.make_job(job=job_id * 16))
+            runs += harness.scheduler.commit(harness.plan(), harness.now)
+        listed, confirmed, unanswered, sent = runs
+        harness.list_runs(executor, [(listed.task.name, 1)])
+        harness.scheduler.on_run_started(confirmed, harness.now)
+        unanswered.has_unanswered_start = True
+        sent.start_sent_at = harness.now
+        with self.assertLogs("cranberryport") as logs:
+            harness.scheduler.remove_executor(executor, "not listed")
+        starts = {
+            record.task: record.start
+            for record in logs.records
+            if record.getMessage() == "run lost"
+        }
+        self.assertEqual(
+            starts,
+            {
+                listed.task.name: "listed",
+                confirmed.task.name: "confirmed",
+                unanswered.task.name: "unanswered",
+                sent.task.name: "sent",
+            },
+        )
+
 
 class UnreachableExecutorTest(unittest.TestCase):
     """An executor that has stopped answering, before it is known to be gone."""
