--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -431,6 +431,44 @@
             self.executor.last_listed_at + scheduler.LONGEST_LEASE_S,
         )
 
+    def _cut_off(self):
+        """Let the executor answer no more; return when its lease has expired."""
+        cut_at = time.monotonic()
+        self.executor.lease_expires_at = cut_at + 4.0
+        self.executor.record_failed_call(cut_at, is_connection_closed=False)
+        # The entry of the former life stays in the store.
+        self.harness.scheduler.on_executors_read()
+        return self.executor.lease_expires_at
+
+    def _runs_at(self, at):
+        self.harness.scheduler.process_due_events(at, scheduling.NOW_UNIX_S)
+        return self.run_.task.runs
+
+    def test_run_of_a_life_that_the_store_does_not_show_outlasts_the_former_lease(self):
+        """Guards against two runs at once while a restarted executor is cut off.
+
+        Issue 46: the new life had accepted a start before its first list was read. The
+        run was given up as the lease of the former life ended.
+        """
+        self._start()(self._answer(60_010))
+        lapsed_at = self._cut_off()
+        self.assertEqual(self._runs_at(lapsed_at + 1.0), [self.run_])
+
+    def test_known_run_ends_with_the_lease_beside_one_of_another_life(self):
+        """Guards against tasks that wait for a start that has nothing to do with them.
+
+        Issue 46: all runs were kept as long as one of them was.
+        """
+        self.harness.add_job(scheduling.make_job(job="b" * 16))
+        (listed,) = self.harness.scheduler.commit(
+            self.harness.plan(), self.harness.now
+        )
+        self.harness.list_runs(self.executor, [(listed.task.name, 1)])
+        self._start()(self._answer(60_010))
+        lapsed_at = self._cut_off()
+        self.assertEqual(self._runs_at(lapsed_at), [self.run_])
+        self.assertEqual(listed.task.runs, [])
+
     def test_lease_does_not_lapse_before_a_restart_would_be_known(self):
         """Guards against a start that an unknown life has carried out."""
         self._start()(executors.NoResponse(reason="timeout"))
