Keep a run beyond the lease while an unseen life of its executor may run it

Callers saw tasks run on two executors at once for up to 12 s, as back ends restarted under their ids and were cut off soon after.

Cause: a start was carried out by a new life which no list of runs had shown yet. The run was given up as the lease ended by the clock of the former life; the only guard waited until the list of executors had been read 2.5 s after the start, but an executor that is cut off writes nothing there. Beside it, the clock in an answer was taken for proof of the life that had answered, by an assumption (clocks begin below 5 s) that nothing promises, and a successor counted by the age of an executor in that same list. Change: only a list of runs proves in which life a run has begun. On an executor that does not answer, listed runs are given up with the lease, as before; the others once nothing can run any more by the orders that were sent: 12 s after the last call that names a lease, and the longest lease. The same holds for restored runs, from the last order of the previous controller. The first list after a takeover counts as the longest lease. REGISTRATION_LIMIT_S, FIRST_CLOCK_LIMIT_MS, CLOCK_DIFFERENCE_S and the age of an executor are gone. A clock that is ahead is a sign of another life now, as one that is behind. Why this works: what is given up was listed by the life whose lease has ended, or was sent so long ago that no life can run it, whatever the store shows. Price: such a run waits until its executor is back, at most 18.6 or 22.7 s where it was 4 to 5 s; after a takeover 24 or 28 s where it was 9.6 s.

Replaced by stricter ones, as they asserted the old bound: test_lease_does_not_lapse_before_a_restart_would_be_known, test_young_executor_may_run_what_a_former_life_was_sent and the end of the wait in two tests of TakeoverTest. test_run_that_the_known_life_has_begun_ends_with_it names the list that proves it; an answer alone does not any more, which test_clock_that_fits_proves_nothing asserts.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -7,7 +7,6 @@
 """
 
 import logging
-import math
 import time
 
 from cranberryport.control import (
@@ -168,6 +167,8 @@
         lease_wait_s = takeover.previous_lease_wait_s(self._lease_s)
         self._scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self._started_at + lease_wait_s,
+            previous_orders_sent_until=self._started_at
+            + takeover.previous_orders_wait_s(),
             longest_lease_s=settings.lease_most_ms / 1000,
         )
         self._shares = organisation_shares.OrganisationShares(state=self._scheduler)
@@ -609,13 +610,11 @@
         for executor_id in list(self._scheduler.executors):
             if executor_id not in listed:
                 self._scheduler.mark_entry_removed(executor_id, now)
-        self._scheduler.on_executors_read(
-            self._executors_reader.last_read_sent_at or -math.inf
-        )
+        self._scheduler.on_executors_read()
         self._on_executor_records(items)
 
     def _on_executor_records(self, items):
-        now, now_unix_s = time.monotonic(), time.time()
+        now = time.monotonic()
         for key, value in dict(items).items():
             executor = executors.parse_entry(key, value, now) if value else None
             if executor is None or isinstance(executor, bodies.Invalid):
@@ -624,9 +623,7 @@
                 continue
             self._invalid_entries.pop(key, None)
             previous = self._scheduler.executors.get(key)
-            current = self._scheduler.add_or_update_executor(
-                executor, now, now_unix_s=now_unix_s
-            )
+            current = self._scheduler.add_or_update_executor(executor, now)
             if current is None:
                 continue
             if current is not previous:
@@ -732,7 +729,7 @@
             return
         now, now_unix_s = time.monotonic(), time.time()
         if self._has_read_executors():
-            self._scheduler.on_executors_read(self._executors_reader.last_read_sent_at)
+            self._scheduler.on_executors_read()
         self._scheduler.process_due_events(now, now_unix_s)
         for executor_id in list(self._links):
             if executor_id not in self._scheduler.executors:
--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -6,9 +6,10 @@
 
 An executor that restarts may be back under its id at once, and its address and id do
 not tell which of its lives has answered a call. Each call is sent for the life that is
-known then (:attr:`executors.Executor.life`), and each answer is examined: lists of runs
-name the life, other answers have only its clock. What another life answers proves
-nothing about the one that was meant.
+known then (:attr:`executors.Executor.life`), and each answer is examined: only lists of
+runs name the life. What another life answers proves nothing about the one that was
+meant. The clock in the other answers may show that it was another life, never that it
+was the one that was meant.
 """
 
 import logging
@@ -176,7 +177,7 @@
         if run not in run.task.runs:
             # The scheduler has removed the run, so its task may run elsewhere.
             return
-        if self._executor.clock_ms is None or not self._is_role_proven():
+        if self._executor.clock_ms is None or not self._may_name_lease():
             # The executor has restarted, and its clock is not known yet; or another
             # process may be the controller.
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
@@ -192,9 +193,16 @@
             token=self._token,
             callback=lambda response: self._on_start(run, call, response),
             timeout_s=min(ORDER_TIMEOUT_S, validity_s),
-            may_send=self._is_role_proven,
+            may_send=self._may_name_lease,
         )
 
+    def _may_name_lease(self):
+        """Return whether a call that names a lease may be sent now; record its time."""
+        is_proven = self._is_role_proven()
+        if is_proven:
+            self._executor.last_lease_sent_at = time.monotonic()
+        return is_proven
+
     def stop(self, run):
         """Order the executor to stop a run; the scheduler repeats it if needed."""
         if self._is_closed or not self._is_role_proven():
@@ -257,12 +265,7 @@
             run.has_unanswered_start = True
         elif response.is_accepted:
             self._executor.last_alive_at = now
-            is_proven = (
-                response.clock_ms is not None
-                and self._executor.is_clock_of_present_life(response.clock_ms, now)
-            )
-            life = call.life if is_proven else None
-            self._scheduler.on_run_started(run, now, life=life)
+            self._scheduler.on_run_started(run, now)
         else:
             self._scheduler.on_start_refused(run, response.reason, now)
         self._on_change()
@@ -321,7 +324,7 @@
         return False
 
     def _is_of_life_meant(self, call, response):
-        """Return whether the life that a call was meant for has answered, if known.
+        """Return whether the life that a call was meant for may have answered.
 
         Otherwise the executor has restarted. If this is not known yet, the runs are
         listed at once, as the list names the life.
@@ -330,8 +333,8 @@
         if call.life != executor.life:
             self._log_other_life(call, response)
             return False
-        if response.clock_ms is not None and executor.is_clock_behind(
-            response.clock_ms, call.sent_at
+        if response.clock_ms is not None and executor.is_clock_of_other_life(
+            response.clock_ms, call.sent_at, time.monotonic()
         ):
             self._log_other_life(call, response)
             pending = self._pending_list
@@ -366,9 +369,9 @@
         now = executor.list_requested_at = call.sent_at
         lease_end_ms, may_send = None, None
         is_renewal = executor.clock_ms is not None and not self._has_list_call_failed
-        if is_renewal and self._is_role_proven():
+        if is_renewal and self._may_name_lease():
             lease_end_ms = executor.extend_lease(now, self._lease_s)
-            may_send = self._is_role_proven
+            may_send = self._may_name_lease
         long_poll_s = IDLE_LONG_POLL_S
         if executor.runs:
             long_poll_s = self._losses.long_poll_s(now)
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -17,15 +17,11 @@
 # An executor answers a request for its runs within a second. After this time without an
 # answer it counts as silent.
 SILENCE_TIMEOUT_S = 1.6
-# An executor's clock is taken for behind if it is by this share of the time since it
-# was read, and by this time, behind what it should show. More than the drift of 2 %
-# that the platform allows.
+# A clock is taken for that of another life if it differs by more than this time, or is
+# behind by more than this share of the time since the clock was read. More than the
+# drift of 2 % that the platform allows.
 CLOCK_BEHIND_SHARE = 0.03
-CLOCK_BEHIND_MS = 50.0
-# Allowed difference of the time of day between an executor and this process.
-CLOCK_DIFFERENCE_S = 2.0
-# An executor's clock begins anew at a value below this when it restarts.
-FIRST_CLOCK_LIMIT_MS = 5000.0
+CLOCK_TOLERANCE_MS = 50.0
 
 
 class Executor:
@@ -65,8 +61,7 @@
     clock_read_at : float or None
         Monotonic time at which the clock was read.
     clock_requested_at : float or None
-        Monotonic time at which the call was sent whose answer had the clock. The life
-        with this clock had begun before the answer.
+        Monotonic time at which the call was sent whose answer had the clock.
     life : int
         Number of its present life as this controller knows it. A life is the time
         between two starts of the process; all lives of executors that a controller
@@ -87,6 +82,9 @@
     has_accepted_epoch : bool
         Whether its present life has accepted a call that was meant for it, after which
         it rejects orders of previous controllers and those meant for its former lives.
+    has_kept_runs : bool
+        Whether runs were kept when its lease expired, as a life that is not known may
+        run them.
     has_restarted : bool
         Whether it has restarted under its id since this controller found it.
     has_store_entry : bool
@@ -94,8 +92,12 @@
     is_being_vacated : bool
         Whether its instance is about to be moved or taken down for maintenance, so that
         no run is planned on it.
+    last_lease_sent_at : float
+        Monotonic time at which the newest call that names a lease was sent, by this
+        controller or a previous one; minus infinity if there was none.
     lease_expires_at : float or None
-        Monotonic time at which its lease has certainly expired; None if it has none.
+        Monotonic time at which its lease has certainly expired in the life that is
+        known; None if it has none.
     last_listed_at : float or None
         Monotonic time at which it last answered a request for its runs.
     last_alive_at : float or None
@@ -140,6 +142,7 @@
         "found_at",
         "given_up_runs",
         "has_accepted_epoch",
+        "has_kept_runs",
         "has_restarted",
         "has_store_entry",
         "id",
@@ -147,6 +150,7 @@
         "labels",
         "lapsed_runs",
         "last_alive_at",
+        "last_lease_sent_at",
         "last_listed_at",
         "life",
         "lease_expires_at",
@@ -209,10 +213,12 @@
         self.found_at = 0.0
         self.given_up_runs = set()
         self.has_accepted_epoch = False
+        self.has_kept_runs = False
         self.has_restarted = False
         self.has_store_entry = True
         self.unknown_runs = ()
         self.is_being_vacated = False
+        self.last_lease_sent_at = -math.inf
         self.lease_expires_at = None
         self.last_listed_at = None
         self.last_alive_at = None
@@ -238,18 +244,6 @@
             and self.acknowledged_end_number >= self.received_end_number
         )
 
-    def age_s(self, now_unix_s):
-        """Return for how long its process has run, in seconds; infinity if not known.
-
-        Parameters
-        ----------
-        now_unix_s : float
-            Unix time in seconds.
-        """
-        if self.started_at_ms is None:
-            return math.inf
-        return max(0.0, now_unix_s - self.started_at_ms / 1000 - CLOCK_DIFFERENCE_S)
-
     @property
     def unanswered_start_count(self):
         """Number of its runs of which neither an answer nor a list is known."""
@@ -314,48 +308,35 @@
         self.clock_read_at = now
         self.clock_requested_at = now if requested_at is None else requested_at
 
-    def is_clock_behind(self, clock_ms, sent_at):
-        """Return whether a clock shows too little for the life whose clock was read.
+    def is_clock_of_other_life(self, clock_ms, sent_at, now):
+        """Return whether a clock does not fit the life whose clock was read.
 
-        Then another life has answered, or the executor was suspended.
+        Then another life has answered, or a process was suspended. A clock that fits
+        proves nothing, as the clock of a new life may begin at any value.
 
         Parameters
         ----------
         clock_ms : int
             Clock in an answer in milliseconds.
-        sent_at : float
-            Monotonic time at which the call was sent.
+        sent_at, now : float
+            Monotonic times in seconds at which the call was sent and the answer
+            arrived.
         """
         if self.clock_ms is None:
             return False
         passed_ms = (sent_at - self.clock_read_at) * 1000
         if passed_ms > 0:
             passed_ms *= 1 - CLOCK_BEHIND_SHARE
-        return clock_ms < self.clock_ms + passed_ms - CLOCK_BEHIND_MS
-
-    def is_clock_of_present_life(self, clock_ms, now):
-        """Return whether a clock can only be that of the life whose clock was read.
-
-        A later life has begun after that clock was requested, so its own clock shows no
-        more than the time since then.
-
-        Parameters
-        ----------
-        clock_ms : int
-            Clock in an answer in milliseconds.
-        now : float
-            Monotonic time in seconds at which the answer arrived.
-        """
-        if self.clock_ms is None:
-            return False
-        latest_ms = (now - self.clock_requested_at) * 1000 + FIRST_CLOCK_LIMIT_MS
-        return clock_ms > latest_ms
+        earliest_ms = self.clock_ms + passed_ms - CLOCK_TOLERANCE_MS
+        passed_at_most_ms = (now - self.clock_requested_at) * 1000
+        latest_ms = self.clock_ms + passed_at_most_ms + CLOCK_TOLERANCE_MS
+        return not earliest_ms <= clock_ms <= latest_ms
 
-    def may_begin_later(self, run):
-        """Return whether a start of a run may be carried out after a restart.
+    def may_run_in_other_life(self, run):
+        """Return whether a life that is not known may run a run, or may begin it.
 
-        A start without an answer may still arrive, and an answer may have come from the
-        new life before this controller has learned of it.
+        A start without an answer may still arrive there, and an answer to a start does
+        not tell which life has given it. Only lists of runs name the life.
 
         Parameters
         ----------
@@ -394,6 +375,7 @@
         """Record that its process has answered a request for its runs."""
         self.last_alive_at = now
         self.unreachable_since = None
+        self.has_kept_runs = False
         self.lapsed_runs = []
 
     def record_failed_call(self, now, *, is_connection_closed):
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -34,10 +34,6 @@
 # that the executor knows forbids it. Its validity does not: that is a time of the clock
 # of the life that the order was meant for.
 LATE_ORDER_LIMIT_S = 12.0
-# Time from the start of an executor until its entry is in the store. Entries that an
-# outage of the store has removed are back within 2 s of its return (platform's
-# protocol).
-REGISTRATION_LIMIT_S = 2.5
 # Delay before a task that could not be started is tried again.
 RETRY_DELAY_S = 0.2
 # Backoff after a refusal for lack of resources; by then the executor's next list of
@@ -126,19 +122,29 @@
     ----------
     previous_leases_expire_at : float
         Monotonic time by which the leases of the previous controller have expired on
-        all executors.
+        all executors, by the clocks of the lives that it knew.
+    previous_orders_sent_until : float, optional
+        Monotonic time by which the previous controller has sent its last order; by
+        default the same.
     longest_lease_s : float
         Longest lease that executors grant, in seconds.
     """
 
-    def __init__(self, *, previous_leases_expire_at, longest_lease_s=LONGEST_LEASE_S):
+    def __init__(
+        self,
+        *,
+        previous_leases_expire_at,
+        previous_orders_sent_until=None,
+        longest_lease_s=LONGEST_LEASE_S,
+    ):
         self._previous_leases_expire_at = previous_leases_expire_at
+        if previous_orders_sent_until is None:
+            previous_orders_sent_until = previous_leases_expire_at
+        self._previous_orders_sent_until = previous_orders_sent_until
         self._longest_lease_s = longest_lease_s
         # Number of the lives of executors that this controller has learned of.
         self._life_count = 0
         self._has_read_executors = False
-        # Monotonic time at which the newest read of the list of executors was sent.
-        self._executors_read_sent_at = -math.inf
         self._jobs = {}
         self._open_jobs = {}
         self._executors = {}
@@ -382,7 +388,7 @@
 
     # Executors
 
-    def add_or_update_executor(self, executor, now, *, now_unix_s=None):
+    def add_or_update_executor(self, executor, now):
         """Add an executor that the store lists, or update the known one.
 
         A known executor with a later start time has restarted. An entry with an earlier
@@ -394,8 +400,6 @@
             Executor as read from its entry in the store.
         now : float
             Monotonic time in seconds.
-        now_unix_s : float, optional
-            Unix time in seconds; without it an executor that is found counts as old.
 
         Returns
         -------
@@ -450,20 +454,13 @@
         executor.found_at = now
         executor.life = self._next_life()
         executor.lease_expires_at = self._previous_leases_expire_at
-        if now < self._previous_leases_expire_at and now_unix_s is not None:
-            # Orders that a previous controller meant for a former life of it.
-            executor.lease_expires_at = max(
-                executor.lease_expires_at,
-                takeover.former_orders_end_at(
-                    now,
-                    age_s=executor.age_s(now_unix_s),
-                    late_order_limit_s=LATE_ORDER_LIMIT_S,
-                    longest_lease_s=self._longest_lease_s,
-                ),
-            )
+        executor.last_lease_sent_at = self._previous_orders_sent_until
         if known is not None:
             executor.has_restarted = True
             executor.runs = known.runs
+            executor.last_lease_sent_at = max(
+                executor.last_lease_sent_at, known.last_lease_sent_at
+            )
             executor.lease_expires_at = max(
                 executor.lease_expires_at, known.lease_expires_at or 0.0
             )
@@ -486,17 +483,9 @@
         self._life_count += 1
         return self._life_count
 
-    def on_executors_read(self, sent_at=math.inf):
-        """Record that the list of executors has been read.
-
-        Parameters
-        ----------
-        sent_at : float, optional
-            Monotonic time at which the newest answered request for it was sent; by
-            default it is taken to be up to date at any time.
-        """
+    def on_executors_read(self):
+        """Record that the list of executors has been read."""
         self._has_read_executors = True
-        self._executors_read_sent_at = sent_at
 
     def mark_entry_removed(self, executor_id, now):
         """Mark an executor whose entry is not in the store any more.
@@ -512,10 +501,11 @@
     def on_executor_restarted(self, executor, started_at_ms, *, now=None):
         """Record that an executor has restarted under its id.
 
-        The runs that have certainly begun before have ended. A start without an answer
-        may still be carried out by the restarted executor, and one with an answer may
-        have been answered by it. The runs of these are kept until the first list that
-        the new life is asked for, or until its lease has expired as it does not answer.
+        The runs that a list has shown before have ended. A start without an answer may
+        still be carried out by the restarted executor, and one with an answer may have
+        been answered by it. The runs of these are kept until the first list that the
+        new life is asked for, or as it does not answer until nothing can run any more
+        by the orders that were sent.
 
         Parameters
         ----------
@@ -528,7 +518,10 @@
         """
         now = time.monotonic() if now is None else now
         self._remove_runs_on(
-            executor, "restarted", has_crashed=True, is_kept=executor.may_begin_later
+            executor,
+            "restarted",
+            has_crashed=True,
+            is_kept=executor.may_run_in_other_life,
         )
         _logger.info(
             "executor restarted",
@@ -558,13 +551,10 @@
         executor.clock_ms = None
         executor.lease_expires_at = None
         if executor.runs:
-            executor.lease_expires_at = takeover.former_orders_end_at(
-                now,
-                age_s=0.0,
-                late_order_limit_s=LATE_ORDER_LIMIT_S,
-                longest_lease_s=self._longest_lease_s,
-            )
+            executor.last_lease_sent_at = now
+            executor.lease_expires_at = self._orders_end_at(now)
         executor.has_accepted_epoch = False
+        executor.has_kept_runs = False
         executor.unknown_runs = ()
         executor.given_up_runs = set()
         executor.tickets = {}
@@ -589,6 +579,13 @@
             "executor removed", extra={"executor": executor.id, "reason": reason}
         )
 
+    def _orders_end_at(self, sent_at, *, late_order_limit_s=LATE_ORDER_LIMIT_S):
+        return takeover.orders_end_at(
+            sent_at,
+            late_order_limit_s=late_order_limit_s,
+            longest_lease_s=self._longest_lease_s,
+        )
+
     def retire_executor(self, executor, reason, *, has_crashed=False):
         """Remove an executor whose instance was moved, taken down or has failed.
 
@@ -749,20 +746,8 @@
             Unix time in seconds.
         """
         for executor in list(self._executors.values()):
-            is_lease_expired = executor.is_lease_expired(now)
-            if (
-                executor.runs
-                and is_lease_expired
-                and not self._may_have_restarted_unseen(executor)
-            ):
-                # Whether it has crashed or was cut off shows later.
-                lapsed_runs = [
-                    (run, executor.run_age_s(run)) for run in executor.runs.values()
-                ]
-                executor.given_up_runs.update(executor.runs)
-                self._remove_runs_on(executor, "lease lapsed")
-                executor.lapsed_runs = lapsed_runs
-                executor.has_accepted_epoch = False
+            if executor.runs and executor.is_lease_expired(now):
+                self._give_up_lapsed_runs(executor, now)
             if not executor.has_store_entry and not executor.runs:
                 if executor.lapsed_runs and not executor.is_draining:
                     self._record_crash(executor.id, executor.lapsed_runs, host=None)
@@ -772,7 +757,7 @@
                 self.remove_executor(executor, "not listed")
         if self._restored_runs and takeover.may_give_up_unlisted(
             now,
-            self._previous_leases_expire_at,
+            self._orders_end_at(self._previous_orders_sent_until),
             has_read_executors=self._has_read_executors,
         ):
             for executor_id in list(self._restored_runs):
@@ -785,23 +770,37 @@
             self._activate_due_occurrences(job, now_unix_s)
         self._repeat_stops(now)
 
-    def _may_have_restarted_unseen(self, executor):
-        """Return whether a start may run in a life that is not known yet.
+    def _give_up_lapsed_runs(self, executor, now):
+        """Give up the runs on an executor whose lease has expired.
 
-        It would have a lease by another clock than the one that has expired. The list
-        of executors shows the restart if it was read late enough.
+        The lease is a time of the clock of the life that is known. An executor that is
+        cut off may have restarted, which the store does not show then, and may run by
+        the clock of that life what no list has shown in the known one.
         """
-        newest = max(
-            (
-                run.start_sent_at
-                for run in executor.runs.values()
-                if run.start_sent_at is not None
-                and run.life in (None, executor.life)
-                and executor.may_begin_later(run)
-            ),
-            default=-math.inf,
-        )
-        return self._executors_read_sent_at < newest + REGISTRATION_LIMIT_S
+        orders_end_at = self._orders_end_at(executor.last_lease_sent_at)
+        kept = set()
+        if now < orders_end_at:
+            kept.update(filter(executor.may_run_in_other_life, executor.runs.values()))
+        if kept and not executor.has_kept_runs:
+            executor.has_kept_runs = True
+            _logger.info(
+                "runs kept after the lease",
+                extra={
+                    "executor": executor.id,
+                    "runs": [[run.task.name, run.number] for run in kept],
+                    "at_most_s": round(orders_end_at - now, 3),
+                },
+            )
+        lapsed = [run for run in executor.runs.values() if run not in kept]
+        if not lapsed:
+            return
+        # Whether it has crashed or was cut off shows later.
+        lapsed_runs = executor.lapsed_runs
+        lapsed_runs += [(run, executor.run_age_s(run)) for run in lapsed]
+        executor.given_up_runs.update((run.task.name, run.number) for run in lapsed)
+        self._remove_runs_on(executor, "lease lapsed", is_kept=kept.__contains__)
+        executor.lapsed_runs = lapsed_runs
+        executor.has_accepted_epoch = False
 
     def _repeat_stops(self, now):
         if now - self._stops_checked_at < STOP_CHECK_INTERVAL_S:
@@ -974,7 +973,10 @@
         executor.last_listed_at = now
         if is_meant_for_life and executor.listed_life != executor.life:
             executor.listed_life = executor.life
-            if executor.has_restarted:
+            previous_orders_end_at = self._orders_end_at(
+                self._previous_orders_sent_until
+            )
+            if executor.has_restarted or now < previous_orders_end_at:
                 self._bound_lease(executor, now)
         for end in report.finished:
             if end.number <= executor.received_end_number:
@@ -1036,12 +1038,7 @@
         """
         executor.lease_expires_at = max(
             executor.lease_expires_at or 0.0,
-            takeover.former_orders_end_at(
-                now,
-                age_s=0.0,
-                late_order_limit_s=0.0,
-                longest_lease_s=self._longest_lease_s,
-            ),
+            self._orders_end_at(now, late_order_limit_s=0.0),
         )
 
     def _update_run(self, run, entry, executor, now):
--- a/cranberryport/scheduling/takeover.py
+++ b/cranberryport/scheduling/takeover.py
@@ -45,22 +45,22 @@
     return epoch * LIVES_LIMIT + min(life, LIVES_LIMIT - 1)
 
 
-def former_orders_end_at(now, *, age_s, late_order_limit_s, longest_lease_s):
-    """Return when nothing runs any more by an order that was meant for a former life.
+def orders_end_at(sent_at, *, late_order_limit_s, longest_lease_s):
+    """Return when nothing runs any more by the orders sent until a time, in any life.
 
-    Such an order names a time of another clock, so neither its validity nor the lease
-    that it asks for bounds it: it was sent before the present life began, is carried
-    out in time, and an executor shortens its lease to the longest one.
+    An order names times of the clock of the life that it was meant for. In another life
+    neither its validity nor the lease that it asks for bounds it: it is carried out
+    within a limit after it was sent, and the executor shortens its lease to the longest
+    one.
 
     Parameters
     ----------
-    now : float
-        Monotonic time in seconds.
-    age_s : float
-        Age of the present life in seconds.
+    sent_at : float
+        Monotonic time in seconds at which the last order that names a lease was sent,
+        or the last one that the executor does not refuse.
     late_order_limit_s : float
         Time in seconds within which an order without an answer is carried out; 0 if the
-        executor refuses such orders from now on.
+        executor refuses such orders from then on.
     longest_lease_s : float
         Longest lease that executors grant, in seconds.
 
@@ -70,7 +70,7 @@
         Monotonic time in seconds.
     """
     lease_s = longest_lease_s * CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
-    return now - age_s + late_order_limit_s + lease_s
+    return sent_at + late_order_limit_s + lease_s
 
 
 def is_role_proven(proof_age_s):
@@ -113,13 +113,22 @@
     return role_validity_s + lease_s * CLOCK_DRIFT_FACTOR + TAKEOVER_MARGIN_S
 
 
-def may_give_up_unlisted(now, leases_expire_at, *, has_read_executors):
+def previous_orders_wait_s():
+    """Return the seconds after which a previous controller sends no orders any more.
+
+    They count as those of :func:`previous_lease_wait_s`.
+    """
+    return ROLE_VALIDITY_S + TAKEOVER_MARGIN_S
+
+
+def may_give_up_unlisted(now, orders_end_at, *, has_read_executors):
     """Return whether restored runs on executors that are not known may be given up.
 
     Parameters
     ----------
-    now, leases_expire_at : float
-        Monotonic times in seconds: present, and end of all leases of the predecessor.
+    now, orders_end_at : float
+        Monotonic times in seconds: present, and end of all that the predecessor's
+        orders may run, see :func:`orders_end_at`.
     has_read_executors : bool
         Whether the list of executors has been read. Before that, an executor may be
         listed and hold the runs, or their ends.
@@ -129,7 +138,7 @@
     bool
         Whether no executor can have one of the runs.
     """
-    return has_read_executors and now >= leases_expire_at
+    return has_read_executors and now >= orders_end_at
 
 
 def may_take_lease_for_expired(now, lease_expires_at, *, has_been_asked):
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -334,6 +334,8 @@
     def test_run_that_the_known_life_has_begun_ends_with_it(self):
         """Guards against a task that waits although its run is certainly lost."""
         self._start()(self._answer(60_010))
+        self.link.open()
+        self._list((self.run_.task.name, 1), started_at_ms=5)
         self._restart()
         self.assertEqual(self.run_.task.runs, [])
 
@@ -358,13 +360,22 @@
         self._start()(self._answer(70))
         self.assertEqual(len(self.client.lists), 2)
 
-    def test_answer_of_a_young_life_proves_nothing(self):
-        """Guards against two clocks that cannot be told apart."""
-        self.executor.update_clock(300, time.monotonic())
-        self._start()(self._answer(310))
+    def test_clock_that_fits_proves_nothing(self):
+        """Guards against two clocks that cannot be told apart.
+
+        Issue 46: the clock of a new life may begin at any value.
+        """
+        self._start()(self._answer(60_010))
         self._restart()
         self.assertEqual(self.run_.task.runs, [self.run_])
 
+    def test_clock_that_is_ahead_is_of_another_life(self):
+        """Guards against a restart that is known only after a long poll."""
+        self.link.open()
+        self._start()(self._answer(70_000))
+        self.assertIsNone(self.run_.confirmed_at)
+        self.assertEqual(len(self.client.lists), 2)
+
     def test_earlier_start_without_an_answer_is_kept(self):
         """Guards against an order that the new life still carries out."""
         first, second = self._start(), self._start()
@@ -460,29 +471,36 @@
         Issue 46: all runs were kept as long as one of them was.
         """
         self.harness.add_job(scheduling.make_job(job="b" * 16))
-        (listed,) = self.harness.scheduler.commit(
-            self.harness.plan(), self.harness.now
-        )
+        (listed,) = self.harness.scheduler.commit(self.harness.plan(), self.harness.now)
         self.harness.list_runs(self.executor, [(listed.task.name, 1)])
         self._start()(self._answer(60_010))
         lapsed_at = self._cut_off()
         self.assertEqual(self._runs_at(lapsed_at), [self.run_])
         self.assertEqual(listed.task.runs, [])
 
-    def test_lease_does_not_lapse_before_a_restart_would_be_known(self):
-        """Guards against a start that an unknown life has carried out."""
+    def test_start_without_an_answer_is_kept_until_no_life_can_run_it(self):
+        """Guards against a start that an unknown life has carried out.
+
+        An order is carried out 12 s after it was sent at the latest, and the longest
+        lease is 10 s by a clock that runs 2 % slow.
+        """
         self._start()(executors.NoResponse(reason="timeout"))
-        self.executor.lease_expires_at = time.monotonic() + 1.0
-        later = time.monotonic() + 2.0
-        sent_at = self.run_.start_sent_at
-        limit_s = scheduler.REGISTRATION_LIMIT_S
-        for read_sent_at, kept in (
-            (sent_at + limit_s - 0.1, [self.run_]),
-            (sent_at + limit_s, []),
-        ):
-            self.harness.scheduler.on_executors_read(read_sent_at)
-            self.harness.scheduler.process_due_events(later, scheduling.NOW_UNIX_S)
-            self.assertEqual(self.run_.task.runs, kept)
+        self._cut_off()
+        orders_end_at = self.executor.last_lease_sent_at + 12.0 + 10.2
+        self.assertEqual(self._runs_at(orders_end_at), [self.run_])
+        self.assertEqual(self._runs_at(orders_end_at + 1.0), [])
+
+    def test_renewal_prolongs_what_an_unknown_life_may_run(self):
+        """Guards against a renewal that another life carries out by its own clock."""
+        self._start()(self._answer(60_010))
+        started_at = self.executor.last_lease_sent_at
+        self.link.open()
+        self.assertGreater(self.executor.last_lease_sent_at, started_at)
+        self.link.close()
+        may_send = self.client.lists[0][1]
+        sent_at = self.executor.last_lease_sent_at
+        may_send()
+        self.assertGreater(self.executor.last_lease_sent_at, sent_at)
 
     def test_line_about_an_unknown_run_names_the_known_runs_of_its_task(self):
         """Guards against logs that do not show that a task runs twice."""
--- a/tests/test_scheduling_restart_interleavings.py
+++ b/tests/test_scheduling_restart_interleavings.py
@@ -252,6 +252,7 @@
         self.scheduler = scheduler.Scheduler(
             previous_leases_expire_at=self.now
             + takeover.previous_lease_wait_s(LEASE_S, role_validity_s=0.0),
+            previous_orders_sent_until=self.now,
             longest_lease_s=LONGEST_LEASE_S,
         )
         self.planner = task_planner.TaskPlanner(state=self.scheduler)
@@ -294,7 +295,7 @@
         """Read the list of executors."""
         for name in NAMES:
             self.read_entry(name)
-        self.scheduler.on_executors_read(self.now)
+        self.scheduler.on_executors_read()
 
     @rule()
     def decide(self):
@@ -320,9 +321,7 @@
             return
         entry = scheduling.make_executor(name)
         entry.started_at_ms = self.simulated[name].born - is_of_former_life
-        current = self.scheduler.add_or_update_executor(
-            entry, self.now, now_unix_s=self.now_unix_s
-        )
+        current = self.scheduler.add_or_update_executor(entry, self.now)
         if current is previous:
             self.links[name].list_after_restart()
             return
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -420,22 +420,22 @@
         harness.list_runs(moved)
         self.assertEqual(run.task.runs, [])
 
-    def test_young_executor_may_run_what_a_former_life_was_sent(self):
+    def test_lease_of_the_previous_controller_may_be_the_longest(self):
         """Guards against two runs after a takeover beside a restart.
 
-        The previous controller's order named a time of the former life's clock.
+        The previous controller's renewal named a time of the former life's clock, and
+        the entry of an executor that was cut off shows that life as well.
         """
-        scheduler_ = scheduling.SchedulerHarness(
-            count=0, previous_leases_expire_at=109.6
-        ).scheduler
-        entry = scheduling.make_executor()
-        for age_s, expected in ((600.0, 109.6), (3.0, 100.0 - 1.0 + 12.0 + 10.7)):
-            with self.subTest(age_s=age_s):
-                entry = scheduling.make_executor(f"e{age_s}")
-                entry.started_at_ms = int((scheduling.NOW_UNIX_S - age_s) * 1000)
-                found = scheduler_.add_or_update_executor(
-                    entry, 100.0, now_unix_s=scheduling.NOW_UNIX_S
+        longest_s = 10.7
+        orders_end_at = 109.6 + 12.0 + longest_s
+        for listed_at, is_bounded in ((100.0, True), (orders_end_at, False)):
+            with self.subTest(listed_at=listed_at):
+                harness = scheduling.SchedulerHarness(
+                    count=0, previous_leases_expire_at=109.6
                 )
+                harness.now = listed_at
+                found = harness.add_executor("e1")
+                expected = listed_at + longest_s if is_bounded else 109.6
                 self.assertAlmostEqual(found.lease_expires_at, expected)
 
     def test_unknown_run_is_reported(self):
@@ -925,14 +925,20 @@
             second.scheduler.job_state(runs[1].task.job.id), model.COMPLETED
         )
 
-    def test_run_on_an_unreachable_executor_is_kept_until_the_lease_expires(self):
-        """Guards against a second run while the first one may run out of reach."""
+    def test_run_on_an_unreachable_executor_is_kept_until_its_orders_end(self):
+        """Guards against a second run while the first one may run out of reach.
+
+        Issue 46: it may run in a life that the previous controller did not know.
+        """
         second, _ = self._take_over()
         second.scheduler.on_executors_read()
         second.add_executor("e2")
-        second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
-        self.assertEqual(second.start(), [])
-        second.now = 104.1
+        orders_end_at = 104.0 + 12.0 + 10.7
+        for now in (second.now, 104.1, orders_end_at - 0.1):
+            second.now = now
+            second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
+            self.assertEqual(second.start(), [])
+        second.now = orders_end_at + 0.1
         second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
         (run,) = second.start()
         self.assertEqual(run.number, 2)
@@ -972,6 +978,9 @@
         )
         executor.record_failed_call(second.now, is_connection_closed=False)
         second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
+        self.assertEqual(second.start(), [], "another life may run it")
+        second.now = 104.0 + 12.0 + 10.8
+        second.scheduler.process_due_events(second.now, scheduling.NOW_UNIX_S)
         self.assertEqual([run.number for run in second.start()], [2])
 
     def test_run_on_an_executor_without_an_instance_is_removed_at_once(self):
