Keep starts without an answer while an instance is down

An executor whose instance the list shows as down was retired with all its runs. It may start again under its id, and then carries out the calls that wait for it; the tasks ran elsewhere by then. After a takeover the same befell the restored runs of an executor whose instance is down, as such an instance names no executor. Change: while the instance is down, the runs whose starts have no answer are kept; those that were answered before are over, as before. The crash is counted once, at the first such list. Tests: test_start_that_a_restarted_executor_may_carry_out_is_kept, test_executor_of_an_instance_that_is_gone_does_not_come_back and test_restored_run_is_kept_while_its_executor_may_come_back fail before.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -352,7 +352,9 @@
         self._list_sent_at = list_sent_at
         self._close_finished_orders(list_sent_at)
         self._retire_executors_without_instance(list_sent_at)
-        if self._has_read_executors():
+        # An executor of an instance that is down is not named, and may start again.
+        is_any_down = any(i.state == instances.DOWN for i in listed.values())
+        if self._has_read_executors() and not is_any_down:
             present = {i.executor for i in listed.values() if i.executor}
             self._scheduler.remove_restored_runs(present)
 
@@ -375,13 +377,14 @@
             if executor.id not in self._seen_executors and not is_settled:
                 continue
             has_runs = executor.runs or executor.lapsed_runs
-            if has_runs and executor.is_overdue(list_sent_at):
-                has_order = self._seen_executors.get(executor.id) in self._orders
-                self._scheduler.retire_executor(
-                    executor,
-                    "no running instance has it",
-                    has_crashed=not has_order,
-                )
+            if not (has_runs and executor.is_overdue(list_sent_at)):
+                continue
+            reason = "no running instance has it"
+            if self._may_start_again(executor.id):
+                self._scheduler.on_instance_down(executor, reason, at=list_sent_at)
+                continue
+            has_order = self._seen_executors.get(executor.id) in self._orders
+            self._scheduler.retire_executor(executor, reason, has_crashed=not has_order)
         current = self._scheduler.executors.keys()
         self._seen_executors = {
             executor_id: instance_id
@@ -389,6 +392,18 @@
             if executor_id in current
         }
 
+    def _may_start_again(self, executor_id):
+        """Return whether an executor that no running instance has may come back.
+
+        An instance that is down may start its executor again under the same id. One
+        that has another executor, or is not listed any more, does not.
+        """
+        instance_id = self._seen_executors.get(executor_id)
+        if instance_id is not None:
+            instance = self._instances.get(instance_id)
+            return instance is not None and instance.state == instances.DOWN
+        return any(i.state == instances.DOWN for i in self._instances.values())
+
     def _close_finished_orders(self, list_sent_at):
         now = time.monotonic()
         for instance_id, order in list(self._orders.items()):
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -92,6 +92,8 @@
     is_being_vacated : bool
         Whether its instance is about to be moved or taken down for maintenance, so that
         no run is planned on it.
+    is_crash_recorded : bool
+        Whether the crash that has ended its present life is recorded.
     last_lease_sent_at : float
         Monotonic time at which the newest call that names a lease was sent, by this
         controller or a previous one; minus infinity if there was none.
@@ -147,6 +149,7 @@
         "has_store_entry",
         "id",
         "is_being_vacated",
+        "is_crash_recorded",
         "labels",
         "lapsed_runs",
         "last_alive_at",
@@ -218,6 +221,7 @@
         self.has_store_entry = True
         self.unknown_runs = ()
         self.is_being_vacated = False
+        self.is_crash_recorded = False
         self.last_lease_sent_at = -math.inf
         self.lease_expires_at = None
         self.last_listed_at = None
@@ -347,6 +351,21 @@
             return False
         return run.has_unanswered_start or run.begun_in_life != self.life
 
+    def may_begin_after(self, run, at):
+        """Return whether a start of a run may be carried out after a time.
+
+        Parameters
+        ----------
+        run : model.Run
+            A run on this executor.
+        at : float
+            Monotonic time in seconds.
+        """
+        if run.state == model.PLANNED:
+            return False
+        is_confirmed = run.confirmed_at is not None and run.confirmed_at < at
+        return run.has_unanswered_start or not is_confirmed
+
     def extend_lease(self, now, lease_s):
         """Extend the lease and return its end on the executor's clock.
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -555,6 +555,7 @@
             executor.lease_expires_at = self._orders_end_at(now)
         executor.has_accepted_epoch = False
         executor.has_kept_runs = False
+        executor.is_crash_recorded = False
         executor.unknown_runs = ()
         executor.given_up_runs = set()
         executor.tickets = {}
@@ -586,6 +587,32 @@
             longest_lease_s=self._longest_lease_s,
         )
 
+    def on_instance_down(self, executor, reason, *, at):
+        """Record that an executor has crashed, which may start again under its id.
+
+        It would carry out the starts that have no answer. Their runs are kept until it
+        answers or is retired, or nothing can run any more by the orders that were sent.
+        Without any it is retired.
+
+        Parameters
+        ----------
+        executor : executors.Executor
+            The executor.
+        reason : str
+            Reason for the log.
+        at : float
+            Monotonic time since which its instance was down.
+        """
+
+        def may_begin(run):
+            return executor.may_begin_after(run, at)
+
+        if not any(map(may_begin, executor.runs.values())):
+            self.retire_executor(executor, reason, has_crashed=True)
+        elif not executor.is_crash_recorded:
+            self._remove_runs_on(executor, reason, has_crashed=True, is_kept=may_begin)
+            executor.is_crash_recorded = True
+
     def retire_executor(self, executor, reason, *, has_crashed=False):
         """Remove an executor whose instance was moved, taken down or has failed.
 
@@ -688,7 +715,7 @@
         self, executor, reason, *, has_crashed=False, is_kept=lambda run: False
     ):
         runs = list(executor.runs.values())
-        if has_crashed and not executor.is_draining:
+        if has_crashed and not (executor.is_draining or executor.is_crash_recorded):
             aged_runs = [
                 (run, executor.run_age_s(run))
                 for run in runs
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -331,6 +331,56 @@
         run = self._make_executor_silent(instances.DOWN)
         self.assertFalse(run.task.runs)
 
+    def _lose_unanswered_start(self):
+        """Take down the instance of a run whose start has no answer; return the run."""
+        executor = self.harness.add_executor("e1")
+        self.listed["m1"].pool, self.listed["m1"].executor = "pool", "e1"
+        self.harness.add_job(scheduling.make_job(scheduling.make_step(2)))
+        run, other = self.harness.start()
+        run.has_unanswered_start = True
+        self.manager._on_instances_listed(self.listed, self.harness.now)
+        executor.record_failed_call(self.harness.now, is_connection_closed=True)
+        self.listed["m1"].state, self.listed["m1"].executor = instances.DOWN, ""
+        for seconds in (0.1, 0.2):
+            self.manager._on_instances_listed(self.listed, self.harness.now + seconds)
+        self.assertEqual(run.task.runs, [run])
+        self.assertEqual(other.task.runs, [])
+        self.assertEqual(run.task.crash_history.crash_count, 1)
+        return run
+
+    def test_start_that_a_restarted_executor_may_carry_out_is_kept(self):
+        """Guards against two runs as an executor is back under its id.
+
+        Issue 46: an instance that is down may start its executor again, which carries
+        out a call that was meant for its former life.
+        """
+        run = self._lose_unanswered_start()
+        self.listed["m1"].state, self.listed["m1"].executor = instances.UP, "e2"
+        self.manager._on_instances_listed(self.listed, self.harness.now + 0.3)
+        self.assertEqual(run.task.runs, [])
+        self.assertEqual(run.task.crash_history.crash_count, 1)
+
+    def test_executor_of_an_instance_that_is_gone_does_not_come_back(self):
+        """Guards against a task that waits for an instance that is lost for good."""
+        run = self._lose_unanswered_start()
+        del self.listed["m1"]
+        self.manager._on_instances_listed(self.listed, self.harness.now + 0.3)
+        self.assertEqual(run.task.runs, [])
+
+    def test_restored_run_is_kept_while_its_executor_may_come_back(self):
+        """Guards against two runs after a takeover, as an instance is down."""
+        predecessor = scheduling.SchedulerHarness()
+        job = predecessor.add_job(scheduling.make_job())
+        predecessor.start()
+        progress = records.progress_to_record(job)
+        self.harness.scheduler.restore_job(
+            scheduling.make_job(), progress, scheduling.NOW_UNIX_S
+        )
+        for state, is_kept in ((instances.DOWN, True), (instances.UP, False)):
+            self.listed["m1"].state = state
+            self.manager._on_instances_listed(self.listed, self.harness.now)
+            self.assertEqual(self.harness.scheduler.has_restored_runs("e1"), is_kept)
+
     def test_silent_executor_of_an_instance_that_is_up_is_kept(self):
         """Guards against a second run of a task whose executor is only unreachable."""
         run = self._make_executor_silent(instances.UP)
