Count the next crash of an executor that has answered since

Found by reading the change before: after a list of instances has shown an executor's instance as down, its crash counted as recorded until a restart under its id was known, also if it had answered in the meantime. test_crash_of_an_executor_that_has_answered_since_is_counted fails before.

--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -395,6 +395,7 @@
         self.last_alive_at = now
         self.unreachable_since = None
         self.has_kept_runs = False
+        self.is_crash_recorded = False
         self.lapsed_runs = []
 
     def record_failed_call(self, now, *, is_connection_closed):
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -360,6 +360,15 @@
         self.assertEqual(run.task.runs, [])
         self.assertEqual(run.task.crash_history.crash_count, 1)
 
+    def test_crash_of_an_executor_that_has_answered_since_is_counted(self):
+        """Guards against a crash that counts as the one that was recorded before."""
+        run = self._lose_unanswered_start()
+        executor = self.harness.scheduler.executors["e1"]
+        executor.record_answer(self.harness.now + 0.3)
+        executor.record_failed_call(self.harness.now + 0.4, is_connection_closed=True)
+        self.manager._on_instances_listed(self.listed, self.harness.now + 0.5)
+        self.assertEqual(run.task.crash_history.crash_count, 2)
+
     def test_executor_of_an_instance_that_is_gone_does_not_come_back(self):
         """Guards against a task that waits for an instance that is lost for good."""
         run = self._lose_unanswered_start()
