Let a start without an answer keep a run only as long as it can arrive

One lost answer, or a takeover, counted for as long as the run went on: when its executor was out of reach, a task that had been listed for minutes waited up to 22.7 s in place of 4 to 5 s. Change: a list that was requested 12 s after the last attempt was sent, or after the previous controller's last order, and that has the run, clears the mark; no attempt can arrive any more, in any life. The time of sending is that of the first byte.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -177,7 +177,7 @@
         if run not in run.task.runs:
             # The scheduler has removed the run, so its task may run elsewhere.
             return
-        if self._executor.clock_ms is None or not self._may_name_lease():
+        if self._executor.clock_ms is None or not self._may_send_start(run):
             # The executor has restarted, and its clock is not known yet; or another
             # process may be the controller.
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
@@ -193,9 +193,16 @@
             token=self._token,
             callback=lambda response: self._on_start(run, call, response),
             timeout_s=min(ORDER_TIMEOUT_S, validity_s),
-            may_send=self._may_name_lease,
+            may_send=lambda: self._may_send_start(run),
         )
 
+    def _may_send_start(self, run):
+        """Return whether the start of a run may be sent now; record its time."""
+        may_send = self._may_name_lease()
+        if may_send:
+            run.start_sent_at = self._executor.last_lease_sent_at
+        return may_send
+
     def _may_name_lease(self):
         """Return whether a call that names a lease may be sent now; record its time."""
         is_proven = self._is_role_proven()
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -155,15 +155,16 @@
         Monotonic time at which the start was stored and could be sent; None for a run
         that a previous controller started.
     start_sent_at : float or None
-        Monotonic time at which this controller last sent the start, or found the
-        executor of a run that a previous one started; None if there was neither.
+        Monotonic time at which the start was last sent, or at which a previous
+        controller may last have sent it; None if it was not sent.
     start_expires_at : float or None
         Monotonic time after which an unanswered start is not carried out any more;
         None for a run that a previous controller started.
     has_unanswered_start : bool
         Whether an attempt to send the start had no response, or one of another life of
         the executor, and may have been or still be carried out. True for a run that a
-        previous controller started.
+        previous controller started, until that controller's orders cannot arrive any
+        more.
     is_start_withdrawn : bool
         Whether the start is not sent again, as the executor has restarted since.
     life : int or None
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -467,8 +467,8 @@
         executor.given_up_runs = self._given_up_runs.pop(executor.id, set())
         for run in self._restored_runs.pop(executor.id, {}).values():
             executor.runs[(run.task.name, run.number)] = run
-            # The previous controller sent its last orders before.
-            run.start_sent_at = now
+            # The previous controller may have sent its last orders until then.
+            run.start_sent_at = max(now, self._previous_orders_sent_until)
         _logger.info(
             "executor found",
             extra={
@@ -1026,6 +1026,12 @@
             if run is None:
                 unknown.append(key)
                 continue
+            if (
+                run.start_sent_at is not None
+                and requested_at > run.start_sent_at + LATE_ORDER_LIMIT_S
+            ):
+                # No attempt to send the start can arrive any more, in any life.
+                run.has_unanswered_start = False
             self._update_run(run, entry, executor, now)
         executor.unknown_runs = tuple(unknown)
         if not report.are_ends_complete:
