Do not count a kept run as available

A run that is kept beyond the lease stayed RUNNING at 100 %, so that maintenance could stop the next task of its step although this one was away (rule AVAIL). Change: a kept run is ORDERED again until a list shows it. Its pace starts anew with the life that runs it.

--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -247,6 +247,11 @@
         self.ticket = ""
         self.remote_factor = None
 
+    def mark_unknown(self):
+        """Record that it is not known whether the run goes on; a list may show it."""
+        if self.state == RUNNING:
+            self.state = ORDERED
+
 
 class Task:
     """One task of one occurrence of a job.
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -540,8 +540,8 @@
             run.has_unanswered_start = True
             run.confirmed_at = None
             run.progressed_at = None
-            if run.state == model.RUNNING:
-                run.state = model.ORDERED
+            run.pace = 100
+            run.mark_unknown()
         executor.life = self._next_life()
         executor.has_restarted = True
         executor.started_at_ms = started_at_ms
@@ -612,6 +612,8 @@
         elif not executor.is_crash_recorded:
             self._remove_runs_on(executor, reason, has_crashed=True, is_kept=may_begin)
             executor.is_crash_recorded = True
+            for run in executor.runs.values():
+                run.mark_unknown()
 
     def retire_executor(self, executor, reason, *, has_crashed=False):
         """Remove an executor whose instance was moved, taken down or has failed.
@@ -808,6 +810,8 @@
         kept = set()
         if now < orders_end_at:
             kept.update(filter(executor.may_run_in_other_life, executor.runs.values()))
+        for run in kept:
+            run.mark_unknown()
         if kept and not executor.has_kept_runs:
             executor.has_kept_runs = True
             _logger.info(
