Count a crash under kept runs once

A crash that the list of instances had shown was counted again when the entry was removed after the lease. Change: runs that lapse after their executor's crash is recorded are no lapsed runs that wait for evidence of a crash. Test: test_crash_under_a_kept_run_is_counted_once fails without this.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -830,7 +830,8 @@
         lapsed_runs += [(run, executor.run_age_s(run)) for run in lapsed]
         executor.given_up_runs.update((run.task.name, run.number) for run in lapsed)
         self._remove_runs_on(executor, "lease lapsed", is_kept=kept.__contains__)
-        executor.lapsed_runs = lapsed_runs
+        if not executor.is_crash_recorded:
+            executor.lapsed_runs = lapsed_runs
         executor.has_accepted_epoch = False
 
     def _repeat_stops(self, now):
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -1,10 +1,11 @@
 """Tests for the scheduler: storing, progress, gangs, leases and takeovers."""
 
+import math
 import time
 import unittest
 import unittest.mock
 
-from cranberryport.scheduling import model, ordering, records, scheduler
+from cranberryport.scheduling import maintenance, model, ordering, records, scheduler
 from tests import scheduling
 
 
@@ -445,6 +446,78 @@
         self.assertEqual(unknown, [("other.0.0.0", 3)])
 
 
+class KeptRunTest(unittest.TestCase):
+    """Runs on an executor that is out of reach, which another life of it may run."""
+
+    def setUp(self):
+        """Start the tasks of a long-running step on three executors."""
+        self.harness = scheduling.SchedulerHarness(count=3)
+        step = scheduling.make_step(3, is_lasting=True, max_unavailable=1, spread=1)
+        self.harness.add_job(scheduling.make_job(step))
+        self.runs = self.harness.start()
+        for run in self.runs:
+            run.start_sent_at = self.harness.now
+            run.has_unanswered_start = True
+        self._list()
+
+    def _list(self):
+        for run in self.runs:
+            executor = self.harness.scheduler.executors[run.executor]
+            self.harness.list_runs(executor, [(run.task.name, 1, "", 100)])
+
+    def _lose_first_executor(self):
+        """Let the lease of an executor that does not answer expire."""
+        for executor in self.harness.executors:
+            executor.lease_expires_at = math.inf
+        executor = self.harness.scheduler.executors[self.runs[0].executor]
+        executor.last_lease_sent_at = self.harness.now
+        executor.lease_expires_at = self.harness.now + 4.3
+        executor.record_failed_call(self.harness.now, is_connection_closed=False)
+        self.harness.now += 5.0
+        self.harness.scheduler.process_due_events(
+            self.harness.now, scheduling.NOW_UNIX_S
+        )
+
+    def test_start_without_an_answer_that_cannot_arrive_any_more_keeps_no_run(self):
+        """Guards against tasks that wait because of an answer lost long ago.
+
+        Found in the review of issue 46: after a takeover all runs counted as begun
+        without an answer for ever.
+        """
+        self.harness.now += scheduler.LATE_ORDER_LIMIT_S + 0.1
+        self._list()
+        self._lose_first_executor()
+        self.assertEqual(self.runs[0].task.runs, [])
+
+    def test_kept_run_does_not_count_as_available(self):
+        """Guards against maintenance that stops one task more than is allowed."""
+        state = self.harness.scheduler
+        self.assertTrue(maintenance.may_stop(self.runs[1], state.executors))
+        self._lose_first_executor()
+        self.assertEqual(self.runs[0].task.runs, [self.runs[0]])
+        self.assertFalse(maintenance.may_stop(self.runs[1], state.executors))
+        self._list()
+        self.assertTrue(maintenance.may_stop(self.runs[1], state.executors))
+
+    def test_crash_under_a_kept_run_is_counted_once(self):
+        """Guards against one crash that counts again as the entry is removed."""
+        run = self.runs[0]
+        executor = self.harness.scheduler.executors[run.executor]
+        executor.last_lease_sent_at = self.harness.now
+        executor.record_failed_call(self.harness.now, is_connection_closed=True)
+        self.harness.scheduler.on_instance_down(
+            executor, "down", at=self.harness.now + 0.1
+        )
+        self.assertEqual(run.task.runs, [run])
+        self.harness.scheduler.mark_entry_removed(executor.id, self.harness.now)
+        self.harness.now += 30.0
+        self.harness.scheduler.process_due_events(
+            self.harness.now, scheduling.NOW_UNIX_S
+        )
+        self.assertEqual(run.task.runs, [])
+        self.assertEqual(run.task.crash_history.crash_count, 1)
+
+
 class IncompleteListTest(unittest.TestCase):
     """Lists without all ends, as more wait for the store than a list can have."""
 
