Count the first list of any life as the longest lease

An executor that was forgotten as its instance was down, or its entry gone, and was back under its id counted as one without a former life. A renewal that had waited for it named a time of another clock and held its runs for the longest lease, while the controller counted on 4.3 s. Change: no matter what is known of former lives, the first list that is meant for a life sets the lease to the longest one. It refuses earlier orders from then on, so that the lease of a silent restart (22.7 s) also ends then.

--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -85,8 +85,6 @@
     has_kept_runs : bool
         Whether runs were kept when its lease expired, as a life that is not known may
         run them.
-    has_restarted : bool
-        Whether it has restarted under its id since this controller found it.
     has_store_entry : bool
         Whether the store has an entry of it.
     is_being_vacated : bool
@@ -145,7 +143,6 @@
         "given_up_runs",
         "has_accepted_epoch",
         "has_kept_runs",
-        "has_restarted",
         "has_store_entry",
         "id",
         "is_being_vacated",
@@ -217,7 +214,6 @@
         self.given_up_runs = set()
         self.has_accepted_epoch = False
         self.has_kept_runs = False
-        self.has_restarted = False
         self.has_store_entry = True
         self.unknown_runs = ()
         self.is_being_vacated = False
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -456,7 +456,6 @@
         executor.lease_expires_at = self._previous_leases_expire_at
         executor.last_lease_sent_at = self._previous_orders_sent_until
         if known is not None:
-            executor.has_restarted = True
             executor.runs = known.runs
             executor.last_lease_sent_at = max(
                 executor.last_lease_sent_at, known.last_lease_sent_at
@@ -543,7 +542,6 @@
             run.pace = 100
             run.mark_unknown()
         executor.life = self._next_life()
-        executor.has_restarted = True
         executor.started_at_ms = started_at_ms
         executor.acknowledged_end_number = 0
         executor.received_end_number = 0
@@ -1005,11 +1003,7 @@
         executor.last_listed_at = now
         if is_meant_for_life and executor.listed_life != executor.life:
             executor.listed_life = executor.life
-            previous_orders_end_at = self._orders_end_at(
-                self._previous_orders_sent_until
-            )
-            if executor.has_restarted or now < previous_orders_end_at:
-                self._bound_lease(executor, now)
+            self._bound_lease(executor, now)
         for end in report.finished:
             if end.number <= executor.received_end_number:
                 continue
@@ -1069,15 +1063,13 @@
         return unknown
 
     def _bound_lease(self, executor, now):
-        """Count with the longest lease where an unknown renewal may have been accepted.
+        """Count with the longest lease as a life answers for the first time.
 
-        A renewal that was meant for a former life names a time of another clock. The
-        executor shortens it only to the longest lease that it grants.
+        It may have accepted a renewal that was meant for a former life, which names a
+        time of another clock, or one of a previous controller. It has shortened that
+        only to the longest lease that it grants, and refuses such calls from now on.
         """
-        executor.lease_expires_at = max(
-            executor.lease_expires_at or 0.0,
-            self._orders_end_at(now, late_order_limit_s=0.0),
-        )
+        executor.lease_expires_at = self._orders_end_at(now, late_order_limit_s=0.0)
 
     def _update_run(self, run, entry, executor, now):
         run.life = executor.life
