--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -252,6 +252,9 @@
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
             return
         if self._is_unusable(call, response):
+            if response.reason == "other_instance":
+                self._scheduler.on_start_refused(run, response.reason, now)
+                self._on_change()
             return
         # A refused start has done nothing in any life, except that after "old" the run
         # may exist.
@@ -425,6 +428,11 @@
             self._on_no_response(response.reason)
             return
         is_unusable = self._is_unusable(call, response)
+        if response.reason == "other_instance":
+            # This one does not answer at its address, so its lease is not renewed.
+            executor.record_failed_call(now, is_connection_closed=False)
+            self._on_no_response(response.reason)
+            return
         if not is_unusable and response.started_at_ms is None:
             # Without its start time the list could be of any life since the call.
             is_unusable = call.life != executor.life
