Acknowledge no ends to an executor that does not answer

A call that is repeated to a silent executor may reach its next life, which would delete ends of its own up to the same number before they were read; a task that is done would run again.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -376,6 +376,10 @@
             return
         executor = self._executor
         call = self._pending_list = self._make_call("list")
+        if self._has_list_call_failed:
+            # It may have restarted, and the ends of its next life have these numbers,
+            # too.
+            call.end_number = 0
         now = executor.list_requested_at = call.sent_at
         lease_end_ms, may_send = None, None
         is_renewal = executor.clock_ms is not None and not self._has_list_call_failed
