--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -183,8 +183,10 @@
             self._timers.after(START_RETRY_DELAY_S, lambda: self.start(run))
             return
         if run.deadline_ms is None:
-            run.deadline_ms = self._executor.extend_lease(now, validity_s)
-        run.start_sent_at = now
+            # By a clock that runs slow the executor does not accept it for longer.
+            run.deadline_ms = self._executor.extend_lease(
+                now, validity_s / takeover.CLOCK_DRIFT_FACTOR
+            )
         call = self._make_call("start")
         self._client.start_run(
             self._executor,
--- a/tests/test_control_executor_link.py
+++ b/tests/test_control_executor_link.py
@@ -502,6 +502,47 @@
         may_send()
         self.assertGreater(self.executor.last_lease_sent_at, sent_at)
 
+    def test_start_expires_on_a_slow_clock_before_a_list_gives_it_up(self):
+        """Guards against a start that is carried out after it was given up."""
+        now = time.monotonic()
+        self.executor.update_clock(60_000, now)
+        self.run_.start_expires_at = now + 2.0
+        deadlines = []
+        self.client.start_run = lambda *a, deadline_ms, **k: deadlines.append(
+            deadline_ms
+        )
+        self.link.start(self.run_)
+        self.assertLessEqual(deadlines[0], 60_000 + 2000 * 0.98)
+
+    def test_silent_executor_is_not_asked_to_delete_ends(self):
+        """Guards against ends of the next life that it deletes before they are read."""
+        self.executor.received_end_number = self.executor.acknowledged_end_number = 7
+        end_numbers = []
+        self.client.list_runs = lambda executor, *, end_number, callback, **k: (
+            end_numbers.append(end_number),
+            callbacks.append(callback),
+        )
+        callbacks = []
+        self.link.open()
+        callbacks.pop()(executors.NoResponse(reason="timeout"))
+        self.timers.run()
+        self.assertEqual(end_numbers, [7, 0])
+
+    def test_lease_of_a_reused_address_is_not_renewed(self):
+        """Guards against runs that wait for ever for an executor that is gone."""
+        answer = self._answer(None, is_accepted=False, reason="other_instance")
+        self.link.open()
+        for _ in range(3):
+            self.client.lists.pop()[2](answer)
+            self.timers.run()
+        self.assertIsNone(self.client.lists[0][0])
+        self.assertIsNotNone(self.executor.unreachable_since)
+
+    def test_start_that_another_executor_has_refused_is_given_up(self):
+        """Guards against a task that waits although its start has done nothing."""
+        self._start()(self._answer(None, is_accepted=False, reason="other_instance"))
+        self.assertEqual(self.run_.task.runs, [])
+
     def test_line_about_an_unknown_run_names_the_known_runs_of_its_task(self):
         """Guards against logs that do not show that a task runs twice."""
         self.link.open()
