--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -352,11 +352,14 @@
         self._list_sent_at = list_sent_at
         self._close_finished_orders(list_sent_at)
         self._retire_executors_without_instance(list_sent_at)
-        # An executor of an instance that is down is not named, and may start again.
-        is_any_down = any(i.state == instances.DOWN for i in listed.values())
-        if self._has_read_executors() and not is_any_down:
+        if self._has_read_executors():
             present = {i.executor for i in listed.values() if i.executor}
-            self._scheduler.remove_restored_runs(present)
+            self._scheduler.remove_restored_runs(
+                present,
+                pools_with_instances_down={
+                    i.pool for i in listed.values() if i.state == instances.DOWN
+                },
+            )
 
     def _retire_executors_without_instance(self, list_sent_at):
         """Retire executors without an answer that no running instance has any more.
@@ -380,7 +383,7 @@
             if not (has_runs and executor.is_overdue(list_sent_at)):
                 continue
             reason = "no running instance has it"
-            if self._may_start_again(executor.id):
+            if self._may_start_again(executor):
                 self._scheduler.on_instance_down(executor, reason, at=list_sent_at)
                 continue
             has_order = self._seen_executors.get(executor.id) in self._orders
@@ -392,17 +395,20 @@
             if executor_id in current
         }
 
-    def _may_start_again(self, executor_id):
+    def _may_start_again(self, executor):
         """Return whether an executor that no running instance has may come back.
 
         An instance that is down may start its executor again under the same id. One
         that has another executor, or is not listed any more, does not.
         """
-        instance_id = self._seen_executors.get(executor_id)
+        instance_id = self._seen_executors.get(executor.id)
         if instance_id is not None:
             instance = self._instances.get(instance_id)
             return instance is not None and instance.state == instances.DOWN
-        return any(i.state == instances.DOWN for i in self._instances.values())
+        return any(
+            instance.state == instances.DOWN and instance.pool == executor.service
+            for instance in self._instances.values()
+        )
 
     def _close_finished_orders(self, list_sent_at):
         now = time.monotonic()
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -641,16 +641,22 @@
         """
         return bool(self._restored_runs.get(executor_id))
 
-    def remove_restored_runs(self, present):
+    def remove_restored_runs(self, present, *, pools_with_instances_down=()):
         """Remove restored runs on executors that no instance has any more.
 
         Parameters
         ----------
         present : set of str
             Ids of the executors of all instances, read after the executors' entries.
+        pools_with_instances_down : collection of str
+            Pools with instances that are down, which name no executor, but may start
+            the one that they had again.
         """
         for executor_id in set(self._restored_runs) - present:
-            runs = list(self._restored_runs.pop(executor_id).values())
+            runs = list(self._restored_runs[executor_id].values())
+            if runs and runs[0].task.job.service in pools_with_instances_down:
+                continue
+            del self._restored_runs[executor_id]
             self._remove_restored_runs(runs, "no instance has the executor")
 
     def _remove_restored_runs(self, runs, reason):
