--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -975,6 +975,8 @@
         """
         if run.confirmed_at is None:
             run.confirmed_at = now
+            # The stop may have overtaken the start.
+            run.has_unanswered_start = True
 
     def on_runs_listed(
         self, executor, report, *, requested_at, now, now_unix_s, life=None
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -376,6 +376,21 @@
         self.manager._on_instances_listed(self.listed, self.harness.now + 0.3)
         self.assertEqual(run.task.runs, [])
 
+    def test_stop_that_is_confirmed_is_no_answer_to_the_start(self):
+        """Guards against a start under way that the next life carries out."""
+        executor = self.harness.add_executor("e1")
+        self.listed["m1"].pool, self.listed["m1"].executor = "pool", "e1"
+        self.harness.add_job(scheduling.make_job())
+        (run,) = self.harness.scheduler.commit(self.harness.plan(), self.harness.now)
+        run.start_sent_at = self.harness.now
+        self.harness.scheduler.stop_run(run)
+        self.harness.scheduler.on_stop_confirmed(run, self.harness.now)
+        self.manager._on_instances_listed(self.listed, self.harness.now)
+        executor.record_failed_call(self.harness.now, is_connection_closed=True)
+        self.listed["m1"].state, self.listed["m1"].executor = instances.DOWN, ""
+        self.manager._on_instances_listed(self.listed, self.harness.now + 0.1)
+        self.assertEqual(run.task.runs, [run])
+
     def test_restored_run_is_kept_while_its_executor_may_come_back(self):
         """Guards against two runs after a takeover, as an instance of its pool is down.
 
