Withdraw calls without an answer, and keep no runs for them on an instance that is down

Cause: any start without an answer counted as one that the next life may carry out. That life knows nothing of what its former lives have received, so that only a call under way can reach it. Change: connections to executors are reset when they are closed, also by a timeout or the end of the process, so that what has not been received then is lost. On an instance that is down a run is kept only if its start is under way when the list is requested; a restored one as long as the previous controller's orders may be.

--- a/cranberryport/control/executor_link.py
+++ b/cranberryport/control/executor_link.py
@@ -21,9 +21,6 @@
 
 # Long enough that no run ends while a new controller replaces one that has failed.
 LEASE_S = 4.0
-# Executors answer orders within milliseconds, and a repeated order has no further
-# effect, so a short timeout only costs a new connection. 0.7 s delayed whole steps.
-ORDER_TIMEOUT_S = 0.4
 START_RETRY_DELAY_S = 0.05
 # While a best-effort task runs, the tail latencies of the serving tasks beside it are
 # read at this interval to adjust its pace.
@@ -194,7 +191,7 @@
             deadline_ms=run.deadline_ms,
             token=self._token,
             callback=lambda response: self._on_start(run, call, response),
-            timeout_s=min(ORDER_TIMEOUT_S, validity_s),
+            timeout_s=min(takeover.ORDER_TIMEOUT_S, validity_s),
             may_send=lambda: self._may_send_start(run),
         )
 
@@ -203,6 +200,7 @@
         may_send = self._may_name_lease()
         if may_send:
             run.start_sent_at = self._executor.last_lease_sent_at
+            run.start_ended_at = None
         return may_send
 
     def _may_name_lease(self):
@@ -224,7 +222,7 @@
             run.number,
             token=self._token,
             callback=lambda response: self._on_stop(run, call, response),
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=takeover.ORDER_TIMEOUT_S,
             may_send=self._is_role_proven,
         )
 
@@ -239,14 +237,14 @@
             percent,
             token=self._token,
             callback=lambda response: self._on_pace(run, percent, call, response),
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=takeover.ORDER_TIMEOUT_S,
             may_send=self._is_role_proven,
         )
 
     def _on_start(self, run, call, response):
         if self._is_closed:
             return
-        now = time.monotonic()
+        now = run.start_ended_at = time.monotonic()
         if isinstance(response, executors.NoResponse):
             run.has_unanswered_start |= response.reason not in NOT_SENT_REASONS
             if response.reason == "timeout" and not self._has_list_call_failed:
@@ -484,7 +482,7 @@
                 run,
                 token=self._token,
                 callback=self._on_unknown_stopped,
-                timeout_s=ORDER_TIMEOUT_S,
+                timeout_s=takeover.ORDER_TIMEOUT_S,
                 may_send=self._is_role_proven,
             )
         self._adjust_pace()
--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -356,6 +356,7 @@
             present = {i.executor for i in listed.values() if i.executor}
             self._scheduler.remove_restored_runs(
                 present,
+                at=list_sent_at,
                 pools_with_instances_down={
                     i.pool for i in listed.values() if i.state == instances.DOWN
                 },
--- a/cranberryport/http/connection.py
+++ b/cranberryport/http/connection.py
@@ -9,6 +9,7 @@
 import errno
 import itertools
 import socket
+import struct
 import time
 
 import httptools
@@ -21,6 +22,8 @@
 RESPONSE_BODY_LIMIT_BYTES = 1024 * 1024
 HEADER_LIMIT_BYTES = 16 * 1024
 READ_SIZE_BYTES = 64 * 1024
+# Value of SO_LINGER: on, for 0 s.
+_NO_LINGER = struct.pack("ii", 1, 0)
 REQUEST_ID_HEADER = b"request-id"
 
 
@@ -295,6 +298,9 @@
         TCP port.
     on_closed : callable or None
         Called once with the connection when it closes.
+    is_reset_on_close : bool, default=False
+        Whether closing discards what the server has not received, see
+        :meth:`Client.connect`.
     """
 
     __slots__ = (
@@ -305,6 +311,7 @@
         "_host",
         "_is_connecting",
         "_is_open",
+        "_is_reset_on_close",
         "_is_reused",
         "_on_closed",
         "_outgoing",
@@ -315,9 +322,10 @@
         "_timer",
     )
 
-    def __init__(self, *, client, host, port, on_closed=None):
+    def __init__(self, *, client, host, port, on_closed=None, is_reset_on_close=False):
         self._client = client
         self._on_closed = on_closed
+        self._is_reset_on_close = is_reset_on_close
         self._host = host
         self._port = port
         self._socket = None
@@ -435,6 +443,8 @@
             self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._socket.setblocking(False)
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._is_reset_on_close:
+                self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
             addresses.start_connecting(self._socket, self.address)
         except OSError as error:
             # Also if no file descriptor is free.
@@ -669,7 +679,7 @@
         """Number of watched sockets."""
         return len(self._connections)
 
-    def connect(self, *, host, port, on_closed=None):
+    def connect(self, *, host, port, on_closed=None, is_reset_on_close=False):
         """Return a new connection, which connects when its first request is sent.
 
         Parameters
@@ -680,13 +690,23 @@
             TCP port.
         on_closed : callable or None
             Called once with the connection when it closes.
+        is_reset_on_close : bool, default=False
+            Whether closing resets the connection, also as the process ends. A request
+            that the server has not received then, as behind a partition, is lost and
+            does not arrive later.
 
         Returns
         -------
         Connection
             Idle connection that is not connected yet.
         """
-        return Connection(client=self, host=host, port=port, on_closed=on_closed)
+        return Connection(
+            client=self,
+            host=host,
+            port=port,
+            on_closed=on_closed,
+            is_reset_on_close=is_reset_on_close,
+        )
 
     def watch(self, sock, connection):
         """Pass the events of a socket to an object.
--- a/cranberryport/http/connection_pool.py
+++ b/cranberryport/http/connection_pool.py
@@ -24,13 +24,17 @@
         Component that watches the sockets of the connections.
     name : str
         Part of the channel name that identifies the pool in the process.
+    is_reset_on_close : bool, default=False
+        Whether a request without an answer is withdrawn, see
+        :meth:`connection.Client.connect`.
     """
 
     _numbers = itertools.count(1)
 
-    def __init__(self, *, client, name):
+    def __init__(self, *, client, name, is_reset_on_close=False):
         super().__init__(channel=f"pool-{name}-{next(self._numbers)}")
         self._client = client
+        self._is_reset_on_close = is_reset_on_close
         self._idle = collections.defaultdict(list)
 
     def send(
@@ -88,7 +92,10 @@
             if held.is_idle and not held.close_if_stale():
                 held.send(exchange)
                 return
-        self._client.connect(host=address[0], port=address[1]).send(exchange)
+        new = self._client.connect(
+            host=address[0], port=address[1], is_reset_on_close=self._is_reset_on_close
+        )
+        new.send(exchange)
 
     @handler("exchange_done")
     def _on_exchange_done(self, exchange):
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -105,7 +105,7 @@
             address=node_settings.parse_address(settings.store, "store"),
         )
         self._executor_client = executors.ExecutorClient(
-            connections=self._make_connection_pool("executors")
+            connections=self._make_connection_pool("executors", is_reset_on_close=True)
         )
         self._instance_client = None
         if settings.cloud:
@@ -160,8 +160,10 @@
         )
         self._make_servers(settings)
 
-    def _make_connection_pool(self, name):
-        pool = connection_pool.ConnectionPool(client=self._sockets, name=name)
+    def _make_connection_pool(self, name, *, is_reset_on_close=False):
+        pool = connection_pool.ConnectionPool(
+            client=self._sockets, name=name, is_reset_on_close=is_reset_on_close
+        )
         return pool.register(self)
 
     def _make_servers(self, settings):
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -348,7 +348,10 @@
         return run.has_unanswered_start or run.begun_in_life != self.life
 
     def may_begin_after(self, run, at):
-        """Return whether a start of a run may be carried out after a time.
+        """Return whether a life that begins after a time may begin a run.
+
+        It knows nothing of what its former lives have received, and an attempt to send
+        the start that has ended by then does not reach it.
 
         Parameters
         ----------
@@ -357,10 +360,9 @@
         at : float
             Monotonic time in seconds.
         """
-        if run.state == model.PLANNED:
+        if run.state == model.PLANNED or run.start_sent_at is None:
             return False
-        is_confirmed = run.confirmed_at is not None and run.confirmed_at < at
-        return run.has_unanswered_start or not is_confirmed
+        return run.start_ended_at is None or run.start_ended_at >= at
 
     def extend_lease(self, now, lease_s):
         """Extend the lease and return its end on the executor's clock.
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -157,6 +157,9 @@
     start_sent_at : float or None
         Monotonic time at which the start was last sent, or at which a previous
         controller may last have sent it; None if it was not sent.
+    start_ended_at : float or None
+        Monotonic time at which the last attempt to send the start had an answer or was
+        withdrawn; None while one is under way, or if there was none.
     start_expires_at : float or None
         Monotonic time after which an unanswered start is not carried out any more;
         None for a run that a previous controller started.
@@ -215,6 +218,7 @@
         "progressed_at",
         "remote_factor",
         "reported_load",
+        "start_ended_at",
         "start_expires_at",
         "start_sent_at",
         "state",
@@ -232,6 +236,7 @@
         self.ordered_at = None
         self.start_expires_at = None
         self.start_sent_at = None
+        self.start_ended_at = None
         self.has_unanswered_start = False
         self.is_start_withdrawn = False
         self.life = None
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -468,6 +468,7 @@
             executor.runs[(run.task.name, run.number)] = run
             # The previous controller may have sent its last orders until then.
             run.start_sent_at = max(now, self._previous_orders_sent_until)
+            run.start_ended_at = run.start_sent_at + takeover.ORDER_TIMEOUT_S
         _logger.info(
             "executor found",
             extra={
@@ -588,7 +589,7 @@
     def on_instance_down(self, executor, reason, *, at):
         """Record that an executor has crashed, which may start again under its id.
 
-        It would carry out the starts that have no answer. Their runs are kept until it
+        It would carry out the starts that are under way. Their runs are kept until it
         answers or is retired, or nothing can run any more by the orders that were sent.
         Without any it is retired.
 
@@ -641,17 +642,23 @@
         """
         return bool(self._restored_runs.get(executor_id))
 
-    def remove_restored_runs(self, present, *, pools_with_instances_down=()):
+    def remove_restored_runs(self, present, *, at, pools_with_instances_down=()):
         """Remove restored runs on executors that no instance has any more.
 
         Parameters
         ----------
         present : set of str
             Ids of the executors of all instances, read after the executors' entries.
+        at : float
+            Monotonic time at which the list of instances was requested.
         pools_with_instances_down : collection of str
             Pools with instances that are down, which name no executor, but may start
-            the one that they had again.
+            the one that they had again. It would carry out the previous controller's
+            orders that are under way.
         """
+        orders_ended_at = self._previous_orders_sent_until + takeover.ORDER_TIMEOUT_S
+        if at >= orders_ended_at:
+            pools_with_instances_down = ()
         for executor_id in set(self._restored_runs) - present:
             runs = list(self._restored_runs[executor_id].values())
             if runs and runs[0].task.job.service in pools_with_instances_down:
--- a/cranberryport/scheduling/takeover.py
+++ b/cranberryport/scheduling/takeover.py
@@ -18,6 +18,11 @@
 # Added for clocks of entry instances that run apart, and for the time between the check
 # of the role and the sending of a renewal.
 TAKEOVER_MARGIN_S = 0.5
+# Time after which an order without an answer is withdrawn: its connection is reset, so
+# that an executor that has not received it does not receive it later. Executors answer
+# orders within milliseconds, and a repeated order has no further effect, so a short
+# time only costs a new connection. 0.7 s delayed whole steps.
+ORDER_TIMEOUT_S = 0.4
 # Lives of executors that one controller can tell apart in its orders.
 LIVES_LIMIT = 1 << 16
 
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -118,6 +118,32 @@
                 result = self.exchange(self.client.connect(host=host, port=port))
                 self.assertEqual((result.reason, result.bytes_sent), ("connect", 0))
 
+    def test_request_without_an_answer_is_withdrawn(self):
+        """Guards against a request that a server receives after the sender gave it up.
+
+        Issue 46: a restarted executor carried out calls that were meant for its former
+        life.
+        """
+        for is_reset in (True, False):
+            with self.subTest(is_reset=is_reset):
+                listener = socket.create_server(("127.0.0.1", 0))
+                self.addCleanup(listener.close)
+                sender = self.client.connect(
+                    host="127.0.0.1",
+                    port=listener.getsockname()[1],
+                    is_reset_on_close=is_reset,
+                )
+                self.assertEqual(self.exchange(sender, wait_s=0.05).reason, "timeout")
+                received, _ = listener.accept()
+                self.addCleanup(received.close)
+                received.settimeout(TIMEOUT_S)
+                self.assertTrue(received.recv(65536))
+                if is_reset:
+                    # The kernel of the sender has discarded what was not received.
+                    self.assertRaises(ConnectionResetError, received.recv, 65536)
+                else:
+                    self.assertEqual(received.recv(65536), b"")
+
     def test_invalid_response_fails_and_closes_the_connection(self):
         head = b"HTTP/1.1 200 OK\r\n"
         cases = {
