Keep a start without an answer while its executor is down after all

Connections are still reset, so that a call that a partition holds up does not arrive after it, as LATE_ORDER_LIMIT_S says. Test: test_start_with_an_answer_keeps_no_run_while_its_executor_is_down in place of the one that asserted the opposite.

--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -350,8 +350,9 @@
     def may_begin_after(self, run, at):
         """Return whether a life that begins after a time may begin a run.
 
-        It knows nothing of what its former lives have received, and an attempt to send
-        the start that has ended by then does not reach it.
+        It carries out a start without an answer that waits at its address. After a
+        takeover, the previous controller's starts count as answered once it has sent
+        the last one, as most are.
 
         Parameters
         ----------
@@ -362,6 +363,8 @@
         """
         if run.state == model.PLANNED or run.start_sent_at is None:
             return False
+        if run.has_unanswered_start and run.ordered_at is not None:
+            return True
         return run.start_ended_at is None or run.start_ended_at >= at
 
     def extend_lease(self, now, lease_s):
