Let restored runs end as their instance is down, as before

Change: the hold is gone for restored runs. Their starts count as answered: a call of a previous controller without an answer would have to wait at a dark executor beyond the takeover, which takes 1.5 s and more.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -354,13 +354,7 @@
         self._retire_executors_without_instance(list_sent_at)
         if self._has_read_executors():
             present = {i.executor for i in listed.values() if i.executor}
-            self._scheduler.remove_restored_runs(
-                present,
-                at=list_sent_at,
-                pools_with_instances_down={
-                    i.pool for i in listed.values() if i.state == instances.DOWN
-                },
-            )
+            self._scheduler.remove_restored_runs(present)
 
     def _retire_executors_without_instance(self, list_sent_at):
         """Retire executors without an answer that no running instance has any more.
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -350,9 +350,8 @@
     def may_begin_after(self, run, at):
         """Return whether a life that begins after a time may begin a run.
 
-        It carries out a start without an answer that waits at its address. After a
-        takeover, the previous controller's starts count as answered once it has sent
-        the last one, as most are.
+        It carries out a start without an answer that waits at its address. Those of a
+        previous controller count as answered, as nearly all are.
 
         Parameters
         ----------
@@ -363,7 +362,9 @@
         """
         if run.state == model.PLANNED or run.start_sent_at is None:
             return False
-        if run.has_unanswered_start and run.ordered_at is not None:
+        if run.ordered_at is None:
+            return False
+        if run.has_unanswered_start:
             return True
         return run.start_ended_at is None or run.start_ended_at >= at
 
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -468,7 +468,6 @@
             executor.runs[(run.task.name, run.number)] = run
             # The previous controller may have sent its last orders until then.
             run.start_sent_at = max(now, self._previous_orders_sent_until)
-            run.start_ended_at = run.start_sent_at + takeover.ORDER_TIMEOUT_S
         _logger.info(
             "executor found",
             extra={
@@ -642,28 +641,16 @@
         """
         return bool(self._restored_runs.get(executor_id))
 
-    def remove_restored_runs(self, present, *, at, pools_with_instances_down=()):
+    def remove_restored_runs(self, present):
         """Remove restored runs on executors that no instance has any more.
 
         Parameters
         ----------
         present : set of str
             Ids of the executors of all instances, read after the executors' entries.
-        at : float
-            Monotonic time at which the list of instances was requested.
-        pools_with_instances_down : collection of str
-            Pools with instances that are down, which name no executor, but may start
-            the one that they had again. It would carry out the previous controller's
-            orders that are under way.
         """
-        orders_ended_at = self._previous_orders_sent_until + takeover.ORDER_TIMEOUT_S
-        if at >= orders_ended_at:
-            pools_with_instances_down = ()
         for executor_id in set(self._restored_runs) - present:
-            runs = list(self._restored_runs[executor_id].values())
-            if runs and runs[0].task.job.service in pools_with_instances_down:
-                continue
-            del self._restored_runs[executor_id]
+            runs = list(self._restored_runs.pop(executor_id).values())
             self._remove_restored_runs(runs, "no instance has the executor")
 
     def _remove_restored_runs(self, runs, reason):
