Renew leases after the end of the role until the successor does

Callers saw all tasks that last end for the rest of an outage of the store.

Cause: a new controller reads the list of executors last, once it has loaded all jobs. The store went down 3 ms after that read was sent, so the successor knew no executor for 6 s, and the previous controller, which knew them all, had stopped its calls as it learnt that its role was gone. Change: the previous controller goes on renewing the leases of executors with runs, and sends nothing else, until one refuses a call because of the later epoch, or the last proof of its role is 5 s old. The successor counts on such renewals already, as a predecessor may not know of its end. The time of the last proof no longer counts a join that took the role away.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -17,6 +17,7 @@
     instance_manager,
     job_deletion,
     job_ownership,
+    lease_handover,
     progress_writer,
     stored_records,
     stored_state,
@@ -319,6 +320,33 @@
         for link in self._links.values():
             link.close()
 
+    def hand_over(self, may_renew_leases):
+        """Stop, but renew leases until the successor does.
+
+        Parameters
+        ----------
+        may_renew_leases : callable
+            Returns whether leases may still be renewed.
+
+        Returns
+        -------
+        lease_handover.LeaseHandover
+            The renewals.
+        """
+        self.stop()
+        result = lease_handover.LeaseHandover(
+            executors_with_runs=[
+                link.executor for link in self._links.values() if link.executor.runs
+            ],
+            client=self._executor_client,
+            timers=self._timers,
+            epoch=self._epoch,
+            lease_s=self._lease_s,
+            may_renew=may_renew_leases,
+        )
+        result.start()
+        return result
+
     def set_configuration(self, configuration):
         """Apply a configuration.
 
--- a/cranberryport/control/membership.py
+++ b/cranberryport/control/membership.py
@@ -5,6 +5,7 @@
 members, which join only while no other member is seen.
 """
 
+import functools
 import logging
 import secrets
 import time
@@ -61,7 +62,8 @@
     on_role_gained : callable
         Called with the new epoch when this process becomes the controller.
     on_role_lost : callable
-        Called without arguments when this process is no longer the controller.
+        Called when this process is no longer the controller, with a callable that
+        returns whether leases may still be renewed under the epoch that has ended.
     is_fallback : bool
         Whether this process has too few cores to be the controller if another one can
         be; it joins only after no other member has been seen for some time.
@@ -260,12 +262,13 @@
             # A newer response has been handled already.
             return
         self._newest_join_sent_at = sent_at
-        self._joined_at = sent_at
         if result.generation != self._generation:
             self._generation = result.generation
             self._controller_address = None
         self._partitions = result.partitions
         is_owner = CONTROL_PARTITION in result.partitions
+        if is_owner:
+            self._joined_at = sent_at
         if is_owner and self._epoch is None:
             self._epoch = result.generation
             _logger.info("controller role gained", extra={"epoch": self._epoch})
@@ -279,8 +282,21 @@
     def _give_up_role(self):
         if self._epoch is not None:
             _logger.info("controller role lost", extra={"epoch": self._epoch})
-            self._epoch = None
-            self._on_role_lost()
+            former_epoch, self._epoch = self._epoch, None
+            self._on_role_lost(
+                functools.partial(self._may_renew_leases, former_epoch, self._joined_at)
+            )
+
+    def _may_renew_leases(self, former_epoch, joined_at):
+        """Return whether leases may be renewed under an epoch that has ended.
+
+        The successor waits for the renewals of a controller that does not know of its
+        end, and so for these. If this process has regained the role in the same epoch,
+        its new controller renews them, whose calls have the same tokens.
+        """
+        if self._epoch == former_epoch:
+            return False
+        return takeover.is_role_proven(boot_clock.now_s() - joined_at)
 
     def _on_owners(self, result):
         if isinstance(result, store.PartitionOwners):
--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -276,9 +276,9 @@
             self._controller.add_wave(wave.copy())
         self._controller.start()
 
-    def _on_controller_role_lost(self):
+    def _on_controller_role_lost(self, may_renew_leases):
         if self._controller is not None:
-            self._controller.stop()
+            self._controller.hand_over(may_renew_leases)
             self._controller = None
 
     @handler("request", channel="readiness")
--- a/tests/test_control_controller.py
+++ b/tests/test_control_controller.py
@@ -169,6 +169,38 @@
         self.assertEqual(count, 3, "repeated entries are logged and counted once")
 
 
+class HandOverTest(unittest.TestCase):
+    """The end of the controller role."""
+
+    def setUp(self):
+        """Make a controller with two executors, of which one has a run."""
+        self.client = unittest.mock.Mock()
+        self.timers = scripted.FakeTimers()
+        self.subject, _ = make_controller(
+            executor_client=self.client, timers=self.timers
+        )
+        for name in ("e1", "e2"):
+            executor = scheduling.make_executor(name)
+            executor.update_clock(1000, time.monotonic())
+            self.subject._open_link(executor)
+        executor.runs["j.0.0.0", 1] = object()
+        self.client.reset_mock()
+
+    def test_only_leases_of_runs_are_renewed_and_nothing_else_is_called(self):
+        """Guards against orders of a controller that is not one any more."""
+        self.subject.hand_over(lambda: True)
+        self.timers.run()
+        names = [call[0] for call in self.client.method_calls]
+        self.assertEqual(names, ["list_runs"])
+        self.assertEqual(self.client.list_runs.call_args.args[0].id, "e2")
+
+    def test_controller_that_may_not_renew_calls_nothing(self):
+        """Guards against renewals for which the successor does not wait."""
+        self.subject.hand_over(lambda: False)
+        self.timers.run()
+        self.assertEqual(self.client.method_calls, [])
+
+
 class OwnershipTest(unittest.TestCase):
     """Jobs of one organisation and questions and cancellations of another one."""
 
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -29,11 +29,15 @@
             timers=self.timers,
             address="127.0.0.1:7",
             on_role_gained=self.events.append,
-            on_role_lost=lambda: self.events.append("lost"),
+            on_role_lost=self._on_role_lost,
             **keywords,
         )
         self.member.start()
 
+    def _on_role_lost(self, may_renew_leases):
+        self.events.append("lost")
+        self.may_renew_leases = may_renew_leases
+
 
 class MembershipTest(MembershipTestCase):
     """The controller role of a regular member."""
@@ -103,6 +107,56 @@
             self._answer(6)
             self.assertFalse(self.member.is_role_proven)
 
+    def test_leases_are_renewed_after_the_role_as_long_as_with_it(self):
+        """Guards against renewals for which the successor does not wait.
+
+        The join that takes the role away proves nothing.
+        """
+        with unittest.mock.patch("cranberryport.boot_clock.now_s") as boot_now_s:
+            boot_now_s.return_value = 100.0
+            self.timers.run()
+            self.store.pop_call("join")
+            self._answer(5, 0)
+            boot_now_s.return_value = 101.0
+            self.timers.run()
+            self._answer(6)
+            self.assertFalse(self.member.is_role_proven)
+            boot_now_s.return_value = 100.0 + takeover.ROLE_VALIDITY_S - 0.01
+            self.assertTrue(self.may_renew_leases())
+            boot_now_s.return_value = 100.0 + takeover.ROLE_VALIDITY_S
+            self.assertFalse(self.may_renew_leases())
+
+    def test_role_regained_in_another_epoch_prolongs_no_former_one(self):
+        """Guards against renewals by the proof of another epoch."""
+        with unittest.mock.patch("cranberryport.boot_clock.now_s") as boot_now_s:
+            boot_now_s.return_value = 100.0
+            self.timers.run()
+            self.store.pop_call("join")
+            self._answer(5, 0)
+            self.timers.run()
+            self._answer(6)
+            boot_now_s.return_value = 103.0
+            self._answer(6)
+            self.timers.run()
+            self._answer(7, 0)
+            self.assertEqual(self.events, [5, "lost", 7])
+            self.assertTrue(self.may_renew_leases())
+            boot_now_s.return_value = 100.0 + takeover.ROLE_VALIDITY_S
+            self.assertFalse(self.may_renew_leases())
+
+    def test_role_regained_in_the_same_epoch_ends_the_former_renewals(self):
+        """Guards against renewals that the executors do not tell from the present ones.
+
+        Their tokens are the same, and the controller does not know of them.
+        """
+        self._answer(5, 0)
+        self.member.step_down()
+        self.assertTrue(self.may_renew_leases())
+        self.timers.run()
+        self._answer(5, 0)
+        self.assertEqual(self.events, [5, "lost", 5])
+        self.assertFalse(self.may_renew_leases())
+
     def test_late_answer_to_an_earlier_join_is_ignored(self):
         """Guards against a controller role that is regained by an outdated answer."""
         self.timers.run()
@@ -122,7 +176,7 @@
             timers=self.timers,
             address="127.0.0.1:7",
             on_role_gained=self.events.append,
-            on_role_lost=lambda: None,
+            on_role_lost=lambda _: None,
         ).start()
         names = {s.pop_call("join").arguments[1] for s in (self.store, other)}
         self.assertEqual(len(names), 2)
--- a/tests/test_scheduling_takeover_model.py
+++ b/tests/test_scheduling_takeover_model.py
@@ -169,6 +169,9 @@
         yield "predecessor joins", state._replace(proof_at=state.now), None
         if state.now - state.proof_at >= MEMBER_LIFETIME_S:
             yield "role changes", state._replace(role_at=state.now), None
+        # A join that takes the role away proves nothing. After it the predecessor goes
+        # on renewing leases by its last proof.
+        yield "role is given up", state._replace(role_at=state.now), None
     proof_age_s = (state.now - state.proof_at) * conditions.predecessor
     is_renewed = state.is_running and not state.is_fenced and state.renewal is None
     if is_renewed and rules.is_role_proven(proof_age_s):
