Let a process that ends stay until its leases are renewed by another one

A controller that is told to end exits 2.2 s later. If the store goes down at that moment, leases end 5.9 s after the signal, before an outage of 6 s is over, and all tasks that last end. Change: the process waits for the end of its renewals as for open requests, at most until a second before the end of its grace period. Where a successor has begun, they end a second after the role, before the process would exit anyway. The price: a controller that is alone, or ends together with all others, exits up to 5 s after the signal.

--- a/cranberryport/node.py
+++ b/cranberryport/node.py
@@ -93,6 +93,8 @@
         self._settings_path = settings_path
         self._clock_watch = boot_clock.WallClockWatch()
         self._controller = None
+        # Renewals of leases after the last end of the controller role, or None.
+        self._lease_handover = None
         # Maintenance waves by number, for a controller in this process.
         self._waves = {}
         self._exit_deadline = None
@@ -278,7 +280,7 @@
 
     def _on_controller_role_lost(self, may_renew_leases):
         if self._controller is not None:
-            self._controller.hand_over(may_renew_leases)
+            self._lease_handover = self._controller.hand_over(may_renew_leases)
             self._controller = None
 
     @handler("request", channel="readiness")
@@ -378,7 +380,11 @@
 
     def _wait_for_open_requests(self):
         is_grace_over = time.monotonic() > self._exit_deadline
-        if self._job_api.in_progress_count and not is_grace_over:
+        handover = self._lease_handover
+        is_needed = self._job_api.in_progress_count or not (
+            handover is None or handover.is_over
+        )
+        if is_needed and not is_grace_over:
             self._timers.after(
                 OPEN_REQUESTS_CHECK_INTERVAL_S, self._wait_for_open_requests
             )
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -133,9 +133,27 @@
         Seen in CI: the store went down 3 ms after the role had changed, before the
         successor had read the list of executors. All tasks that last ended.
         """
+        self._check_runs_outlast_outage_at_a_takeover(
+            lambda: self.deployment.send_order("rebalance", is_rotated=True)
+        )
+
+    def test_outage_at_the_end_of_the_controller_process_ends_no_run(self):
+        """Guards against leases that lapse as their last controller has exited.
+
+        A process that is told to end exits 2.2 s later if it has no open requests.
+        """
+        calls.wait_until(
+            lambda: len(self._find_controllers()) == 1, TIMEOUT_S, "one has the role"
+        )
+        (name,) = self._find_controllers()
+        (entry,) = (e for e in self.deployment.entries if e.name == name)
+        self._check_runs_outlast_outage_at_a_takeover(entry.process.request_termination)
+        self.assertEqual(entry.process.return_code, 0)
+
+    def _check_runs_outlast_outage_at_a_takeover(self, change_controller):
         self.assertEqual(self._count_lasting_runs(), LASTING_TASK_COUNT)
         self.deployment.send_order("store", down_at_snapshot_of="keyed.servers")
-        self.deployment.send_order("rebalance", is_rotated=True)
+        change_controller()
         calls.wait_until(
             lambda: self.deployment.findings()["is_store_down"],
             TIMEOUT_S,
