Reserve the ports of the process that test_node starts

Reproduced beside two programs that open and close listeners (about 1,450 a second each): 36 of 200 starts failed with this message, each with 'Address already in use' on standard error. Change: the test holds the ports by serving.reserve_port, as the other deployments of tests do, and a failure shows exit code and standard error.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 """Tests of cranberryport.node as a process whose store cannot be reached."""
 
+import errno
 import http.client
 import json
 import pathlib
@@ -15,19 +16,13 @@
 from cranberryport import node
 from cranberryport.observability import node_metrics
 from cranberryport.platform import configuration
+from standins import serving
 from tests import keyed_front
 
 # Ends a test that hangs; no test depends on the value.
 HANG_LIMIT_S = 30.0
 
 
-def find_free_port():
-    """Return a TCP port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class NodeTest(unittest.TestCase):
     """Signals, readiness and refused requests of an entry instance."""
 
@@ -37,7 +32,8 @@
         self.addCleanup(directory.cleanup)
         self.path = pathlib.Path(directory.name) / "settings.toml"
         self.ports = {
-            name: find_free_port() for name in ("front", "readiness", "metrics")
+            name: self._reserve_port()
+            for name in ("front", "readiness", "metrics", "peer", "store")
         }
         self.text = "\n".join(
             [
@@ -46,22 +42,31 @@
                 f'front = "127.0.0.1:{self.ports["front"]}"',
                 f'readiness = "127.0.0.1:{self.ports["readiness"]}"',
                 'peer_host = "127.0.0.1"',
-                f"peer_port = {find_free_port()}",
+                f"peer_port = {self.ports['peer']}",
                 f"metrics_port = {self.ports['metrics']}",
-                f'store = "127.0.0.1:{find_free_port()}"',
+                f'store = "127.0.0.1:{self.ports["store"]}"',
                 "grace_s = 2.0",
             ]
         )
         self.path.write_text(self.text)
+        # A pipe that is not read could fill and block the process.
+        self.errors = self.enterContext(tempfile.TemporaryFile("w+"))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "cranberryport.node", "--settings", str(self.path)],
             cwd=pathlib.Path(__file__).resolve().parent.parent,
             stdout=subprocess.PIPE,
+            stderr=self.errors,
             text=True,
         )
         self.addCleanup(self._kill_process)
         self.read_event("started")
 
+    def _reserve_port(self):
+        """Return a port that no other socket gets until the test ends."""
+        reservation = serving.reserve_port("127.0.0.1")
+        self.addCleanup(reservation.close)
+        return reservation.getsockname()[1]
+
     def _kill_process(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -74,7 +79,12 @@
             fields = json.loads(line)
             if fields["event"] == event:
                 return fields
-        raise AssertionError(f"the process ended without the event {event!r}")
+        exit_code = self.process.wait(HANG_LIMIT_S)
+        self.errors.seek(0)
+        raise AssertionError(
+            f"the process ended with {exit_code} without the event {event!r}:\n"
+            + self.errors.read()
+        )
 
     def get(self, name, path):
         """Return status, headers and body of a GET at one of the ports."""
@@ -117,6 +127,27 @@
         self.assertEqual(status, 503)
         self.assertIn("the controller is not known", json.loads(body)["Error"])
 
+    def test_ports_are_given_to_no_other_socket(self):
+        """Guards against a process that cannot listen as its port has been taken.
+
+        Seen in CI beside other programs, and in 36 of 200 starts beside programs that
+        opened listeners all the time.
+        """
+        self.process.kill()
+        self.process.wait(HANG_LIMIT_S)
+        for name, port in self.ports.items():
+            with self.subTest(name=name), socket.socket() as sock:
+                with self.assertRaises(OSError) as caught:
+                    sock.bind(("127.0.0.1", port))
+                self.assertEqual(caught.exception.errno, errno.EADDRINUSE)
+
+    def test_end_without_an_event_is_reported_with_the_errors(self):
+        """Guards against a failure whose cause cannot be found afterwards."""
+        self.process.kill()
+        self.errors.write("the cause")
+        with self.assertRaisesRegex(AssertionError, "with -9 .*'other'.*\n.*the cause"):
+            self.read_event("other")
+
     def test_exception_of_a_handler_is_logged_and_counted(self):
         """Guards against an error that operators see on standard error only."""
         subject = types.SimpleNamespace(_metrics=node_metrics.NodeMetrics())
