Count a run in a crash only if its former life may have had it

Cause: the runs that are kept at a restart, as the new life may run or begin them, were counted at once in the crash of the former life, also as its only suspects. Some begin after it, some starts never arrive. A run that was kept over several restarts was counted in each. The same for the starts that are kept while an instance is down. Change: a crash (crashes.Crash) has open runs. The others count at once. The open ones are decided by the first complete list that the new life is asked for, before their tasks start again: what it lists or has ended did not crash the former life, the rest counts. Only then is a job convicted, by all suspects together, and only by runs whose start was answered. Without such a list the open runs count and convict none. A run counts in one crash, until a later life lists it (Run.counts_in_crash).

--- a/cranberryport/scheduling/crashes.py
+++ b/cranberryport/scheduling/crashes.py
@@ -113,8 +113,12 @@
     return age_s >= limit_s
 
 
-def record_crash(runs, *, host):
-    """Attribute the crash of an executor to the tasks that ran there.
+class Crash:
+    """A crash of an executor, and the runs that may have caused it.
+
+    The suspects of a crash are judged together. Some runs may have begun only in the
+    next life of the executor: they are counted, and a job is convicted, once
+    :meth:`settle` has decided about these.
 
     Parameters
     ----------
@@ -124,38 +128,120 @@
     host : str or None
         Host of the executor; None if it may not have crashed but left, for example
         while there was no controller.
-
-    Returns
-    -------
-    list of model.Task
-        Open tasks that lost a run in the crash and may have caused it.
+    life : int, optional
+        Life of the executor that has ended.
+    open_runs : iterable of model.Run
+        Those of the runs that may have begun only in the next life.
     """
-    delivered = [(run, age_s) for run, age_s in runs if _was_delivered(run)]
-    counted = [
-        (run, age_s) for run, age_s in delivered if (age_s or 0.0) <= OLDEST_SUSPECT_S
-    ]
-    unproven = [run for run, age_s in delivered if not is_proven(run.task, age_s)]
-    suspects = unproven or [run for run, _ in counted]
-    for run, age_s in counted:
+
+    __slots__ = (
+        "_ages_s",
+        "_confirmed",
+        "_histories",
+        "_host",
+        "_unproven",
+        "life",
+        "open_runs",
+    )
+
+    def __init__(self, runs, *, host, life=None, open_runs=()):
+        self._ages_s = {run: age_s for run, age_s in runs if _was_delivered(run)}
+        # Runs that were certainly there, unless they have begun later.
+        self._confirmed = {
+            run for run, age_s in self._ages_s.items() if age_s is not None
+        }
+        self._unproven = [
+            run for run, age_s in self._ages_s.items() if not is_proven(run.task, age_s)
+        ]
+        # By run for which it is counted. A task may outlive its crashes before the
+        # settlement, so that this is not its history any more.
+        self._histories = {}
+        self._host = host
+        self.life = life
+        self.open_runs = self._ages_s.keys() & set(open_runs)
+
+    @property
+    def is_certain(self):
+        """Whether the executor has certainly crashed."""
+        return self._host is not None
+
+    @property
+    def is_recorded(self):
+        """Whether the crash is counted for any task."""
+        return bool(self._histories)
+
+    def settle(self, begun_later, *, is_proof):
+        """Decide about the runs that may have begun only in the next life.
+
+        Parameters
+        ----------
+        begun_later : set of model.Run
+            Those of them that did. All others count.
+        is_proof : bool
+            Whether the others have certainly not begun later, so that those with an
+            answer were there when the executor crashed.
+        """
+        for run in begun_later:
+            del self._ages_s[run]
+        self._unproven = [run for run in self._unproven if run not in begun_later]
+        if not is_proof:
+            self._confirmed -= self.open_runs
+        self.open_runs = set()
+
+    def record(self):
+        """Count the crash, once for each run, and convict a job if all is decided.
+
+        Returns
+        -------
+        list of model.Task
+            Open tasks that lost a run in the crash and may have caused it.
+        """
+        young = [
+            r for r, age_s in self._ages_s.items() if (age_s or 0.0) <= OLDEST_SUSPECT_S
+        ]
+        suspects = self._unproven or young
+        counted = [run for run in young if run not in self.open_runs]
+        for run in counted:
+            if run not in self._histories:
+                self._histories[run] = self._count(run)
+            history = self._histories[run]
+            history.is_suspect |= run in suspects or history.crash_count > 1
+        if (
+            self.is_certain
+            and not self.open_runs
+            and _is_attributed(suspects, self._unproven)
+        ):
+            self._convict(suspects)
+        return [
+            run.task
+            for run in counted
+            if run.task.crash_history is self._histories[run]
+            and not (run.task.is_done or run.task.job.has_ended)
+        ]
+
+    def _count(self, run):
+        """Count the crash for the task of a run and return the task's history."""
         history = run.task.crash_history
         if history is None:
             history = run.task.crash_history = CrashHistory()
+        run.counts_in_crash = True
         history.crash_count += 1
-        history.certain_count += host is not None
-        history.longest_age_s = max(history.longest_age_s, age_s or 0.0)
-        history.is_suspect |= run in suspects or history.crash_count > 1
+        history.certain_count += self.is_certain
+        history.longest_age_s = max(history.longest_age_s, self._ages_s[run] or 0.0)
         history.waits_since = None
-    if host is not None and _is_attributed(suspects, unproven):
+        return history
+
+    def _convict(self, suspects):
         for run in suspects:
-            history = run.task.crash_history
-            # Another crash on the same host may be a fault of that host.
-            if history is not None and host not in history.sole_crash_hosts:
-                history.sole_crash_hosts.append(host)
-    return [
-        run.task
-        for run, _ in counted
-        if not run.task.is_done and not run.task.job.has_ended
-    ]
+            history = self._histories.get(run, run.task.crash_history)
+            # A start without an answer may never have arrived. Another crash on the
+            # same host may be a fault of that host.
+            if (
+                run in self._confirmed
+                and history is not None
+                and self._host not in history.sole_crash_hosts
+            ):
+                history.sole_crash_hosts.append(self._host)
 
 
 def _is_attributed(suspects, unproven):
@@ -167,8 +253,8 @@
 
 
 def _was_delivered(run):
-    """Return whether the start of a run may have reached its executor."""
-    if run.state == model.PLANNED:
+    """Return whether the start of a run may have reached the life that has crashed."""
+    if run.state == model.PLANNED or run.counts_in_crash:
         return False
     is_restored = run.ordered_at is None
     return is_restored or run.has_unanswered_start or run.confirmed_at is not None
--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -68,6 +68,8 @@
         learns of are numbered from 1.
     listed_life : int or None
         Life of its last answer to a request for its runs that was meant for that life.
+    open_crash : crashes.Crash or None
+        Crash of a former life of which it is not known yet which runs were there.
     runs : dict of (str, int) to model.Run
         Runs by name of the task and number of the run.
     received_end_number : int
@@ -160,6 +162,7 @@
         "list_requested_at",
         "listed_life",
         "memory",
+        "open_crash",
         "processors",
         "rack",
         "received_end_number",
@@ -222,6 +225,7 @@
         self.unknown_runs = ()
         self.is_being_vacated = False
         self.is_crash_recorded = False
+        self.open_crash = None
         self.last_lease_sent_at = -math.inf
         self.lease_expires_at = None
         self.last_listed_at = None
--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -171,6 +171,9 @@
         None for a run that a previous controller started.
     begun_in_life : int or None
         Life of the executor in which the run has certainly begun; None if not known.
+    counts_in_crash : bool
+        Whether a crash of its executor counts for the run. It counts in no further one,
+        unless a later life lists the run.
     deadline_ms : int or None
         Deadline sent with the start, on the executor's clock.
     stop_sent_at : float or None
@@ -201,6 +204,7 @@
         "begun_in_life",
         "checkpoint",
         "confirmed_at",
+        "counts_in_crash",
         "deadline_ms",
         "executor",
         "has_unanswered_start",
@@ -235,6 +239,7 @@
         self.is_start_withdrawn = False
         self.life = None
         self.begun_in_life = None
+        self.counts_in_crash = False
         self.deadline_ms = None
         self.stop_sent_at = None
         self.checkpoint = ""
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -458,6 +458,7 @@
         if known is not None:
             executor.has_restarted = True
             executor.runs = known.runs
+            executor.open_crash = known.open_crash
             executor.last_lease_sent_at = max(
                 executor.last_lease_sent_at, known.last_lease_sent_at
             )
@@ -658,31 +659,34 @@
         if not runs:
             return
         executor_id = runs[0].executor
-        self._record_crash(executor_id, [(run, None) for run in runs], host=None)
+        crash = crashes.Crash([(run, None) for run in runs], host=None)
+        self._record_crash(executor_id, crash)
         given_up_runs = self._given_up_runs.setdefault(executor_id, set())
         given_up_runs.update((run.task.name, run.number) for run in runs)
         for run in runs:
             self._remove_lost_run(run, reason)
 
-    def _record_crash(self, executor_id, runs, *, host):
+    def _record_crash(self, executor_id, crash):
         """Count a crash for the tasks that may have caused it.
 
         Parameters
         ----------
         executor_id : str
             Executor that has crashed.
-        runs, host
-            See :func:`crashes.record_crash`.
+        crash : crashes.Crash
+            The crash; recorded again once it is settled.
         """
-        tasks = crashes.record_crash(runs, host=host)
+        is_known = crash.is_recorded
+        tasks = crash.record()
         if not tasks:
             return
-        self._event_counts["executor_crashes"] += 1
+        self._event_counts["executor_crashes"] += not is_known
         _logger.warning(
             "executor crashed under tasks",
             extra={
                 "executor": executor_id,
-                "is_certain": host is not None,
+                "is_certain": crash.is_certain,
+                "is_settled": not crash.open_runs,
                 "crashes_by_task": {t.name: t.crash_history.crash_count for t in tasks},
                 "suspects": [t.name for t in tasks if crashes.is_suspect(t)],
             },
@@ -715,22 +719,55 @@
         self, executor, reason, *, has_crashed=False, is_kept=lambda run: False
     ):
         runs = list(executor.runs.values())
-        if has_crashed and not (executor.is_draining or executor.is_crash_recorded):
+        kept = set(filter(is_kept, runs))
+        is_new_crash = has_crashed and not (
+            executor.is_draining or executor.is_crash_recorded
+        )
+        crash = executor.open_crash
+        if crash is not None and (is_new_crash or not crash.open_runs <= kept):
+            self._settle_crash(executor)
+        if is_new_crash:
             aged_runs = [
                 (run, executor.run_age_s(run))
                 for run in runs
                 if executor.may_have_started(run)
             ]
-            aged_runs += executor.lapsed_runs
-            self._record_crash(executor.id, aged_runs, host=executor.address[0])
+            crash = crashes.Crash(
+                aged_runs + executor.lapsed_runs,
+                host=executor.address[0],
+                life=executor.life,
+                open_runs=[r for r in kept if r.begun_in_life != executor.life],
+            )
+            executor.open_crash = crash if crash.open_runs else None
+            self._record_crash(executor.id, crash)
         executor.lapsed_runs = []
         if runs:
             run_logs.log_lost_runs(executor, runs, reason)
             self._event_counts["executors_lost_with_runs"] += 1
         for run in runs:
-            if not is_kept(run):
+            if run not in kept:
                 self._remove_lost_run(run, reason)
 
+    def _settle_crash(self, executor, *, is_proof=False):
+        """Decide which runs were on an executor when a former life has crashed.
+
+        Parameters
+        ----------
+        executor : executors.Executor
+            The executor.
+        is_proof : bool, default=False
+            Whether its present life has just listed all its runs and ends.
+        """
+        crash = executor.open_crash
+        executor.open_crash = None
+        begun_later = set()
+        if crash.life != executor.life:
+            begun_later = {
+                run for run in crash.open_runs if run.begun_in_life == executor.life
+            }
+        crash.settle(begun_later, is_proof=is_proof)
+        self._record_crash(executor.id, crash)
+
     def _remove_lost_run(self, run, reason):
         """Remove a run whose end no executor will list."""
         self._event_counts["runs_lost"] += 1
@@ -777,7 +814,8 @@
                 self._give_up_lapsed_runs(executor, now)
             if not executor.has_store_entry and not executor.runs:
                 if executor.lapsed_runs and not executor.is_draining:
-                    self._record_crash(executor.id, executor.lapsed_runs, host=None)
+                    crash = crashes.Crash(executor.lapsed_runs, host=None)
+                    self._record_crash(executor.id, crash)
                 if executor.given_up_runs:
                     # It may be listed again, and then list their ends.
                     self._given_up_runs[executor.id] = executor.given_up_runs
@@ -1010,6 +1048,7 @@
                 continue
             run = executor.runs.get((end.task, end.run))
             if run is not None:
+                run.begun_in_life = executor.life
                 self._end_run(run, end, executor, now, now_unix_s)
             else:
                 self._accept_late_end(end, executor, now_unix_s)
@@ -1035,6 +1074,10 @@
                 extra={"executor": executor.id, "ends": len(report.finished)},
             )
             return unknown
+        crash = executor.open_crash
+        if is_meant_for_life and crash is not None and crash.life != executor.life:
+            # Before any task is started again.
+            self._settle_crash(executor, is_proof=True)
         for key, run in list(executor.runs.items()):
             if key in listed or run.state == model.PLANNED:
                 continue
@@ -1070,6 +1113,7 @@
 
     def _update_run(self, run, entry, executor, now):
         run.life = executor.life
+        run.counts_in_crash = False
         self.on_run_started(run, now, life=executor.life)
         if crashes.clear_outlived_crashes(run.task, now - run.confirmed_at):
             self._mark_changed(run.task.job)
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -225,6 +225,20 @@
         self.process()
         self.add_host(executor.address[0])
 
+    def restart(self, executor):
+        """Restart an executor under its id; no list has shown its new life yet."""
+        executor.record_failed_call(self.now, is_connection_closed=True)
+        self.scheduler.on_executor_restarted(
+            executor, executor.started_at_ms + 1000, now=self.now
+        )
+
+    def list_new_life(self, executor, running=(), finished=()):
+        """Let an executor answer after its restart, and list its runs."""
+        executor.record_answer(self.now)
+        executor.update_clock(1000, self.now)
+        executor.has_accepted_epoch = True
+        self.list_runs(executor, running, finished)
+
     def process(self):
         """Handle due events, which also end the jobs of tasks that are given up."""
         self.scheduler.process_due_events(self.now, NOW_UNIX_S)
