Do not reserve the host of its crash for a suspect

An executor that restarts under its id has the same rank as others and often the lowest id, so that it was reserved for the suspect once more. Change: executors on the hosts of such crashes rank after others. They still rank before executors without room or with long-running tasks. Test: test_suspect_is_not_kept_on_the_host_of_its_crash fails before ("1 != 2").

--- a/cranberryport/scheduling/isolation.py
+++ b/cranberryport/scheduling/isolation.py
@@ -87,6 +87,7 @@
             return frozenset()
         limit = max(1, int(len(candidates) * RESERVED_SHARE))
         compared = waiting_suspects[:COMPARED_SUSPECTS]
+        crash_hosts = [task.crash_history.sole_crash_hosts for task in compared]
 
         def rank(candidate):
             executor, free = candidate
@@ -94,6 +95,8 @@
             return (
                 _has_long_running_task(executor),
                 not has_room,
+                # Only a crash on another host convicts a suspect.
+                any(executor.address[0] in hosts for hosts in crash_hosts),
                 bool(self._unproven_jobs[executor.id]),
                 len(executor.runs),
                 executor.id,
--- a/tests/test_scheduling_isolation.py
+++ b/tests/test_scheduling_isolation.py
@@ -72,6 +72,27 @@
             [model.ACTIVE] * 8,
         )
 
+    def test_suspect_is_not_kept_on_the_host_of_its_crash(self):
+        """Guards against five crashes of a task, as a second host has to convict it.
+
+        The executor restarts under its id, and was reserved again for its id.
+        """
+        harness = scheduling.CrashHarness(count=5)
+        (job,) = scheduling.make_jobs(harness, 1)
+        task = scheduling.first_task(job)
+        hosts = set()
+        for _ in range(2):
+            harness.start()
+            executor = harness.executor_of(task)
+            hosts.add(executor.address[0])
+            harness.list_runs(executor, [(task.name, task.runs[0].number)])
+            harness.now += 0.01
+            harness.restart(executor)
+            harness.list_new_life(executor)
+            harness.process()
+        self.assertEqual(len(hosts), 2)
+        self.assertEqual(job.state, model.FAILED)
+
     def test_crash_under_several_tasks_of_one_job_convicts_the_job(self):
         """Guards against five crashes for each job with several suspects."""
         harness = scheduling.CrashHarness(count=4)
