--- a/cranberryport/control/lease_handover.py
+++ b/cranberryport/control/lease_handover.py
@@ -10,7 +10,6 @@
 import logging
 import time
 
-from cranberryport.control import executor_link
 from cranberryport.platform import executors
 from cranberryport.scheduling import takeover
 
@@ -104,7 +103,7 @@
             callback=lambda response: self._on_answer(
                 executor, response, on_not_refused
             ),
-            timeout_s=executor_link.ORDER_TIMEOUT_S,
+            timeout_s=takeover.ORDER_TIMEOUT_S,
             may_send=self._may_renew,
         )
 
