Adapt two tests to each other's change

Beside the attribution of crashes to lives: a start that keeps its run on an instance that is down has been sent, and a run counts in a further crash only if a list has shown it since. The assertions are unchanged.

--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -366,6 +366,7 @@
         run = self._lose_start_under_way()
         executor = self.harness.scheduler.executors["e1"]
         executor.record_answer(self.harness.now + 0.3)
+        self.harness.list_runs(executor, [(run.task.name, run.number)])
         executor.record_failed_call(self.harness.now + 0.4, is_connection_closed=True)
         self.manager._on_instances_listed(self.listed, self.harness.now + 0.5)
         self.assertEqual(run.task.crash_history.crash_count, 2)
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -221,6 +221,7 @@
     def _send_start(self, *, is_answered):
         """Send the next start of the task; return its run and executor."""
         (run,) = self.harness.scheduler.commit(self.harness.plan(), self.harness.now)
+        run.start_sent_at = run.start_ended_at = self.harness.now
         if is_answered:
             # The answer does not tell which life has given it.
             self.harness.scheduler.on_run_started(run, self.harness.now)
