Change the role in the test only once all instances have joined

The rebalance that the test asks for came between the first joins of two instances and the next join of the controller. The store had assigned the role to another member by then, and the rebalance assigned it back, so that it stayed where it was. Change: the stand-in tells the number of members once every partition has got to its owner, and the test waits for all of them. What it checks is unchanged.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -136,6 +136,7 @@
                 "running": self._checker.running_tasks(),
                 "store_calls": counts,
                 "is_store_down": self._store.is_down,
+                "settled_members": self._store.settled_member_count("controllers"),
             }
         if request.path != "/control":
             return 404, {}
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -171,6 +171,15 @@
             number for number, owner in self.assigned_members.items() if owner == name
         }
 
+    @property
+    def settled_member_count(self):
+        """Number of members; 0 while a partition has not got to its next owner."""
+        is_settled = all(
+            name in self.members and number in self.members[name].owned
+            for number, name in self.assigned_members.items()
+        )
+        return len(self.members) if is_settled else 0
+
     def remove_member(self, name):
         """Remove a member and reassign the partitions."""
         if self.members.pop(name, None) is not None:
@@ -240,6 +249,10 @@
             group.first_member += is_rotated
             group.reassign()
 
+    def settled_member_count(self, group):
+        """Return the number of members of a group, see :class:`Group`."""
+        return self._groups[group].settled_member_count
+
     def expire_history(self, keep):
         """Remove the oldest records of each partition so that ``keep`` are left."""
         for partitions in self._topics.values():
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -142,6 +142,7 @@
 
         A process that is told to end exits 2.2 s later if it has no open requests.
         """
+        self._wait_until_group_is_settled()
         calls.wait_until(
             lambda: len(self._find_controllers()) == 1, TIMEOUT_S, "one has the role"
         )
@@ -150,7 +151,16 @@
         self._check_runs_outlast_outage_at_a_takeover(entry.process.request_termination)
         self.assertEqual(entry.process.return_code, 0)
 
+    def _wait_until_group_is_settled(self):
+        # While instances join, a further rebalance can leave the role where it is.
+        calls.wait_until(
+            lambda: self.deployment.findings()["settled_members"] == self.entry_count,
+            TIMEOUT_S,
+            "all entry instances have joined",
+        )
+
     def _check_runs_outlast_outage_at_a_takeover(self, change_controller):
+        self._wait_until_group_is_settled()
         self.assertEqual(self._count_lasting_runs(), LASTING_TASK_COUNT)
         self.deployment.send_order("store", down_at_snapshot_of="keyed.servers")
         change_controller()
