Let rebalances of the soak move the role of the controller

The fault assigned all partitions as before, so that no role moved but by a failure of its holder. Change: each partition goes to the next member.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -162,8 +162,8 @@
         return _end_nothing
 
     def rebalance(self, fault):
-        """Assign the partitions of all consumer groups again."""
-        self._deployment.send_order("rebalance")
+        """Assign the partitions of all groups to the next members."""
+        self._deployment.send_order("rebalance", is_rotated=True)
         return _end_nothing
 
     def expire_history(self, fault):
