Let executors of the stand-in tell their life in lists of runs only

Every answer of the stand-in had the start of the executor's life, while those of the platform have it in lists of runs alone; so in the soak each answer showed a restart, and no answer of another life could be taken for proof. Test: test_only_lists_of_runs_tell_the_life.

--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -182,7 +182,7 @@
         self._run_ended = asyncio.Event()
 
     def _make_response(self, status, **fields):
-        return status, {"ClockMs": self.clock_ms, "born": self.started_at_ms, **fields}
+        return status, {"ClockMs": self.clock_ms, **fields}
 
     def _extend_lease(self, deadline_ms):
         limit = self.clock_ms + int(self._lease_limit_s * 1000)
@@ -293,5 +293,8 @@
             for run in self._runs.values()
         ]
         return self._make_response(
-            200, Running=running, Finished=self._unacknowledged_ends[:ENDED_RUNS_LIMIT]
+            200,
+            born=self.started_at_ms,
+            Running=running,
+            Finished=self._unacknowledged_ends[:ENDED_RUNS_LIMIT],
         )
