Let executors of the stand-in restart dark, with a clock that begins anywhere

In the stand-in a restart took no time, so that no call reached the life after it without being sent to it, and each clock began at 1 s. Change: the order to restart takes a time for which the instance is listed as down, without an executor, and calls that arrive meanwhile are carried out by the new life. A cut belongs to the instance, so that it outlasts a restart. Tests: RestartTest.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -75,6 +75,7 @@
             unguarded_pools=[UNGUARDED_POOL],
             make_settings=self._make_settings,
             organisations=self._organisations and self._organisations.rows(),
+            seed=seed,
         )
         self._callers = []
         self.violations = []
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -77,6 +77,7 @@
             processors=options.processors,
             memory=options.memory,
             unguarded_pools=options.unguarded,
+            seed=options.seed,
         )
         self._store_server = serving.Server(application=self._store.handle)
         self._instances_server = serving.Server(application=self._instances.handle)
@@ -190,13 +191,10 @@
         """Start a new executor on an instance whose executor was killed."""
         self._instances.revive(self._instances.by_id[instance])
 
-    def _order_restart(self, instance):
-        """End the executor of an instance and start one with the same id at once."""
+    def _order_restart(self, instance, dark_s=0.0):
+        """Restart an executor under its id, see ``Instances.restart_executor``."""
         target = self._instances.by_id[instance]
-        if target.executor is not None:
-            executor_id = target.executor.id
-            self._instances.end_executor(target, is_listed=True)
-            self._instances.start_executor(target, id=executor_id)
+        self._instances.restart_executor(target, dark_s=dark_s)
 
     def _order_capacity(self, instance, processors=None):
         """Change the capacity of an executor; without a number as it was at first."""
@@ -212,9 +210,7 @@
 
     def _order_cut(self, instance, is_cut):
         """Cut an executor off, or connect it again; its tasks run on meanwhile."""
-        executor = self._instances.by_id[instance].executor
-        if executor is not None:
-            executor.is_cut = is_cut
+        self._instances.by_id[instance].is_cut = is_cut
 
     def _order_freeze(self, instance, is_frozen):
         """Make an executor hold back its responses, or resume it."""
@@ -250,6 +246,7 @@
     parser.add_argument("--partitions", type=int, default=8)
     parser.add_argument("--processors", type=int, default=16_000)
     parser.add_argument("--memory", type=int, default=32_768)
+    parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--max-seconds", type=float, default=DEFAULT_LIFETIME_S)
     asyncio.run(Platform(parser.parse_args()).run())
 
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -28,8 +28,8 @@
 DRAINING_LIMIT_S = 10.0
 # Progress reported for a running lasting task. Others report less until they end.
 FULL_PROGRESS_PERCENT = 100
-# Value of an executor's clock at its start, so that the clock is never 0.
-INITIAL_CLOCK_MS = 1000
+# The clock of each life of an executor begins at any value up to this one: three hours.
+FIRST_CLOCK_LIMIT_MS = 10_800_000
 
 
 class Run:
@@ -87,6 +87,8 @@
         Longest lease that it grants, in seconds.
     is_guarding : bool
         Whether it refuses starts that exceed its capacity.
+    first_clock_ms : int, default=1000
+        Value of its clock at its start.
     checker : invariants.InvariantChecker
         Told of starts, ends and acknowledgements of runs.
 
@@ -96,8 +98,6 @@
         Unix time of the start in milliseconds.
     is_frozen : bool
         Whether responses are held back and the simulation stands still.
-    is_cut : bool
-        Whether requests and responses are lost; runs and leases go on.
     draining_since : float or None
         Monotonic time at which it announced that it leaves; None before.
     leaves_at : float or None
@@ -105,14 +105,21 @@
     """
 
     def __init__(
-        self, *, id, processors, memory, lease_limit_s, checker, is_guarding=True
+        self,
+        *,
+        id,
+        processors,
+        memory,
+        lease_limit_s,
+        checker,
+        is_guarding=True,
+        first_clock_ms=1000,
     ):
         self.id = id
         self.processors = processors
         self.memory = memory
         self.started_at_ms = int(time.time() * 1000)
         self.is_frozen = False
-        self.is_cut = False
         self.draining_since = None
         self.leaves_at = None
         self._is_stopped = False
@@ -121,6 +128,7 @@
         self._checker = checker
         self._lease_limit_s = lease_limit_s
         self._started_at = time.monotonic()
+        self._first_clock_ms = first_clock_ms
         self._lease_end_ms = 0
         self._highest_fencing_token = 0
         self._runs = {}
@@ -134,8 +142,8 @@
 
     @property
     def clock_ms(self):
-        """The executor's clock: milliseconds since its start, from an initial value."""
-        return int((time.monotonic() - self._started_at) * 1000) + INITIAL_CLOCK_MS
+        """The executor's clock: milliseconds since its start, from a first value."""
+        return int((time.monotonic() - self._started_at) * 1000) + self._first_clock_ms
 
     def set_processors(self, processors):
         """Change the capacity while tasks run."""
@@ -189,17 +197,7 @@
         self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, limit))
 
     async def handle(self, request):
-        """Answer a request, unless the network loses it or the response."""
-        response = None
-        if not self.is_cut:
-            response = await self._handle(request)
-        if self.is_cut:
-            while self.is_cut:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-            raise ConnectionResetError
-        return response
-
-    async def _handle(self, request):
+        """Answer a request."""
         while self.is_frozen:
             await asyncio.sleep(CHECK_INTERVAL_S)
         if self._is_stopped:
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import random
 import time
 
 from standins.platform import executors, serving
@@ -26,8 +27,11 @@
 
     Attributes
     ----------
-    state : {'up', 'moving', 'upkeep'}
-        Whether the instance is up, being moved to another pool, or in upkeep.
+    state : {'up', 'moving', 'upkeep', 'down'}
+        Whether the instance is up, being moved to another pool, in upkeep, or down
+        until its executor is back under its id.
+    is_cut : bool
+        Whether requests to its executor and responses are lost; runs and leases go on.
     executor : standins.platform.executors.Executor or None
         Its running executor; None if it is not up or its executor was killed.
     highest_fencing_token : int
@@ -46,6 +50,7 @@
         self.host = host
         self.rack = rack
         self.state = "up"
+        self.is_cut = False
         self.executor = None
         self.highest_fencing_token = 0
         self.server = None
@@ -72,6 +77,8 @@
         Number of instances in a rack.
     move_s, upkeep_s : float
         Time in seconds that an instance is down for a move or for upkeep.
+    seed : int, default=0
+        Seed of the random numbers.
 
     Attributes
     ----------
@@ -93,7 +100,9 @@
         rack_size=4,
         move_s=1.5,
         upkeep_s=2.0,
+        seed=0,
     ):
+        self._generator = random.Random(seed)
         self._store = store
         self._checker = checker
         self._processors = processors
@@ -123,13 +132,30 @@
 
     async def _listen(self, instance):
         async def handle(request):
-            if instance.executor is None:
-                raise ConnectionResetError
-            return await instance.executor.handle(request)
+            return await self.handle_executor_call(instance, request)
 
         instance.server = serving.Server(application=handle)
         await instance.server.start(instance.host)
 
+    async def handle_executor_call(self, instance, request):
+        """Answer a request to an executor, unless the network loses it or the response.
+
+        A request that arrives while the executor restarts is carried out by its new
+        life.
+        """
+        response = None
+        if not instance.is_cut:
+            while instance.state == "down":
+                await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            if instance.executor is None:
+                raise ConnectionResetError
+            response = await instance.executor.handle(request)
+        if instance.is_cut or response is None:
+            while instance.is_cut:
+                await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            raise ConnectionResetError
+        return response
+
     def start_executor(self, instance, *, id=None):
         """Start a new executor on an instance and write its entry to the store."""
         instance.state = "up"
@@ -140,9 +166,33 @@
             lease_limit_s=LEASE_LIMIT_S,
             checker=self._checker,
             is_guarding=instance.pool not in self._unguarded_pools,
+            first_clock_ms=self._generator.randrange(executors.FIRST_CLOCK_LIMIT_MS),
         )
         self._write_entry(instance)
 
+    def restart_executor(self, instance, *, dark_s=0.0):
+        """End the executor of an instance and start one with the same id.
+
+        Parameters
+        ----------
+        instance : Instance
+            The instance; nothing happens if it has no executor.
+        dark_s : float, default=0.0
+            Time in seconds until the new executor carries out the requests that wait
+            for it.
+        """
+        if instance.executor is None:
+            return
+        executor_id = instance.executor.id
+        self.end_executor(instance, is_listed=True)
+        instance.state = "down"
+        if dark_s:
+            self._call_later(
+                dark_s, lambda: self.start_executor(instance, id=executor_id)
+            )
+        else:
+            self.start_executor(instance, id=executor_id)
+
     def set_processors(self, instance, processors):
         """Change the capacity of an instance's executor while it runs tasks.
 
--- a/standins/platform/local_deployment.py
+++ b/standins/platform/local_deployment.py
@@ -101,6 +101,8 @@
         profile.
     organisations : list of dict or None
         Rows of the organisations in the first configuration; None for no organisations.
+    seed : int, default=0
+        Seed of the random numbers of the stand-in platform.
 
     Attributes
     ----------
@@ -120,9 +122,11 @@
         make_settings=None,
         profile=None,
         organisations=None,
+        seed=0,
     ):
         self._directory = pathlib.Path(directory)
         arguments = ["-m", "standins.platform", "--partitions", str(PARTITIONS)]
+        arguments += ["--seed", str(seed)]
         for pool, count in pools.items():
             arguments += ["--pool", f"{pool}={count}"]
         for pool in unguarded_pools:
--- a/standins/platform/serving.py
+++ b/standins/platform/serving.py
@@ -78,6 +78,10 @@
             self._serve_connection, host, 0, backlog=LISTEN_BACKLOG
         )
 
+    def close(self):
+        """Accept no more connections."""
+        self._server.close()
+
     def drop_connections(self):
         """Reset all connections."""
         for writer in list(self._writers):
--- a/tests/test_standin_executors.py
+++ b/tests/test_standin_executors.py
@@ -5,7 +5,7 @@
 import types
 import unittest
 
-from standins.platform import executors, invariants
+from standins.platform import executors, instances, invariants, store
 
 STEP = {"count": 1, "ms": 60_000, "processors": 1000, "memory": 1}
 TASK = "job.0.0.0"
@@ -67,3 +67,67 @@
                 ("/api/hold", 421): False,
             },
         )
+
+
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Restarts of executors under their ids, and requests that arrive meanwhile."""
+
+    async def asyncSetUp(self):
+        """Start the executors of two instances."""
+        self.checker = invariants.InvariantChecker()
+        self.store = store.Store(partitions=1)
+        self.instances = instances.Instances(
+            store=self.store,
+            checker=self.checker,
+            pools={"p": 2},
+            processors=2000,
+            memory=100,
+        )
+        await self.instances.start()
+        self.instance = self.instances.by_id["m1"]
+        self.executor_id = self.instance.executor.id
+
+    async def asyncTearDown(self):
+        """End the executors."""
+        for instance in self.instances.by_id.values():
+            self.instances.end_executor(instance)
+            instance.server.close()
+
+    async def _call(self, request):
+        return await self.instances.handle_executor_call(self.instance, request)
+
+    async def test_request_during_a_restart_is_carried_out_by_the_new_life(self):
+        """Guards against a soak in which no start reaches the life after a restart."""
+        former = self.instance.executor
+        self.instances.restart_executor(self.instance, dark_s=0.1)
+        _, listed = await self.instances.handle(make_request("/api/machines", ""))
+        row = listed["Machines"][0]
+        self.assertEqual((row["State"], row["Id"]), ("down", ""))
+        status, _ = await self._call(make_start(self.executor_id))
+        self.assertEqual(status, 200)
+        self.assertIsNot(self.instance.executor, former)
+        self.assertEqual(self.instance.executor.id, self.executor_id)
+        self.assertEqual(self.checker.running_tasks(), [TASK])
+        _, listed = await self.instances.handle(make_request("/api/machines", ""))
+        row = listed["Machines"][0]
+        self.assertEqual((row["State"], row["Id"]), ("up", self.executor_id))
+
+    async def test_clocks_of_lives_begin_anywhere(self):
+        """Guards against clocks that tell a new life by their low values."""
+        clocks = []
+        for _ in range(20):
+            self.instances.restart_executor(self.instance)
+            clocks.append(self.instance.executor.clock_ms)
+        self.assertGreater(max(clocks), executors.FIRST_CLOCK_LIMIT_MS / 2)
+        self.assertNotEqual(clocks, sorted(clocks))
+
+    async def test_cut_outlasts_a_restart(self):
+        """Guards against a restart that connects an executor again."""
+        self.instance.is_cut = True
+        self.instances.restart_executor(self.instance)
+        call = asyncio.ensure_future(self._call(make_start(self.executor_id)))
+        await asyncio.sleep(2 * executors.CHECK_INTERVAL_S)
+        self.instance.is_cut = False
+        with self.assertRaises(ConnectionResetError):
+            await call
+        self.assertEqual(self.checker.running_tasks(), [])
