Let the stand-in's entries of executors come at intervals, and expire

The stand-in wrote the entry of an executor once, at its start, also of one that was cut off, and kept it. So the store showed each restart at once. Change: an executor writes about every 1.5 s; after a restart under its id the first time is 0 to 1.5 s later; one that is cut off or dark writes nothing, and an entry goes after three silent intervals. A changed capacity is shown by the next entry, and the time for which it may be exceeded begins again as a cut ends. An executor that is cut off announces no end.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -210,7 +210,7 @@
 
     def _order_cut(self, instance, is_cut):
         """Cut an executor off, or connect it again; its tasks run on meanwhile."""
-        self._instances.by_id[instance].is_cut = is_cut
+        self._instances.set_cut(self._instances.by_id[instance], is_cut)
 
     def _order_freeze(self, instance, is_frozen):
         """Make an executor hold back its responses, or resume it."""
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -96,6 +96,8 @@
     ----------
     started_at_ms : int
         Unix time of the start in milliseconds.
+    entry_count : int
+        Number of entries that it has written to the store.
     is_frozen : bool
         Whether responses are held back and the simulation stands still.
     draining_since : float or None
@@ -119,6 +121,7 @@
         self.processors = processors
         self.memory = memory
         self.started_at_ms = int(time.time() * 1000)
+        self.entry_count = 0
         self.is_frozen = False
         self.draining_since = None
         self.leaves_at = None
@@ -151,6 +154,11 @@
             self._shrunk_at = time.monotonic()
         self.processors = processors
 
+    def on_connected(self):
+        """Record the end of a cut, which nobody could hear of a capacity in."""
+        if self._shrunk_at is not None:
+            self._shrunk_at = time.monotonic()
+
     def stop(self):
         """End all runs because the executor ends."""
         self._is_stopped = True
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -18,6 +18,12 @@
 LEASE_LIMIT_S = 10.0
 # Time after which an executor that its task has crashed is replaced.
 CRASH_RECOVERY_S = 3.0
+# Interval at which an executor writes its entry to the store (HeartbeatMs of the
+# deployments), its greatest deviation, and the number of silent intervals after which
+# an entry is removed.
+ENTRY_INTERVAL_S = 1.5
+ENTRY_JITTER_S = 0.1
+SILENT_INTERVAL_LIMIT = 3
 # Number of addresses used in each network with a prefix of 24 bits.
 HOSTS_PER_NETWORK = 250
 
@@ -36,6 +42,8 @@
         Its running executor; None if it is not up or its executor was killed.
     highest_fencing_token : int
         Highest token of an accepted order; orders with a lower one are refused.
+    entry_due_at : float
+        Monotonic time at which the executor writes its next entry to the store.
     server : standins.platform.serving.Server
         Server for requests to the executor.
     waves : set of int
@@ -53,6 +61,7 @@
         self.is_cut = False
         self.executor = None
         self.highest_fencing_token = 0
+        self.entry_due_at = 0.0
         self.server = None
         self.waves = set()
         self.upkeep_wave = None
@@ -112,6 +121,8 @@
         self._upkeep_s = upkeep_s
         self._executor_numbers = itertools.count(1)
         self._delayed_calls = set()
+        # Times of the newest entries in the store by id of the executor.
+        self._entries_written_at = {}
         self.waves = {}
         self.by_id = {}
         numbers = itertools.count(1)
@@ -157,7 +168,11 @@
         return response
 
     def start_executor(self, instance, *, id=None):
-        """Start a new executor on an instance and write its entry to the store."""
+        """Start a new executor on an instance.
+
+        It writes its entry to the store at once, or within an interval of the entries
+        if it has the id of a former life, whose entry the store shows until then.
+        """
         instance.state = "up"
         instance.executor = executors.Executor(
             id=id or f"e{next(self._executor_numbers)}-{instance.id}",
@@ -168,7 +183,11 @@
             is_guarding=instance.pool not in self._unguarded_pools,
             first_clock_ms=self._generator.randrange(executors.FIRST_CLOCK_LIMIT_MS),
         )
-        self._write_entry(instance)
+        if id is None:
+            self._write_entry(instance)
+        else:
+            delay_s = self._generator.uniform(0.0, ENTRY_INTERVAL_S)
+            instance.entry_due_at = time.monotonic() + delay_s
 
     def restart_executor(self, instance, *, dark_s=0.0):
         """End the executor of an instance and start one with the same id.
@@ -196,6 +215,8 @@
     def set_processors(self, instance, processors):
         """Change the capacity of an instance's executor while it runs tasks.
 
+        Its next entry in the store shows the change.
+
         Parameters
         ----------
         instance : Instance
@@ -205,10 +226,36 @@
         """
         if instance.executor is not None:
             instance.executor.set_processors(processors or self._processors)
-            self._write_entry(instance)
+
+    def set_cut(self, instance, is_cut):
+        """Cut the executor of an instance off, or connect it again."""
+        if instance.is_cut and not is_cut and instance.executor is not None:
+            instance.executor.on_connected()
+        instance.is_cut = is_cut
+
+    def write_due_entries(self):
+        """Write the entries that are due, and remove those of silent executors."""
+        now = time.monotonic()
+        for instance in self.by_id.values():
+            if instance.executor is not None and now >= instance.entry_due_at:
+                self._write_entry(instance)
+        for executor_id, written_at in list(self._entries_written_at.items()):
+            if now - written_at > SILENT_INTERVAL_LIMIT * ENTRY_INTERVAL_S:
+                self._remove_entry(executor_id)
+
+    def _remove_entry(self, executor_id):
+        if self._entries_written_at.pop(executor_id, None) is not None:
+            self._store.put("keyed.servers", executor_id, b"")
 
     def _write_entry(self, instance):
+        """Write the entry of an executor, unless it does not reach the store."""
+        now = time.monotonic()
+        jitter_s = self._generator.uniform(-ENTRY_JITTER_S, ENTRY_JITTER_S)
+        instance.entry_due_at = now + ENTRY_INTERVAL_S + jitter_s
+        if instance.is_cut:
+            return
         executor = instance.executor
+        executor.entry_count += 1
         entry = {
             "Service": instance.pool,
             "Address": f"{instance.host}:{instance.server.port}",
@@ -217,17 +264,20 @@
             "Capacity": {**self._capacity(), "Cpu": executor.processors},
             "Labels": ["a", instance.rack],
             "born": executor.started_at_ms,
-            "Sequence": 1,
+            "Sequence": executor.entry_count,
         }
         if executor.leaves_at is not None:
-            left_s = max(0.0, executor.leaves_at - time.monotonic())
+            left_s = max(0.0, executor.leaves_at - now)
             entry |= {"State": "draining", "RemainingMs": int(left_s * 1000)}
         value = json.dumps(entry).encode()
         self._store.put("keyed.servers", executor.id, value)
+        self._entries_written_at[executor.id] = now
 
     def drain(self, instance, *, serve_s):
         """Make the executor of an instance leave, and start another one afterwards.
 
+        One that is cut off does not leave, as the store would not show it.
+
         Parameters
         ----------
         instance : Instance
@@ -236,7 +286,7 @@
             Time in seconds for which the executor serves after its announcement.
         """
         leaving = instance.executor
-        if leaving is None or leaving.draining_since is not None:
+        if instance.is_cut or leaving is None or leaving.draining_since is not None:
             return
         leaving.draining_since = time.monotonic()
         leaving.leaves_at = leaving.draining_since + serve_s
@@ -260,20 +310,22 @@
         instance : Instance
             The instance.
         is_listed : bool, default=False
-            Whether the entry of the executor stays in the store.
+            Whether the entry of the executor stays in the store until it has been
+            silent for too long, as it does if the executor is cut off.
         """
         executor, instance.executor = instance.executor, None
         if executor is None:
             return
         executor.stop()
         instance.server.drop_connections()
-        if not is_listed:
-            self._store.put("keyed.servers", executor.id, b"")
+        if not is_listed and not instance.is_cut:
+            self._remove_entry(executor.id)
 
     async def advance_executors(self):
-        """End due runs of all executors at regular intervals, without end."""
+        """Write due entries and end due runs at regular intervals, without end."""
         while True:
             await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            self.write_due_entries()
             for instance in self.by_id.values():
                 if instance.executor is None or instance.executor.is_frozen:
                     continue
--- a/tests/test_standin_executors.py
+++ b/tests/test_standin_executors.py
@@ -4,6 +4,7 @@
 import json
 import types
 import unittest
+import unittest.mock
 
 from standins.platform import executors, instances, invariants, store
 
@@ -131,3 +132,93 @@
         with self.assertRaises(ConnectionResetError):
             await call
         self.assertEqual(self.checker.running_tasks(), [])
+
+
+class EntryTest(unittest.TestCase):
+    """Entries of executors in the store, whose time is moved by hand."""
+
+    def setUp(self):
+        """Start the executor of one instance."""
+        self.now = 1000.0
+        clocks = types.SimpleNamespace(monotonic=lambda: self.now)
+        patch = unittest.mock.patch.object(instances, "time", clocks)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.store = store.Store(partitions=1)
+        self.instances = instances.Instances(
+            store=self.store,
+            checker=invariants.InvariantChecker(),
+            pools={"p": 1},
+            processors=2000,
+            memory=100,
+        )
+        self.instance = self.instances.by_id["m1"]
+        self.instance.server = unittest.mock.Mock(port=1)
+        self.instances.start_executor(self.instance)
+        self.executor_id = self.instance.executor.id
+
+    def _read_entry(self):
+        value, _ = self.store.partition("keyed.servers").newest.get(
+            self.executor_id, (b"null", 0)
+        )
+        return json.loads(value)
+
+    def _advance(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + executors.CHECK_INTERVAL_S)
+            self.instances.write_due_entries()
+
+    def test_entry_is_written_at_intervals(self):
+        """Guards against entries that tell nothing of the silence of an executor."""
+        self.assertEqual(self._read_entry()["Sequence"], 1)
+        self._advance(10 * instances.ENTRY_INTERVAL_S)
+        self.assertIn(self._read_entry()["Sequence"], (10, 11, 12))
+
+    def test_entry_follows_a_restart_within_an_interval(self):
+        """Guards against a restart that the store shows at once, or never."""
+        delays_s = []
+        for _ in range(20):
+            self.instances.restart_executor(self.instance)
+            born = self.instance.executor.started_at_ms = 7_000_000 + len(delays_s)
+            restarted_at = self.now
+            while self._read_entry()["born"] != born:
+                self._advance(executors.CHECK_INTERVAL_S)
+            delays_s.append(self.now - restarted_at)
+        longest_s = instances.ENTRY_INTERVAL_S
+        self.assertLess(min(delays_s), longest_s / 4)
+        self.assertGreater(max(delays_s), longest_s * 3 / 4)
+        self.assertLessEqual(max(delays_s), longest_s + executors.CHECK_INTERVAL_S)
+
+    def test_executor_that_is_cut_off_writes_no_entry(self):
+        """Guards against a store that shows a restart behind a partition."""
+        before = self._read_entry()
+        self.instances.set_cut(self.instance, True)
+        self.instances.restart_executor(self.instance)
+        self._advance(3 * instances.ENTRY_INTERVAL_S - 0.2)
+        self.assertEqual(self._read_entry(), before)
+        self._advance(0.4)
+        self.assertIsNone(self._read_entry())
+        self.instances.set_cut(self.instance, False)
+        self._advance(instances.ENTRY_INTERVAL_S + instances.ENTRY_JITTER_S)
+        self.assertEqual(self._read_entry()["Sequence"], 1)
+
+    def test_entry_of_a_crashed_executor_is_removed(self):
+        """Guards against entries of executors that never come back."""
+        self.instances.end_executor(self.instance, is_listed=True)
+        self._advance(3 * instances.ENTRY_INTERVAL_S - 0.2)
+        self.assertIsNotNone(self._read_entry())
+        self._advance(0.4)
+        self.assertIsNone(self._read_entry())
+
+    def test_shrinking_during_a_cut_counts_from_its_end(self):
+        """Guards against a violation that no controller could have known of."""
+        self.instances.set_cut(self.instance, True)
+        self.instances.set_processors(self.instance, 1000)
+        executor = self.instance.executor
+        executor._shrunk_at -= executors.SHRINKING_GRACE_S
+        shrunk_at = executor._shrunk_at
+        self.instances.set_cut(self.instance, False)
+        self.assertGreaterEqual(
+            executor._shrunk_at, shrunk_at + executors.SHRINKING_GRACE_S
+        )
