Add runs of the soak with long tasks, and restarts behind a partition

The tasks of the soak last 0.1 to 0.9 s, less than a lease, so that a lease that is counted too short could not show; and no executor was cut off. Jobs have 70 s to end then. The draws have generators of their own, so that the plans and the jobs of other runs stay as they were. Test: test_same_seed_gives_the_same_restarts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,12 @@
 # After the last fault the system has this long to recover: takeover of the controller,
 # expiry of a lease, restart of lost tasks, and completion of the tasks that had waited.
 RECOVERY_TIMEOUT_S = 25.0
+# The same for a run with restarts: an order that no executor has confirmed may still be
+# carried out, and nothing runs by it after 28 s, which is found out after a takeover;
+# then the two steps of a job with long tasks may have to run again.
+RESTART_RECOVERY_TIMEOUT_S = 70.0
+# Probability that the tasks of a job are long in a run with restarts.
+LONG_TASK_PROBABILITY = 1 / 3
 POLL_INTERVAL_S = 0.2
 # The violations of one seed are mostly repeats of the same one.
 MAX_PRINTED_VIOLATIONS = 10
@@ -38,6 +44,9 @@
         Directory for settings, logs and the plan of the faults.
     has_organisations : bool, default=False
         Whether callers have keys of organisations, which change during the run.
+    has_restarts : bool, default=False
+        Whether executors restart under their ids and are cut off soon after, and some
+        jobs have long tasks.
     pools : dict of str to int, optional
         Number of instances by name of the pool, among them ``spare``, which is on
         standby.
@@ -52,12 +61,17 @@
         seconds,
         directory,
         has_organisations=False,
+        has_restarts=False,
         pools=None,
         entry_count=ENTRY_COUNT,
         caller_count=CALLER_COUNT,
     ):
         self._pools = pools or INSTANCES_BY_POOL
         self._caller_count = caller_count
+        self._has_restarts = has_restarts
+        self._recovery_timeout_s = (
+            RESTART_RECOVERY_TIMEOUT_S if has_restarts else RECOVERY_TIMEOUT_S
+        )
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
@@ -123,6 +137,10 @@
         self.planned_faults += plan.draw_entries(
             self._seed, seconds=self._seconds, instances=instances
         )
+        if self._has_restarts:
+            self.planned_faults += plan.draw_restarts(
+                self._seed, seconds=self._seconds, entries=entries, instances=instances
+            )
         if self._organisations is not None:
             self.planned_faults += organisations.draw_changes(
                 self._seed, seconds=self._seconds, entries=entries
@@ -149,6 +167,7 @@
                 ports=ports,
                 pools=[pool for pool in self._pools if pool != "spare"],
                 report_violation=self.add_violation,
+                long_task_probability=LONG_TASK_PROBABILITY * self._has_restarts,
                 organisation=organisation,
                 run_organisations=self._organisations,
             )
@@ -163,9 +182,9 @@
         for caller in self._callers:
             caller.join(
                 callers.MAX_ATTEMPTS * (callers.REQUEST_TIMEOUT_S + 1)
-                + RECOVERY_TIMEOUT_S
+                + self._recovery_timeout_s
             )
-        deadline = time.monotonic() + RECOVERY_TIMEOUT_S
+        deadline = time.monotonic() + self._recovery_timeout_s
         jobs = [(caller, job) for caller in self._callers for job in caller.jobs]
         unfinished = [
             (c, job)
@@ -249,6 +268,11 @@
         action="store_true",
         help="callers have keys of organisations, which change during the run",
     )
+    parser.add_argument(
+        "--restarts",
+        action="store_true",
+        help="executors restart and are cut off; some jobs have long tasks",
+    )
     options = parser.parse_args()
     pools = {}
     for text in options.pool or ():
@@ -264,6 +288,7 @@
             seconds=options.seconds,
             directory=directory,
             has_organisations=options.organisations,
+            has_restarts=options.restarts,
             pools=pools,
             entry_count=options.entries,
             caller_count=options.callers,
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,10 @@
 RETRY_DELAY_S = 0.2
 # Least and greatest pause between two jobs of a caller.
 PAUSE_RANGE_S = (0.05, 0.4)
+# Least and greatest run time of a task, and of one that outlasts the leases that the
+# controller asks for.
+TASK_DURATION_RANGE_MS = (100, 900)
+LONG_TASK_DURATION_RANGE_MS = (1_200, 10_800)
 # Probabilities that a job is long-running, that one of its tasks crashes each executor
 # that starts it, and that an accepted job is cancelled.
 LONG_RUNNING_PROBABILITY = 0.05
@@ -101,6 +105,8 @@
         Pools to submit jobs to.
     report_violation : callable
         Takes the violated invariant and the detail, both str.
+    long_task_probability : float, default=0.0
+        Probability that the tasks of a job are long.
     organisation : str, default=""
         Organisation of the caller; empty for none.
     run_organisations : organisations.Organisations or None
@@ -115,13 +121,17 @@
         ports,
         pools,
         report_violation,
+        long_task_probability=0.0,
         organisation="",
         run_organisations=None,
     ):
         super().__init__(daemon=True)
         self._generator = random.Random(seed * 1000 + number)
-        # Keeps the other jobs of a seed as they were before there were crashing ones.
+        # Keep the other jobs of a seed as they were before there were crashing ones and
+        # ones with long tasks.
         self._crash_generator = random.Random(f"crashing {seed} {number}")
+        self._duration_generator = random.Random(f"durations {seed} {number}")
+        self._long_task_probability = long_task_probability
         self._key_generator = random.Random(f"keys {seed} {number}")
         self._organisation = organisation
         self._organisations = run_organisations
@@ -162,13 +172,15 @@
             is_long_running = False
         step = {
             "count": generator.randint(1, 4),
-            "ms": generator.randint(100, 900),
+            "ms": generator.randint(*TASK_DURATION_RANGE_MS),
             "processors": 1000,
             "memory": 1000,
         }
         is_crashing = self._crash_generator.random() < CRASHING_PROBABILITY
         if is_crashing:
             step["crashing"] = [0]
+        if self._duration_generator.random() < self._long_task_probability:
+            step["ms"] = self._duration_generator.randint(*LONG_TASK_DURATION_RANGE_MS)
         if is_long_running:
             steps = [{**step, "lasts": True, "unavailable": 1}]
         else:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -77,6 +77,7 @@
             self._proxy_thread.set_mode(service_proxy, proxy.PASS)
         self._deployment.send_order("store")
         for name in self._instances:
+            self._deployment.send_order("cut", instance=name, is_cut=False)
             self._deployment.send_order("freeze", instance=name, is_frozen=False)
             self._deployment.send_order("revive", instance=name)
             self._deployment.send_order("capacity", instance=name)
@@ -181,6 +182,20 @@
         self._deployment.send_order("restart", instance=fault.target)
         return _end_nothing
 
+    def restart_dark_executor(self, fault):
+        """End an executor and start another with the same id as the fault ends."""
+        self._deployment.send_order(
+            "restart", instance=fault.target, dark_s=fault.duration_s
+        )
+        return _end_nothing
+
+    def cut_executor(self, fault):
+        """Cut an executor off silently until the end of the fault."""
+        self._deployment.send_order("cut", instance=fault.target, is_cut=True)
+        return lambda: self._deployment.send_order(
+            "cut", instance=fault.target, is_cut=False
+        )
+
     def freeze_executor(self, fault):
         """Make an executor hold back all responses until the end of the fault."""
         self._deployment.send_order("freeze", instance=fault.target, is_frozen=True)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,18 @@
 SHRINKING_INTERVAL_RANGE_S = (1.0, 4.0)
 # The same for entries in the list of executors.
 ENTRY_INTERVAL_RANGE_S = (0.5, 3.0)
+# The same for restarts of executors that are cut off soon after, and the time for which
+# such an executor is dark.
+RESTART_INTERVAL_RANGE_S = (3.0, 8.0)
+DARK_DURATION_S = 0.6
+# Least and greatest time from such a restart until the cut, and length of the cut.
+CUT_DELAY_RANGE_S = (0.2, 1.5)
+CUT_DURATION_RANGE_S = (3.0, 9.0)
+# Probability that a third of the executors restarts rather than one, and that an entry
+# instance is killed around a restart; least and greatest time of the kill after it.
+MANY_RESTARTS_PROBABILITY = 0.5
+KILL_PROBABILITY = 0.4
+KILL_DELAY_RANGE_S = (-0.5, 2.0)
 
 
 class Fault:
@@ -121,6 +133,48 @@
     return faults
 
 
+def draw_restarts(seed, *, seconds, entries, instances):
+    """Return restarts of executors under their ids that are cut off soon after.
+
+    A generator of their own keeps the other faults of a seed as they were before.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random numbers; the same seed gives the same faults.
+    seconds : float
+        Length of the phase with faults; every fault ends within it.
+    entries, instances : list of str
+        Names of the entry instances, and of the instances with executors.
+    """
+    generator = random.Random(f"restarts {seed}")
+    faults = []
+
+    def add(kind, start_s, duration_s, target):
+        start_s = min(max(start_s, 0.0), seconds)
+        duration_s = min(duration_s, seconds - start_s)
+        faults.append(
+            Fault(start_s=start_s, kind=kind, duration_s=duration_s, target=target)
+        )
+
+    start_s = generator.uniform(*RESTART_INTERVAL_RANGE_S)
+    while start_s < seconds:
+        count = 1
+        if generator.random() < MANY_RESTARTS_PROBABILITY:
+            count = max(1, len(instances) // 3)
+        cut_at_s = start_s + generator.uniform(*CUT_DELAY_RANGE_S)
+        cut_duration_s = generator.uniform(*CUT_DURATION_RANGE_S)
+        for target in generator.sample(instances, count):
+            add("restart_dark_executor", start_s, DARK_DURATION_S, target)
+            add("cut_executor", cut_at_s, cut_duration_s, target)
+        if generator.random() < KILL_PROBABILITY:
+            delay_s = generator.uniform(*KILL_DELAY_RANGE_S)
+            duration_s = generator.uniform(*DURATION_RANGE_S)
+            add("kill_entry", start_s + delay_s, duration_s, generator.choice(entries))
+        start_s += generator.uniform(*RESTART_INTERVAL_RANGE_S)
+    return faults
+
+
 def _draw_fault(generator, start_s, seconds, entries, instances):
     duration_s = min(generator.uniform(*DURATION_RANGE_S), seconds - start_s)
     kind = generator.choice(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak runs, and tests of the soak's fault plans and invariant checks."""
 
 import asyncio
+import collections
 import json
 import pathlib
 import types
@@ -82,9 +83,40 @@
         kinds = {text.split()[1] for text in draw_texts(3)}
         self.assertEqual(kinds, {"malformed_entry", "drain_executor"})
 
+    def test_same_seed_gives_the_same_restarts(self):
+        """Guards against a restart behind a partition that cannot be reproduced."""
+        instances = [f"m{n}" for n in range(1, 10)]
+
+        def draw(seed):
+            return plan.draw_restarts(
+                seed, seconds=60.0, entries=["a", "b"], instances=instances
+            )
+
+        def draw_texts(seed):
+            return [str(fault) for fault in draw(seed)]
+
+        self.assertEqual(draw_texts(3), draw_texts(3))
+        self.assertNotEqual(draw_texts(3), draw_texts(4))
+        kinds = {text.split()[1] for text in draw_texts(3)}
+        self.assertEqual(kinds, {"restart_dark_executor", "cut_executor", "kill_entry"})
+        planned = draw(3)
+        restarts = [f for f in planned if f.kind == "restart_dark_executor"]
+        shortest_s, longest_s = plan.CUT_DELAY_RANGE_S
+        for fault in restarts:
+            delays_s = [
+                other.start_s - fault.start_s
+                for other in planned
+                if (other.kind, other.target) == ("cut_executor", fault.target)
+            ]
+            self.assertTrue(any(shortest_s <= d <= longest_s for d in delays_s))
+        by_start = collections.Counter(fault.start_s for fault in restarts)
+        self.assertEqual(set(by_start.values()), {1, 3})
+
     def test_all_faults_end_within_the_fault_phase(self):
         """Guards against faults that last into the time allowed for recovery."""
-        planned = plan.draw_faults(5, seconds=20.0, entries=["a"], instances=["b"])
+        names = {"entries": ["a"], "instances": ["b"]}
+        planned = plan.draw_faults(5, seconds=20.0, **names)
+        planned += plan.draw_restarts(5, seconds=20.0, **names)
         self.assertTrue(
             all(fault.start_s + fault.duration_s <= 20.0 for fault in planned)
         )
