Add late calls to the soak

A call without an answer may be carried out seconds later, after newer calls; in the stand-in it had an effect at once or never. Tests: test_late_call_is_carried_out_after_newer_ones_without_an_answer and test_late_call_is_carried_out_by_the_next_life_if_kept, test_same_seed_gives_the_same_late_calls.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,10 +20,10 @@
 # After the last fault the system has this long to recover: takeover of the controller,
 # expiry of a lease, restart of lost tasks, and completion of the tasks that had waited.
 RECOVERY_TIMEOUT_S = 25.0
-# The same for a run with restarts: an order that no executor has confirmed may still be
-# carried out, and nothing runs by it after 28 s, which is found out after a takeover;
-# then the two steps of a job with long tasks may have to run again.
-RESTART_RECOVERY_TIMEOUT_S = 70.0
+# The same for a run with restarts or late calls. What was ordered without an answer may
+# still run for up to 28 s after a takeover, and then the two steps of a job with long
+# tasks may have to run again.
+LATE_RECOVERY_TIMEOUT_S = 70.0
 # Probability that the tasks of a job are long in a run with restarts.
 LONG_TASK_PROBABILITY = 1 / 3
 POLL_INTERVAL_S = 0.2
@@ -47,6 +47,8 @@
     has_restarts : bool, default=False
         Whether executors restart under their ids and are cut off soon after, and some
         jobs have long tasks.
+    late_calls : {'one-life', 'any-life'} or None, default=None
+        Which calls to executors may be late, see ``plan.draw_late_calls``.
     pools : dict of str to int, optional
         Number of instances by name of the pool, among them ``spare``, which is on
         standby.
@@ -62,6 +64,7 @@
         directory,
         has_organisations=False,
         has_restarts=False,
+        late_calls=None,
         pools=None,
         entry_count=ENTRY_COUNT,
         caller_count=CALLER_COUNT,
@@ -69,9 +72,10 @@
         self._pools = pools or INSTANCES_BY_POOL
         self._caller_count = caller_count
         self._has_restarts = has_restarts
-        self._recovery_timeout_s = (
-            RESTART_RECOVERY_TIMEOUT_S if has_restarts else RECOVERY_TIMEOUT_S
-        )
+        self._late_calls = late_calls
+        self._recovery_timeout_s = RECOVERY_TIMEOUT_S
+        if has_restarts or late_calls:
+            self._recovery_timeout_s = LATE_RECOVERY_TIMEOUT_S
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
@@ -141,6 +145,13 @@
             self.planned_faults += plan.draw_restarts(
                 self._seed, seconds=self._seconds, entries=entries, instances=instances
             )
+        if self._late_calls:
+            self.planned_faults += plan.draw_late_calls(
+                self._seed,
+                seconds=self._seconds,
+                instances=instances,
+                lives=self._late_calls,
+            )
         if self._organisations is not None:
             self.planned_faults += organisations.draw_changes(
                 self._seed, seconds=self._seconds, entries=entries
@@ -273,6 +284,12 @@
         action="store_true",
         help="executors restart and are cut off; some jobs have long tasks",
     )
+    parser.add_argument(
+        "--late-calls",
+        choices=(plan.ONE_LIFE, plan.ANY_LIFE),
+        help="calls to executors that are carried out late without an answer: in the "
+        "same life of the executor only, or also in its next life",
+    )
     options = parser.parse_args()
     pools = {}
     for text in options.pool or ():
@@ -289,6 +306,7 @@
             directory=directory,
             has_organisations=options.organisations,
             has_restarts=options.restarts,
+            late_calls=options.late_calls,
             pools=pools,
             entry_count=options.entries,
             caller_count=options.callers,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,7 @@
 # Longer than executors.DRAINING_LIMIT_S, so that a controller that does not read the
 # list of executors is found.
 DRAINING_DURATION_S = 14.0
+LATE_CALL_SHARE = 0.3
 WAVE_INSTANCE_COUNT = 3
 WAVE_DURATION_S = 20
 
@@ -78,6 +79,7 @@
         self._deployment.send_order("store")
         for name in self._instances:
             self._deployment.send_order("cut", instance=name, is_cut=False)
+            self._deployment.send_order("late", instance=name)
             self._deployment.send_order("freeze", instance=name, is_frozen=False)
             self._deployment.send_order("revive", instance=name)
             self._deployment.send_order("capacity", instance=name)
@@ -196,6 +198,16 @@
             "cut", instance=fault.target, is_cut=False
         )
 
+    def late_calls(self, fault):
+        """Let a share of the calls to an executor be carried out late, unanswered."""
+        self._deployment.send_order(
+            "late",
+            instance=fault.target,
+            share=LATE_CALL_SHARE,
+            is_kept=fault.detail == plan.ANY_LIFE,
+        )
+        return lambda: self._deployment.send_order("late", instance=fault.target)
+
     def freeze_executor(self, fault):
         """Make an executor hold back all responses until the end of the fault."""
         self._deployment.send_order("freeze", instance=fault.target, is_frozen=True)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -24,6 +24,12 @@
 MANY_RESTARTS_PROBABILITY = 0.5
 KILL_PROBABILITY = 0.4
 KILL_DELAY_RANGE_S = (-0.5, 2.0)
+# Least and greatest time between two faults that make calls late, and length of these.
+LATE_CALLS_INTERVAL_RANGE_S = (1.0, 4.0)
+LATE_CALLS_DURATION_RANGE_S = (1.0, 6.0)
+# Which calls are late: those that the same life of the executor carries out, or also
+# those that its next life does.
+ONE_LIFE, ANY_LIFE = "one-life", "any-life"
 
 
 class Fault:
@@ -41,8 +47,8 @@
         Name of the affected entry instance, or of the affected instance (the first one
         of a wave), or ``entry/service`` for a connection; empty for other kinds.
     detail : str
-        Mode of the proxy for a fault of a connection, seed of a malformed entry; empty
-        for other kinds.
+        Mode of the proxy for a fault of a connection, seed of a malformed entry, which
+        calls are late; empty for other kinds.
     """
 
     __slots__ = ("detail", "duration_s", "kind", "start_s", "target")
@@ -175,6 +181,39 @@
     return faults
 
 
+def draw_late_calls(seed, *, seconds, instances, lives):
+    """Return faults that make calls to executors late.
+
+    A generator of their own keeps the other faults of a seed as they were before.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random numbers; the same seed gives the same faults.
+    seconds : float
+        Length of the phase with faults; every fault ends within it.
+    instances : list of str
+        Names of the instances with executors.
+    lives : {'one-life', 'any-life'}
+        Which calls are late.
+    """
+    generator = random.Random(f"late calls {seed}")
+    faults = []
+    start_s = generator.uniform(*LATE_CALLS_INTERVAL_RANGE_S)
+    while start_s < seconds:
+        duration_s = generator.uniform(*LATE_CALLS_DURATION_RANGE_S)
+        fault = Fault(
+            start_s=start_s,
+            kind="late_calls",
+            duration_s=min(duration_s, seconds - start_s),
+            target=generator.choice(instances),
+            detail=lives,
+        )
+        faults.append(fault)
+        start_s += generator.uniform(*LATE_CALLS_INTERVAL_RANGE_S)
+    return faults
+
+
 def _draw_fault(generator, start_s, seconds, entries, instances):
     duration_s = min(generator.uniform(*DURATION_RANGE_S), seconds - start_s)
     kind = generator.choice(
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -212,6 +212,15 @@
         """Cut an executor off, or connect it again; its tasks run on meanwhile."""
         self._instances.set_cut(self._instances.by_id[instance], is_cut)
 
+    def _order_late(self, instance, share=0.0, is_kept=False):
+        """Let a share of the calls to an executor be carried out late, unanswered.
+
+        ``is_kept`` tells whether its next life carries them out as well.
+        """
+        target = self._instances.by_id[instance]
+        target.late_call_share = share
+        target.are_late_calls_kept = is_kept
+
     def _order_freeze(self, instance, is_frozen):
         """Make an executor hold back its responses, or resume it."""
         executor = self._instances.by_id[instance].executor
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -24,6 +24,8 @@
 ENTRY_INTERVAL_S = 1.5
 ENTRY_JITTER_S = 0.1
 SILENT_INTERVAL_LIMIT = 3
+# Least and greatest time after which a late call is carried out.
+LATE_CALL_DELAY_RANGE_S = (2.0, 11.0)
 # Number of addresses used in each network with a prefix of 24 bits.
 HOSTS_PER_NETWORK = 250
 
@@ -38,6 +40,11 @@
         until its executor is back under its id.
     is_cut : bool
         Whether requests to its executor and responses are lost; runs and leases go on.
+    late_call_share : float
+        Share of the requests to its executor that get no response and are carried out
+        late.
+    are_late_calls_kept : bool
+        Whether a restarted executor carries out the late requests that arrived before.
     executor : standins.platform.executors.Executor or None
         Its running executor; None if it is not up or its executor was killed.
     highest_fencing_token : int
@@ -59,6 +66,8 @@
         self.rack = rack
         self.state = "up"
         self.is_cut = False
+        self.late_call_share = 0.0
+        self.are_late_calls_kept = False
         self.executor = None
         self.highest_fencing_token = 0
         self.entry_due_at = 0.0
@@ -155,7 +164,9 @@
         life.
         """
         response = None
-        if not instance.is_cut:
+        if not instance.is_cut and self._generator.random() < instance.late_call_share:
+            await self._carry_out_late(instance, request)
+        elif not instance.is_cut:
             while instance.state == "down":
                 await asyncio.sleep(executors.CHECK_INTERVAL_S)
             if instance.executor is None:
@@ -167,6 +178,18 @@
             raise ConnectionResetError
         return response
 
+    async def _carry_out_late(self, instance, request):
+        arrived_in = instance.executor
+        is_kept = instance.are_late_calls_kept
+        await asyncio.sleep(self._generator.uniform(*LATE_CALL_DELAY_RANGE_S))
+        while is_kept and instance.state == "down":
+            await asyncio.sleep(executors.CHECK_INTERVAL_S)
+        executor = instance.executor
+        if executor is None or executor.is_frozen:
+            return
+        if is_kept or executor is arrived_in:
+            await executor.handle(request)
+
     def start_executor(self, instance, *, id=None):
         """Start a new executor on an instance.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -112,11 +112,32 @@
         by_start = collections.Counter(fault.start_s for fault in restarts)
         self.assertEqual(set(by_start.values()), {1, 3})
 
+    def test_same_seed_gives_the_same_late_calls(self):
+        """Guards against a late call whose effect cannot be reproduced."""
+
+        def draw_texts(seed, lives):
+            drawn = plan.draw_late_calls(
+                seed, seconds=60.0, instances=["m1", "m2"], lives=lives
+            )
+            return [str(fault) for fault in drawn]
+
+        texts = draw_texts(3, plan.ONE_LIFE)
+        self.assertEqual(texts, draw_texts(3, plan.ONE_LIFE))
+        self.assertNotEqual(texts, draw_texts(4, plan.ONE_LIFE))
+        # Both kinds come at the same times, so that their runs can be compared.
+        self.assertEqual(
+            [text.replace(plan.ONE_LIFE, plan.ANY_LIFE) for text in texts],
+            draw_texts(3, plan.ANY_LIFE),
+        )
+
     def test_all_faults_end_within_the_fault_phase(self):
         """Guards against faults that last into the time allowed for recovery."""
         names = {"entries": ["a"], "instances": ["b"]}
         planned = plan.draw_faults(5, seconds=20.0, **names)
         planned += plan.draw_restarts(5, seconds=20.0, **names)
+        planned += plan.draw_late_calls(
+            5, seconds=20.0, instances=["b"], lives=plan.ANY_LIFE
+        )
         self.assertTrue(
             all(fault.start_s + fault.duration_s <= 20.0 for fault in planned)
         )
--- a/tests/test_standin_executors.py
+++ b/tests/test_standin_executors.py
@@ -133,6 +133,39 @@
             await call
         self.assertEqual(self.checker.running_tasks(), [])
 
+    async def _call_late(self, *, is_kept):
+        """Send a start that is late, and restart the executor before it is due."""
+        self.instance.late_call_share = 1.0
+        self.instance.are_late_calls_kept = is_kept
+        with unittest.mock.patch.object(
+            instances, "LATE_CALL_DELAY_RANGE_S", (0.05, 0.1)
+        ):
+            call = asyncio.ensure_future(self._call(make_start(self.executor_id)))
+            await asyncio.sleep(0)
+            self.instance.late_call_share = 0.0
+            status, _ = await self._call(make_request("/api/hold", self.executor_id))
+            self.assertEqual(status, 200)
+            self.assertEqual(self.checker.running_tasks(), [])
+            if is_kept is not None:
+                self.instances.restart_executor(self.instance, dark_s=0.2)
+            with self.assertRaises(ConnectionResetError):
+                await call
+
+    async def test_late_call_is_carried_out_after_newer_ones_without_an_answer(self):
+        """Guards against a soak in which calls without an answer have no effect."""
+        await self._call_late(is_kept=None)
+        self.assertEqual(self.checker.running_tasks(), [TASK])
+
+    async def test_late_call_is_carried_out_by_the_next_life_if_kept(self):
+        """Guards against two kinds of late calls that are not told apart."""
+        await self._call_late(is_kept=True)
+        self.assertEqual(self.checker.running_tasks(), [TASK])
+        self.instances.end_executor(self.instance)
+        self.instances.revive(self.instance)
+        self.executor_id = self.instance.executor.id
+        await self._call_late(is_kept=False)
+        self.assertEqual(self.checker.running_tasks(), [])
+
 
 class EntryTest(unittest.TestCase):
     """Entries of executors in the store, whose time is moved by hand."""
