Let restarts of the soak go unnoticed, and give its executors room

Change: three of four restarts are silent: connections stay open and the former life answers nothing more. The dark time is drawn, and the cut begins about its end.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,9 @@
 # Small numbers of instances, entry instances and callers keep a run at about a dozen
 # processes and threads, so that several runs fit on a machine.
 INSTANCES_BY_POOL = {"one": 4, "two": 3, "spare": 3}
+# The same for a run with restarts. Only executors with room are sent starts in the
+# short time around a restart.
+RESTART_INSTANCES_BY_POOL = {"one": 14, "two": 10, "spare": 2}
 # Executors of this pool start what exceeds their capacity.
 UNGUARDED_POOL = "two"
 ENTRY_COUNT = 3
@@ -44,9 +47,9 @@
         Directory for settings, logs and the plan of the faults.
     has_organisations : bool, default=False
         Whether callers have keys of organisations, which change during the run.
-    has_restarts : bool, default=False
+    restarts : {'only', 'too'} or None, default=None
         Whether executors restart under their ids and are cut off soon after, and some
-        jobs have long tasks.
+        jobs have long tasks: without other faults, or beside them.
     late_calls : {'one-life', 'any-life'} or None, default=None
         Which calls to executors may be late, see ``plan.draw_late_calls``.
     pools : dict of str to int, optional
@@ -63,18 +66,19 @@
         seconds,
         directory,
         has_organisations=False,
-        has_restarts=False,
+        restarts=None,
         late_calls=None,
         pools=None,
         entry_count=ENTRY_COUNT,
         caller_count=CALLER_COUNT,
     ):
-        self._pools = pools or INSTANCES_BY_POOL
+        default_pools = RESTART_INSTANCES_BY_POOL if restarts else INSTANCES_BY_POOL
+        self._pools = pools or default_pools
         self._caller_count = caller_count
-        self._has_restarts = has_restarts
+        self._restarts = restarts
         self._late_calls = late_calls
         self._recovery_timeout_s = RECOVERY_TIMEOUT_S
-        if has_restarts or late_calls:
+        if restarts or late_calls:
             self._recovery_timeout_s = LATE_RECOVERY_TIMEOUT_S
         self._seed = seed
         self._seconds = seconds
@@ -135,13 +139,14 @@
     def _inject_faults(self):
         instances = [f"m{n}" for n in range(1, sum(self._pools.values()) + 1)]
         entries = [entry.name for entry in self._deployment.entries]
-        self.planned_faults = plan.draw_faults(
-            self._seed, seconds=self._seconds, entries=entries, instances=instances
-        )
-        self.planned_faults += plan.draw_entries(
-            self._seed, seconds=self._seconds, instances=instances
-        )
-        if self._has_restarts:
+        if self._restarts != "only":
+            self.planned_faults += plan.draw_faults(
+                self._seed, seconds=self._seconds, entries=entries, instances=instances
+            )
+            self.planned_faults += plan.draw_entries(
+                self._seed, seconds=self._seconds, instances=instances
+            )
+        if self._restarts:
             self.planned_faults += plan.draw_restarts(
                 self._seed, seconds=self._seconds, entries=entries, instances=instances
             )
@@ -178,7 +183,7 @@
                 ports=ports,
                 pools=[pool for pool in self._pools if pool != "spare"],
                 report_violation=self.add_violation,
-                long_task_probability=LONG_TASK_PROBABILITY * self._has_restarts,
+                long_task_probability=LONG_TASK_PROBABILITY * bool(self._restarts),
                 organisation=organisation,
                 run_organisations=self._organisations,
             )
@@ -281,8 +286,9 @@
     )
     parser.add_argument(
         "--restarts",
-        action="store_true",
-        help="executors restart and are cut off; some jobs have long tasks",
+        choices=("only", "too"),
+        help="executors restart and are cut off, without other faults or beside them; "
+        "some jobs have long tasks",
     )
     parser.add_argument(
         "--late-calls",
@@ -305,7 +311,7 @@
             seconds=options.seconds,
             directory=directory,
             has_organisations=options.organisations,
-            has_restarts=options.restarts,
+            restarts=options.restarts,
             late_calls=options.late_calls,
             pools=pools,
             entry_count=options.entries,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -187,7 +187,10 @@
     def restart_dark_executor(self, fault):
         """End an executor and start another with the same id as the fault ends."""
         self._deployment.send_order(
-            "restart", instance=fault.target, dark_s=fault.duration_s
+            "restart",
+            instance=fault.target,
+            dark_s=fault.duration_s,
+            is_silent=fault.detail == plan.SILENT,
         )
         return _end_nothing
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,10 +15,15 @@
 # The same for restarts of executors that are cut off soon after, and the time for which
 # such an executor is dark.
 RESTART_INTERVAL_RANGE_S = (3.0, 8.0)
-DARK_DURATION_S = 0.6
-# Least and greatest time from such a restart until the cut, and length of the cut.
-CUT_DELAY_RANGE_S = (0.2, 1.5)
-CUT_DURATION_RANGE_S = (3.0, 9.0)
+DARK_DURATION_RANGE_S = (0.3, 0.9)
+# Whether its connections are reset, or stay open so that nobody notices and calls reach
+# its new life; probability of the latter.
+RESET, SILENT = "reset", "silent"
+SILENT_PROBABILITY = 0.75
+# Least and greatest time from the end of the dark time until the cut, and length of the
+# cut.
+CUT_DELAY_RANGE_S = (-0.3, 0.5)
+CUT_DURATION_RANGE_S = (4.0, 9.0)
 # Probability that a third of the executors restarts rather than one, and that an entry
 # instance is killed around a restart; least and greatest time of the kill after it.
 MANY_RESTARTS_PROBABILITY = 0.5
@@ -48,7 +53,7 @@
         of a wave), or ``entry/service`` for a connection; empty for other kinds.
     detail : str
         Mode of the proxy for a fault of a connection, seed of a malformed entry, which
-        calls are late; empty for other kinds.
+        calls are late, how a restarted executor ends; empty for other kinds.
     """
 
     __slots__ = ("detail", "duration_s", "kind", "start_s", "target")
@@ -156,22 +161,29 @@
     generator = random.Random(f"restarts {seed}")
     faults = []
 
-    def add(kind, start_s, duration_s, target):
+    def add(kind, start_s, duration_s, target, detail=""):
         start_s = min(max(start_s, 0.0), seconds)
-        duration_s = min(duration_s, seconds - start_s)
-        faults.append(
-            Fault(start_s=start_s, kind=kind, duration_s=duration_s, target=target)
+        fault = Fault(
+            start_s=start_s,
+            kind=kind,
+            duration_s=min(duration_s, seconds - start_s),
+            target=target,
+            detail=detail,
         )
+        faults.append(fault)
 
     start_s = generator.uniform(*RESTART_INTERVAL_RANGE_S)
     while start_s < seconds:
         count = 1
         if generator.random() < MANY_RESTARTS_PROBABILITY:
             count = max(1, len(instances) // 3)
-        cut_at_s = start_s + generator.uniform(*CUT_DELAY_RANGE_S)
+        dark_s = generator.uniform(*DARK_DURATION_RANGE_S)
+        cut_at_s = start_s + dark_s + generator.uniform(*CUT_DELAY_RANGE_S)
         cut_duration_s = generator.uniform(*CUT_DURATION_RANGE_S)
+        is_silent = generator.random() < SILENT_PROBABILITY
+        ending = SILENT if is_silent else RESET
         for target in generator.sample(instances, count):
-            add("restart_dark_executor", start_s, DARK_DURATION_S, target)
+            add("restart_dark_executor", start_s, dark_s, target, ending)
             add("cut_executor", cut_at_s, cut_duration_s, target)
         if generator.random() < KILL_PROBABILITY:
             delay_s = generator.uniform(*KILL_DELAY_RANGE_S)
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -191,10 +191,10 @@
         """Start a new executor on an instance whose executor was killed."""
         self._instances.revive(self._instances.by_id[instance])
 
-    def _order_restart(self, instance, dark_s=0.0):
+    def _order_restart(self, instance, dark_s=0.0, is_silent=False):
         """Restart an executor under its id, see ``Instances.restart_executor``."""
         target = self._instances.by_id[instance]
-        self._instances.restart_executor(target, dark_s=dark_s)
+        self._instances.restart_executor(target, dark_s=dark_s, is_silent=is_silent)
 
     def _order_capacity(self, instance, processors=None):
         """Change the capacity of an executor; without a number as it was at first."""
--- a/tests/test_standin_executors.py
+++ b/tests/test_standin_executors.py
@@ -113,6 +113,15 @@
         row = listed["Machines"][0]
         self.assertEqual((row["State"], row["Id"]), ("up", self.executor_id))
 
+    async def test_former_life_answers_nothing_after_a_silent_restart(self):
+        """Guards against an empty list of runs from a life that has ended."""
+        request = make_request("/api/hold", self.executor_id, WaitMs=50)
+        call = asyncio.ensure_future(self._call(request))
+        await asyncio.sleep(0)
+        self.instances.restart_executor(self.instance, dark_s=0.1, is_silent=True)
+        with self.assertRaises(ConnectionResetError):
+            await call
+
     async def test_clocks_of_lives_begin_anywhere(self):
         """Guards against clocks that tell a new life by their low values."""
         clocks = []
