--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,9 @@
 # Small numbers of instances, entry instances and callers keep a run at about a dozen
 # processes and threads, so that several runs fit on a machine.
 INSTANCES_BY_POOL = {"one": 4, "two": 3, "spare": 3}
+# The same for a run with restarts. Only executors with room are sent starts in the
+# short time around a restart.
+RESTART_INSTANCES_BY_POOL = {"one": 14, "two": 10, "spare": 2}
 # Executors of this pool start what exceeds their capacity.
 UNGUARDED_POOL = "two"
 ENTRY_COUNT = 3
@@ -20,6 +23,12 @@
 # After the last fault the system has this long to recover: takeover of the controller,
 # expiry of a lease, restart of lost tasks, and completion of the tasks that had waited.
 RECOVERY_TIMEOUT_S = 25.0
+# The same for a run with restarts or late calls. What was ordered without an answer may
+# still run for up to 28 s after a takeover, and then the two steps of a job with long
+# tasks may have to run again.
+LATE_RECOVERY_TIMEOUT_S = 70.0
+# Probability that the tasks of a job are long in a run with restarts.
+LONG_TASK_PROBABILITY = 1 / 3
 POLL_INTERVAL_S = 0.2
 # The violations of one seed are mostly repeats of the same one.
 MAX_PRINTED_VIOLATIONS = 10
@@ -38,6 +47,11 @@
         Directory for settings, logs and the plan of the faults.
     has_organisations : bool, default=False
         Whether callers have keys of organisations, which change during the run.
+    restarts : {'only', 'too'} or None, default=None
+        Whether executors restart under their ids and are cut off soon after, and some
+        jobs have long tasks: without other faults, or beside them.
+    late_calls : {'one-life', 'any-life'} or None, default=None
+        Which calls to executors may be late, see ``plan.draw_late_calls``.
     pools : dict of str to int, optional
         Number of instances by name of the pool, among them ``spare``, which is on
         standby.
@@ -52,12 +66,20 @@
         seconds,
         directory,
         has_organisations=False,
+        restarts=None,
+        late_calls=None,
         pools=None,
         entry_count=ENTRY_COUNT,
         caller_count=CALLER_COUNT,
     ):
-        self._pools = pools or INSTANCES_BY_POOL
+        default_pools = RESTART_INSTANCES_BY_POOL if restarts else INSTANCES_BY_POOL
+        self._pools = pools or default_pools
         self._caller_count = caller_count
+        self._restarts = restarts
+        self._late_calls = late_calls
+        self._recovery_timeout_s = RECOVERY_TIMEOUT_S
+        if restarts or late_calls:
+            self._recovery_timeout_s = LATE_RECOVERY_TIMEOUT_S
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
@@ -75,6 +97,7 @@
             unguarded_pools=[UNGUARDED_POOL],
             make_settings=self._make_settings,
             organisations=self._organisations and self._organisations.rows(),
+            seed=seed,
         )
         self._callers = []
         self.violations = []
@@ -116,12 +139,24 @@
     def _inject_faults(self):
         instances = [f"m{n}" for n in range(1, sum(self._pools.values()) + 1)]
         entries = [entry.name for entry in self._deployment.entries]
-        self.planned_faults = plan.draw_faults(
-            self._seed, seconds=self._seconds, entries=entries, instances=instances
-        )
-        self.planned_faults += plan.draw_entries(
-            self._seed, seconds=self._seconds, instances=instances
-        )
+        if self._restarts != "only":
+            self.planned_faults += plan.draw_faults(
+                self._seed, seconds=self._seconds, entries=entries, instances=instances
+            )
+            self.planned_faults += plan.draw_entries(
+                self._seed, seconds=self._seconds, instances=instances
+            )
+        if self._restarts:
+            self.planned_faults += plan.draw_restarts(
+                self._seed, seconds=self._seconds, entries=entries, instances=instances
+            )
+        if self._late_calls:
+            self.planned_faults += plan.draw_late_calls(
+                self._seed,
+                seconds=self._seconds,
+                instances=instances,
+                lives=self._late_calls,
+            )
         if self._organisations is not None:
             self.planned_faults += organisations.draw_changes(
                 self._seed, seconds=self._seconds, entries=entries
@@ -148,6 +183,7 @@
                 ports=ports,
                 pools=[pool for pool in self._pools if pool != "spare"],
                 report_violation=self.add_violation,
+                long_task_probability=LONG_TASK_PROBABILITY * bool(self._restarts),
                 organisation=organisation,
                 run_organisations=self._organisations,
             )
@@ -162,9 +198,9 @@
         for caller in self._callers:
             caller.join(
                 callers.MAX_ATTEMPTS * (callers.REQUEST_TIMEOUT_S + 1)
-                + RECOVERY_TIMEOUT_S
+                + self._recovery_timeout_s
             )
-        deadline = time.monotonic() + RECOVERY_TIMEOUT_S
+        deadline = time.monotonic() + self._recovery_timeout_s
         jobs = [(caller, job) for caller in self._callers for job in caller.jobs]
         unfinished = [
             (c, job)
@@ -248,6 +284,18 @@
         action="store_true",
         help="callers have keys of organisations, which change during the run",
     )
+    parser.add_argument(
+        "--restarts",
+        choices=("only", "too"),
+        help="executors restart and are cut off, without other faults or beside them; "
+        "some jobs have long tasks",
+    )
+    parser.add_argument(
+        "--late-calls",
+        choices=(plan.ONE_LIFE, plan.ANY_LIFE),
+        help="calls to executors that are carried out late without an answer: in the "
+        "same life of the executor only, or also in its next life",
+    )
     options = parser.parse_args()
     pools = {}
     for text in options.pool or ():
@@ -263,6 +311,8 @@
             seconds=options.seconds,
             directory=directory,
             has_organisations=options.organisations,
+            restarts=options.restarts,
+            late_calls=options.late_calls,
             pools=pools,
             entry_count=options.entries,
             caller_count=options.callers,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,29 @@
 SHRINKING_INTERVAL_RANGE_S = (1.0, 4.0)
 # The same for entries in the list of executors.
 ENTRY_INTERVAL_RANGE_S = (0.5, 3.0)
+# The same for restarts of executors that are cut off soon after, and the time for which
+# such an executor is dark.
+RESTART_INTERVAL_RANGE_S = (3.0, 8.0)
+DARK_DURATION_RANGE_S = (0.3, 0.9)
+# Whether its connections are reset, or stay open so that nobody notices and calls reach
+# its new life; probability of the latter.
+RESET, SILENT = "reset", "silent"
+SILENT_PROBABILITY = 0.75
+# Least and greatest time from the end of the dark time until the cut, and length of the
+# cut.
+CUT_DELAY_RANGE_S = (-0.3, 0.5)
+CUT_DURATION_RANGE_S = (4.0, 9.0)
+# Probability that a third of the executors restarts rather than one, and that an entry
+# instance is killed around a restart; least and greatest time of the kill after it.
+MANY_RESTARTS_PROBABILITY = 0.5
+KILL_PROBABILITY = 0.4
+KILL_DELAY_RANGE_S = (-0.5, 2.0)
+# Least and greatest time between two faults that make calls late, and length of these.
+LATE_CALLS_INTERVAL_RANGE_S = (1.0, 4.0)
+LATE_CALLS_DURATION_RANGE_S = (1.0, 6.0)
+# Which calls are late: those that the same life of the executor carries out, or also
+# those that its next life does.
+ONE_LIFE, ANY_LIFE = "one-life", "any-life"
 
 
 class Fault:
@@ -29,8 +52,8 @@
         Name of the affected entry instance, or of the affected instance (the first one
         of a wave), or ``entry/service`` for a connection; empty for other kinds.
     detail : str
-        Mode of the proxy for a fault of a connection, seed of a malformed entry; empty
-        for other kinds.
+        Mode of the proxy for a fault of a connection, seed of a malformed entry, which
+        calls are late, how a restarted executor ends; empty for other kinds.
     """
 
     __slots__ = ("detail", "duration_s", "kind", "start_s", "target")
@@ -121,6 +144,88 @@
     return faults
 
 
+def draw_restarts(seed, *, seconds, entries, instances):
+    """Return restarts of executors under their ids that are cut off soon after.
+
+    A generator of their own keeps the other faults of a seed as they were before.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random numbers; the same seed gives the same faults.
+    seconds : float
+        Length of the phase with faults; every fault ends within it.
+    entries, instances : list of str
+        Names of the entry instances, and of the instances with executors.
+    """
+    generator = random.Random(f"restarts {seed}")
+    faults = []
+
+    def add(kind, start_s, duration_s, target, detail=""):
+        start_s = min(max(start_s, 0.0), seconds)
+        fault = Fault(
+            start_s=start_s,
+            kind=kind,
+            duration_s=min(duration_s, seconds - start_s),
+            target=target,
+            detail=detail,
+        )
+        faults.append(fault)
+
+    start_s = generator.uniform(*RESTART_INTERVAL_RANGE_S)
+    while start_s < seconds:
+        count = 1
+        if generator.random() < MANY_RESTARTS_PROBABILITY:
+            count = max(1, len(instances) // 3)
+        dark_s = generator.uniform(*DARK_DURATION_RANGE_S)
+        cut_at_s = start_s + dark_s + generator.uniform(*CUT_DELAY_RANGE_S)
+        cut_duration_s = generator.uniform(*CUT_DURATION_RANGE_S)
+        is_silent = generator.random() < SILENT_PROBABILITY
+        ending = SILENT if is_silent else RESET
+        for target in generator.sample(instances, count):
+            add("restart_dark_executor", start_s, dark_s, target, ending)
+            add("cut_executor", cut_at_s, cut_duration_s, target)
+        if generator.random() < KILL_PROBABILITY:
+            delay_s = generator.uniform(*KILL_DELAY_RANGE_S)
+            duration_s = generator.uniform(*DURATION_RANGE_S)
+            add("kill_entry", start_s + delay_s, duration_s, generator.choice(entries))
+        start_s += generator.uniform(*RESTART_INTERVAL_RANGE_S)
+    return faults
+
+
+def draw_late_calls(seed, *, seconds, instances, lives):
+    """Return faults that make calls to executors late.
+
+    A generator of their own keeps the other faults of a seed as they were before.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random numbers; the same seed gives the same faults.
+    seconds : float
+        Length of the phase with faults; every fault ends within it.
+    instances : list of str
+        Names of the instances with executors.
+    lives : {'one-life', 'any-life'}
+        Which calls are late.
+    """
+    generator = random.Random(f"late calls {seed}")
+    faults = []
+    start_s = generator.uniform(*LATE_CALLS_INTERVAL_RANGE_S)
+    while start_s < seconds:
+        duration_s = generator.uniform(*LATE_CALLS_DURATION_RANGE_S)
+        fault = Fault(
+            start_s=start_s,
+            kind="late_calls",
+            duration_s=min(duration_s, seconds - start_s),
+            target=generator.choice(instances),
+            detail=lives,
+        )
+        faults.append(fault)
+        start_s += generator.uniform(*LATE_CALLS_INTERVAL_RANGE_S)
+    return faults
+
+
 def _draw_fault(generator, start_s, seconds, entries, instances):
     duration_s = min(generator.uniform(*DURATION_RANGE_S), seconds - start_s)
     kind = generator.choice(
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import random
 import time
 
 from standins.platform import executors, serving
@@ -17,6 +18,14 @@
 LEASE_LIMIT_S = 10.0
 # Time after which an executor that its task has crashed is replaced.
 CRASH_RECOVERY_S = 3.0
+# Interval at which an executor writes its entry to the store (HeartbeatMs of the
+# deployments), its greatest deviation, and the number of silent intervals after which
+# an entry is removed.
+ENTRY_INTERVAL_S = 1.5
+ENTRY_JITTER_S = 0.1
+SILENT_INTERVAL_LIMIT = 3
+# Least and greatest time after which a late call is carried out.
+LATE_CALL_DELAY_RANGE_S = (2.0, 11.0)
 # Number of addresses used in each network with a prefix of 24 bits.
 HOSTS_PER_NETWORK = 250
 
@@ -26,12 +35,22 @@
 
     Attributes
     ----------
-    state : {'up', 'moving', 'upkeep'}
-        Whether the instance is up, being moved to another pool, or in upkeep.
+    state : {'up', 'moving', 'upkeep', 'down'}
+        Whether the instance is up, being moved to another pool, in upkeep, or down
+        until its executor is back under its id.
+    is_cut : bool
+        Whether requests to its executor and responses are lost; runs and leases go on.
+    late_call_share : float
+        Share of the requests to its executor that get no response and are carried out
+        late.
+    are_late_calls_kept : bool
+        Whether a restarted executor carries out the late requests that arrived before.
     executor : standins.platform.executors.Executor or None
         Its running executor; None if it is not up or its executor was killed.
     highest_fencing_token : int
         Highest token of an accepted order; orders with a lower one are refused.
+    entry_due_at : float
+        Monotonic time at which the executor writes its next entry to the store.
     server : standins.platform.serving.Server
         Server for requests to the executor.
     waves : set of int
@@ -46,8 +65,12 @@
         self.host = host
         self.rack = rack
         self.state = "up"
+        self.is_cut = False
+        self.late_call_share = 0.0
+        self.are_late_calls_kept = False
         self.executor = None
         self.highest_fencing_token = 0
+        self.entry_due_at = 0.0
         self.server = None
         self.waves = set()
         self.upkeep_wave = None
@@ -72,6 +95,8 @@
         Number of instances in a rack.
     move_s, upkeep_s : float
         Time in seconds that an instance is down for a move or for upkeep.
+    seed : int, default=0
+        Seed of the random numbers.
 
     Attributes
     ----------
@@ -93,7 +118,9 @@
         rack_size=4,
         move_s=1.5,
         upkeep_s=2.0,
+        seed=0,
     ):
+        self._generator = random.Random(seed)
         self._store = store
         self._checker = checker
         self._processors = processors
@@ -103,6 +130,8 @@
         self._upkeep_s = upkeep_s
         self._executor_numbers = itertools.count(1)
         self._delayed_calls = set()
+        # Times of the newest entries in the store by id of the executor.
+        self._entries_written_at = {}
         self.waves = {}
         self.by_id = {}
         numbers = itertools.count(1)
@@ -123,15 +152,53 @@
 
     async def _listen(self, instance):
         async def handle(request):
-            if instance.executor is None:
-                raise ConnectionResetError
-            return await instance.executor.handle(request)
+            return await self.handle_executor_call(instance, request)
 
         instance.server = serving.Server(application=handle)
         await instance.server.start(instance.host)
 
+    async def handle_executor_call(self, instance, request):
+        """Answer a request to an executor, unless the network loses it or the response.
+
+        A request that arrives while the executor restarts is carried out by its new
+        life.
+        """
+        response = None
+        if not instance.is_cut and self._generator.random() < instance.late_call_share:
+            await self._carry_out_late(instance, request)
+        elif not instance.is_cut:
+            while instance.state == "down":
+                await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            if instance.executor is None:
+                raise ConnectionResetError
+            executor = instance.executor
+            response = await executor.handle(request)
+            if instance.executor is not executor:
+                response = None
+        if instance.is_cut or response is None:
+            while instance.is_cut or instance.state == "down":
+                await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            raise ConnectionResetError
+        return response
+
+    async def _carry_out_late(self, instance, request):
+        arrived_in = instance.executor
+        is_kept = instance.are_late_calls_kept
+        await asyncio.sleep(self._generator.uniform(*LATE_CALL_DELAY_RANGE_S))
+        while is_kept and instance.state == "down":
+            await asyncio.sleep(executors.CHECK_INTERVAL_S)
+        executor = instance.executor
+        if executor is None or executor.is_frozen:
+            return
+        if is_kept or executor is arrived_in:
+            await executor.handle(request)
+
     def start_executor(self, instance, *, id=None):
-        """Start a new executor on an instance and write its entry to the store."""
+        """Start a new executor on an instance.
+
+        It writes its entry to the store at once, or within an interval of the entries
+        if it has the id of a former life, whose entry the store shows until then.
+        """
         instance.state = "up"
         instance.executor = executors.Executor(
             id=id or f"e{next(self._executor_numbers)}-{instance.id}",
@@ -140,12 +207,44 @@
             lease_limit_s=LEASE_LIMIT_S,
             checker=self._checker,
             is_guarding=instance.pool not in self._unguarded_pools,
+            first_clock_ms=self._generator.randrange(executors.FIRST_CLOCK_LIMIT_MS),
         )
-        self._write_entry(instance)
+        if id is None:
+            self._write_entry(instance)
+        else:
+            delay_s = self._generator.uniform(0.0, ENTRY_INTERVAL_S)
+            instance.entry_due_at = time.monotonic() + delay_s
+
+    def restart_executor(self, instance, *, dark_s=0.0, is_silent=False):
+        """End the executor of an instance and start one with the same id.
+
+        Parameters
+        ----------
+        instance : Instance
+            The instance; nothing happens if it has no executor.
+        dark_s : float, default=0.0
+            Time in seconds until the new executor carries out the requests that wait
+            for it.
+        is_silent : bool, default=False
+            Whether connections stay open, so that callers do not notice the end.
+        """
+        if instance.executor is None:
+            return
+        executor_id = instance.executor.id
+        self.end_executor(instance, is_listed=True, is_silent=is_silent)
+        instance.state = "down"
+        if dark_s:
+            self._call_later(
+                dark_s, lambda: self.start_executor(instance, id=executor_id)
+            )
+        else:
+            self.start_executor(instance, id=executor_id)
 
     def set_processors(self, instance, processors):
         """Change the capacity of an instance's executor while it runs tasks.
 
+        Its next entry in the store shows the change.
+
         Parameters
         ----------
         instance : Instance
@@ -155,10 +254,36 @@
         """
         if instance.executor is not None:
             instance.executor.set_processors(processors or self._processors)
-            self._write_entry(instance)
+
+    def set_cut(self, instance, is_cut):
+        """Cut the executor of an instance off, or connect it again."""
+        if instance.is_cut and not is_cut and instance.executor is not None:
+            instance.executor.on_connected()
+        instance.is_cut = is_cut
+
+    def write_due_entries(self):
+        """Write the entries that are due, and remove those of silent executors."""
+        now = time.monotonic()
+        for instance in self.by_id.values():
+            if instance.executor is not None and now >= instance.entry_due_at:
+                self._write_entry(instance)
+        for executor_id, written_at in list(self._entries_written_at.items()):
+            if now - written_at > SILENT_INTERVAL_LIMIT * ENTRY_INTERVAL_S:
+                self._remove_entry(executor_id)
+
+    def _remove_entry(self, executor_id):
+        if self._entries_written_at.pop(executor_id, None) is not None:
+            self._store.put("keyed.servers", executor_id, b"")
 
     def _write_entry(self, instance):
+        """Write the entry of an executor, unless it does not reach the store."""
+        now = time.monotonic()
+        jitter_s = self._generator.uniform(-ENTRY_JITTER_S, ENTRY_JITTER_S)
+        instance.entry_due_at = now + ENTRY_INTERVAL_S + jitter_s
+        if instance.is_cut:
+            return
         executor = instance.executor
+        executor.entry_count += 1
         entry = {
             "Service": instance.pool,
             "Address": f"{instance.host}:{instance.server.port}",
@@ -167,17 +292,20 @@
             "Capacity": {**self._capacity(), "Cpu": executor.processors},
             "Labels": ["a", instance.rack],
             "born": executor.started_at_ms,
-            "Sequence": 1,
+            "Sequence": executor.entry_count,
         }
         if executor.leaves_at is not None:
-            left_s = max(0.0, executor.leaves_at - time.monotonic())
+            left_s = max(0.0, executor.leaves_at - now)
             entry |= {"State": "draining", "RemainingMs": int(left_s * 1000)}
         value = json.dumps(entry).encode()
         self._store.put("keyed.servers", executor.id, value)
+        self._entries_written_at[executor.id] = now
 
     def drain(self, instance, *, serve_s):
         """Make the executor of an instance leave, and start another one afterwards.
 
+        One that is cut off does not leave, as the store would not show it.
+
         Parameters
         ----------
         instance : Instance
@@ -186,7 +314,7 @@
             Time in seconds for which the executor serves after its announcement.
         """
         leaving = instance.executor
-        if leaving is None or leaving.draining_since is not None:
+        if instance.is_cut or leaving is None or leaving.draining_since is not None:
             return
         leaving.draining_since = time.monotonic()
         leaving.leaves_at = leaving.draining_since + serve_s
@@ -202,7 +330,7 @@
     def _capacity(self):
         return {"Cpu": self._processors, "MemMb": self._memory, "Gpu": 0}
 
-    def end_executor(self, instance, *, is_listed=False):
+    def end_executor(self, instance, *, is_listed=False, is_silent=False):
         """End the executor of an instance.
 
         Parameters
@@ -210,20 +338,25 @@
         instance : Instance
             The instance.
         is_listed : bool, default=False
-            Whether the entry of the executor stays in the store.
+            Whether the entry of the executor stays in the store until it has been
+            silent for too long, as it does if the executor is cut off.
+        is_silent : bool, default=False
+            Whether its connections stay open.
         """
         executor, instance.executor = instance.executor, None
         if executor is None:
             return
         executor.stop()
-        instance.server.drop_connections()
-        if not is_listed:
-            self._store.put("keyed.servers", executor.id, b"")
+        if not is_silent:
+            instance.server.drop_connections()
+        if not is_listed and not instance.is_cut:
+            self._remove_entry(executor.id)
 
     async def advance_executors(self):
-        """End due runs of all executors at regular intervals, without end."""
+        """Write due entries and end due runs at regular intervals, without end."""
         while True:
             await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            self.write_due_entries()
             for instance in self.by_id.values():
                 if instance.executor is None or instance.executor.is_frozen:
                     continue
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak runs, and tests of the soak's fault plans and invariant checks."""
 
 import asyncio
+import collections
 import json
 import pathlib
 import types
@@ -23,6 +24,12 @@
 # keys while an entry instance is paused or cut off. Seed 6 failed when the soak ended
 # the freeze of an executor too late.
 ORGANISATION_FAULT_PHASES_S = {4: 10.0, 6: 12.0}
+# Seed, length of the phase with faults and kind of runs in which executors restart
+# behind a partition, without other faults or beside them and late calls.
+RESTART_RUNS = (
+    (46, 10.0, {"restarts": "only"}),
+    (47, 8.0, {"restarts": "too", "late_calls": plan.ONE_LIFE}),
+)
 SPEC = {"steps": [{"count": 1}, {"count": 1, "after": [0]}]}
 
 
@@ -53,6 +60,14 @@
                     has_organisations=True,
                 )
 
+    def test_no_invariant_is_violated_by_restarts(self):
+        """Guards against tasks that run twice after a restart behind a partition."""
+        for seed, seconds, keywords in RESTART_RUNS:
+            with self.subTest(seed=seed):
+                self._check_run(
+                    seed, seconds, LOG_DIRECTORY / f"restarts-seed-{seed}", **keywords
+                )
+
 
 class PlanTest(unittest.TestCase):
     """Fault plans drawn from seeds."""
@@ -82,9 +97,65 @@
         kinds = {text.split()[1] for text in draw_texts(3)}
         self.assertEqual(kinds, {"malformed_entry", "drain_executor"})
 
+    def test_same_seed_gives_the_same_restarts(self):
+        """Guards against a restart behind a partition that cannot be reproduced."""
+        instances = [f"m{n}" for n in range(1, 10)]
+
+        def draw(seed):
+            return plan.draw_restarts(
+                seed, seconds=60.0, entries=["a", "b"], instances=instances
+            )
+
+        def draw_texts(seed):
+            return [str(fault) for fault in draw(seed)]
+
+        self.assertEqual(draw_texts(3), draw_texts(3))
+        self.assertNotEqual(draw_texts(3), draw_texts(4))
+        kinds = {text.split()[1] for text in draw_texts(3)}
+        self.assertEqual(kinds, {"restart_dark_executor", "cut_executor", "kill_entry"})
+        planned = draw(3)
+        restarts = [f for f in planned if f.kind == "restart_dark_executor"]
+        # Those at the end of the phase are cut short.
+        restarts = [f for f in restarts if f.start_s < 55.0]
+        shortest_s, longest_s = plan.CUT_DELAY_RANGE_S
+        for fault in restarts:
+            delays_s = [
+                other.start_s - fault.start_s - fault.duration_s
+                for other in planned
+                if (other.kind, other.target) == ("cut_executor", fault.target)
+            ]
+            self.assertTrue(
+                any(shortest_s - 1e-9 <= d <= longest_s + 1e-9 for d in delays_s)
+            )
+        by_start = collections.Counter(fault.start_s for fault in restarts)
+        self.assertEqual(set(by_start.values()), {1, 3})
+
+    def test_same_seed_gives_the_same_late_calls(self):
+        """Guards against a late call whose effect cannot be reproduced."""
+
+        def draw_texts(seed, lives):
+            drawn = plan.draw_late_calls(
+                seed, seconds=60.0, instances=["m1", "m2"], lives=lives
+            )
+            return [str(fault) for fault in drawn]
+
+        texts = draw_texts(3, plan.ONE_LIFE)
+        self.assertEqual(texts, draw_texts(3, plan.ONE_LIFE))
+        self.assertNotEqual(texts, draw_texts(4, plan.ONE_LIFE))
+        # Both kinds come at the same times, so that their runs can be compared.
+        self.assertEqual(
+            [text.replace(plan.ONE_LIFE, plan.ANY_LIFE) for text in texts],
+            draw_texts(3, plan.ANY_LIFE),
+        )
+
     def test_all_faults_end_within_the_fault_phase(self):
         """Guards against faults that last into the time allowed for recovery."""
-        planned = plan.draw_faults(5, seconds=20.0, entries=["a"], instances=["b"])
+        names = {"entries": ["a"], "instances": ["b"]}
+        planned = plan.draw_faults(5, seconds=20.0, **names)
+        planned += plan.draw_restarts(5, seconds=20.0, **names)
+        planned += plan.draw_late_calls(
+            5, seconds=20.0, instances=["b"], lives=plan.ANY_LIFE
+        )
         self.assertTrue(
             all(fault.start_s + fault.duration_s <= 20.0 for fault in planned)
         )
