Draw restarts with a takeover, a late call or a dark time in all orders

Change: the rule of restarts with calls under way draws the order of takeover, restart and late calls, how late these are, a dark time, the clock of the next life, an entry in the store that is written late or not at all, a takeover that was long ago, and runs that end before the lists that are under way. First lives begin at a high clock, so that later ones are not bound by their times. 1,500 sequences in place of 2,000, as each is longer.

--- a/tests/test_scheduling_restart_interleavings.py
+++ b/tests/test_scheduling_restart_interleavings.py
@@ -55,14 +55,19 @@
 NOW_UNIX_S = scheduling.NOW_UNIX_S
 # Rates of the executors' clocks.
 CLOCK_RATES = {"e1": 1.0, "e2": 0.98, "e3": 1.0}
-JOBS_LIMIT = 6
+JOBS_LIMIT = 8
 ROUND_S = 0.1
 # Values at which the clock of a life begins, in seconds beyond that of the former life;
 # None for 0.
 FIRST_CLOCKS_S = (None, 0.0, 0.02, 5.0, 3000.0)
+# Clock at which the first lives begin, so that times of theirs are late for later ones.
+FIRST_LIFE_CLOCK_MS = 1_000_000
 # Without disruptions every job ends within this time: the longest lease after a late
 # order, and some rounds.
 SETTLING_S = 40.0
+# When a restart is drawn together with a takeover: before the restart, while the next
+# life is not known, or after it has carried out the calls that were under way.
+TAKEOVER_TIMES = ("never", "before", "unseen", "after")
 # Ways in which a call ends.
 OUTCOMES = ("answered", "lost", "answer lost", "late", "answered late")
 
@@ -188,7 +193,7 @@
         # ended in this way when the present life began.
         self.ended_by_list = set()
         self.ended_at_restart = set()
-        self.first_clock_ms = 0
+        self.first_clock_ms = FIRST_LIFE_CLOCK_MS
         self.forget(now)
 
     def forget(self, now):
@@ -694,33 +699,86 @@
         self.play_rounds(rounds, are_entries_read, late_interval)
 
     @rule(
-        name=st.sampled_from(NAMES),
-        is_taken_over=st.booleans(),
+        number=st.integers(0, 2),
+        waited_s=st.sampled_from((0.0, 15.0)),
+        are_ended=st.booleans(),
+        taken_over=st.sampled_from(TAKEOVER_TIMES),
+        dark_s=st.sampled_from((0.0, 0.0, 3.0)),
+        first_clock_s=st.sampled_from((None, None, *FIRST_CLOCKS_S)),
+        is_entry_late=st.booleans(),
         is_cut=st.booleans(),
-        rounds=st.integers(0, 4),
+        late_s=st.sampled_from((0.0, 0.0, 3.0, 10.0)),
+        rounds=st.integers(0, 8),
+        is_cut_later=st.booleans(),
     )
-    def restart_with_calls_under_way(self, name, is_taken_over, is_cut, rounds):
-        """Let the next life carry out all that is under way, and be cut off later."""
+    def restart_with_calls_under_way(
+        self,
+        number,
+        waited_s,
+        are_ended,
+        taken_over,
+        dark_s,
+        first_clock_s,
+        is_entry_late,
+        is_cut,
+        late_s,
+        rounds,
+        is_cut_later,
+    ):
+        """Let the next life carry out all that is under way, and be cut off."""
         if len(self.jobs) == JOBS_LIMIT:
             return
-        self.submit_job(3, True)
+        # The last takeover has been a while ago.
+        self.play_rounds(round(waited_s / ROUND_S))
+        if are_ended:
+            self._end_all_runs(NAMES)
+            self.play_rounds(3)
+        self.submit_job(3, not are_ended)
         self.decide()
+        names = [call.name for call in self.calls if call.kind == "start"]
+        if not names:
+            return
+        name = names[number % len(names)]
         for call in [call for call in self.calls if call.name == name]:
             self.calls.remove(call)
             self._end_call(call, "late")
         # The starts are repeated, with answers.
         self.play_rounds(2)
-        if is_taken_over:
+        if taken_over == "before":
             self.take_over()
             self.play_rounds(2)
-        self.restart(name, 0.1, False, False)
-        for call in [call for call in self.late_calls if call.name == name]:
-            self.late_calls.remove(call)
-            self._carry_out(call)
+        is_taken_over_after = taken_over == "after"
+        is_cut &= not is_taken_over_after
+        entry_delay_s = ENTRY_INTERVAL_S if is_entry_late else 0.0
+        self.restart(name, 0.1, False, is_cut, dark_s, first_clock_s, entry_delay_s)
+        if taken_over == "unseen":
+            self.take_over()
+        if not is_taken_over_after:
+            self.play_rounds(round(late_s / ROUND_S))
+        self._carry_out_all_late(name, "start")
+        if are_ended:
+            self._end_all_runs([name])
+        self._carry_out_all_late(name, "list")
+        if is_taken_over_after:
+            self.take_over()
+            if len(self.jobs) < JOBS_LIMIT:
+                self.submit_job(3, True)
         self.play_rounds(rounds)
-        self.simulated[name].is_cut = is_cut
+        self.simulated[name].is_cut = is_cut_later
         self.play_rounds(60)
 
+    def _carry_out_all_late(self, name, kind):
+        for call in list(self.late_calls):
+            if call.name == name and call.kind == kind:
+                self.late_calls.remove(call)
+                self._carry_out_in_time(call)
+
+    def _end_all_runs(self, names):
+        for name in names:
+            simulated = self.simulated[name]
+            for key in list(simulated.running):
+                simulated.end(key, "done", self.now)
+
     @rule(name=st.sampled_from(NAMES), how=st.sampled_from(("done", "failed")))
     def end_run(self, name, how):
         """End one of an executor's runs."""
@@ -820,5 +878,5 @@
 
 RestartInterleavingsTest = RestartMachine.TestCase
 RestartInterleavingsTest.settings = settings(
-    max_examples=2000, stateful_step_count=30, deadline=None, derandomize=True
+    max_examples=1500, stateful_step_count=30, deadline=None, derandomize=True
 )
