Check all orders of a restart behind a cut during a takeover

Change: a model of its own, in which the executor restarts under its id behind a cut while calls are under way, calling orders_end_at, previous_orders_wait_s, previous_lease_wait_s, is_role_proven, may_give_up_unlisted and may_take_lease_for_expired. Two runs at once with the lease of the known life alone, without a limit for late calls, and without the wait for the predecessor's orders. Before what follows a list without the run was left out, the present rules broke it: a list of the successor ends the run, the executor restarts, and the predecessor, whose role is still proven to it, sends the start within its validity.

--- a/tests/test_scheduling_takeover_model.py
+++ b/tests/test_scheduling_takeover_model.py
@@ -17,6 +17,11 @@
 HORIZON_S = 15
 # Times that the successor is cut off from the executor, or connected again.
 LINK_CHANGES_LIMIT = 2
+# The model of a restart counts with a shorter limit for late calls than the program, so
+# that fewer states are visited; the rules take it as an argument.
+LATE_ORDER_LIMIT_S = 3
+LONGEST_LEASE_S = 6
+RESTART_HORIZON_S = 18
 # Validity of a start, after which the executor refuses it.
 START_VALIDITY_S = 2
 
@@ -269,6 +274,190 @@
     return following._replace(task=task), None
 
 
+Restart = collections.namedtuple(
+    "Restart",
+    [
+        "now",
+        "role_at",
+        # Whether the successor has read the list of executors and found this one.
+        "has_list",
+        "is_found",
+        "has_asked",
+        # What the successor knows of the task, and when it last sent a renewal.
+        "task",
+        "renewed_at",
+        # Whether the executor has restarted, and whether the store shows this.
+        "has_restarted",
+        "is_shown",
+        "is_running",
+        "lease_end",
+        "is_fenced",
+        # Whether the successor and the store are cut off from the executor.
+        "is_cut_off",
+        "link_changes",
+        # Times at which calls were sent that are not carried out yet, all meant for the
+        # life before the restart: the predecessor's, and the successor's renewal.
+        "start",
+        "renewal",
+        "own_renewal",
+    ],
+)
+# The predecessor sends its last join now. Its run is stored.
+FIRST_RESTART = Restart(
+    now=0,
+    role_at=None,
+    has_list=False,
+    is_found=False,
+    has_asked=False,
+    task="restored",
+    renewed_at=None,
+    has_restarted=False,
+    is_shown=False,
+    is_running=False,
+    lease_end=0,
+    is_fenced=False,
+    is_cut_off=False,
+    link_changes=0,
+    start=None,
+    renewal=None,
+    own_renewal=None,
+)
+CALLS_OF_RESTART = ("start", "renewal", "own_renewal")
+
+
+def find_restart_steps(state, rules):
+    """Yield the steps of a takeover during which the executor restarts under its id.
+
+    A call that is carried out by the next life is bounded by the longest lease only.
+    What follows a list that lacks the run is left out, as in the random test of
+    restarts: its start may be under way, or be sent by the predecessor even then, and
+    the next life would carry it out.
+    """
+    has_settled = state.task == "started" and state.start is None
+    if state.task == "absent" or (has_settled and not rules.is_role_proven(state.now)):
+        return
+    if state.now < RESTART_HORIZON_S:
+        yield f"second {state.now + 1}", _pass_second(state), None
+    if state.role_at is None and state.now >= MEMBER_LIFETIME_S:
+        yield "role changes", state._replace(role_at=state.now), None
+    if rules.is_role_proven(state.now) and not state.is_fenced:
+        yield "predecessor starts", state._replace(start=state.now), None
+        yield "predecessor renews", state._replace(renewal=state.now), None
+    for call in CALLS_OF_RESTART:
+        if getattr(state, call) is not None:
+            yield f"{call} arrives", *_carry_out(state, call)
+    if not state.has_restarted:
+        restarted = state._replace(
+            has_restarted=True,
+            is_running=False,
+            lease_end=0,
+            is_fenced=False,
+            is_cut_off=True,
+        )
+        yield "executor restarts behind a cut", restarted, None
+    if state.link_changes < LINK_CHANGES_LIMIT:
+        changed = state._replace(
+            is_cut_off=not state.is_cut_off, link_changes=state.link_changes + 1
+        )
+        yield "link changes", changed, None
+    if state.has_restarted and not state.is_cut_off and not state.is_shown:
+        shown = state._replace(is_shown=True)
+        if state.is_found:
+            # The successor counts from the moment at which it learns of the restart.
+            shown = shown._replace(renewed_at=state.now)
+        yield "store shows the restart", shown, None
+    if state.role_at is not None:
+        yield from _find_steps_after_restart(state, rules)
+
+
+def _pass_second(state):
+    now = state.now + 1
+    changes = {
+        call: None
+        for call in CALLS_OF_RESTART
+        if getattr(state, call) is not None
+        and now - getattr(state, call) > LATE_ORDER_LIMIT_S
+    }
+    is_running = state.is_running and now <= state.lease_end
+    return state._replace(now=now, is_running=is_running, **changes)
+
+
+def _carry_out(state, call):
+    """Return state and violation after a call has arrived."""
+    sent_at = getattr(state, call)
+    following = state._replace(**{call: None})
+    is_own = call == "own_renewal"
+    if state.is_fenced and not is_own:
+        return following, None
+    is_late = sent_at + START_VALIDITY_S * takeover.CLOCK_DRIFT_FACTOR < state.now
+    if call == "start" and is_late and not state.has_restarted:
+        return following, None
+    # By the clock of the life that was meant, or of the next one.
+    lease_s = START_VALIDITY_S if call == "start" else LEASE_S
+    lease_end = sent_at + lease_s * takeover.CLOCK_DRIFT_FACTOR
+    if state.has_restarted:
+        lease_end = state.now + LONGEST_LEASE_S * takeover.CLOCK_DRIFT_FACTOR
+    following = following._replace(lease_end=max(state.lease_end, lease_end))
+    if call != "start":
+        return following, None
+    violation = "two runs at once" if state.task == "started" else None
+    return following._replace(is_running=True), violation
+
+
+def _find_steps_after_restart(state, rules):
+    if not state.has_list:
+        read = state._replace(has_list=True, is_found=True)
+        yield "list of executors read", read, None
+        if state.is_cut_off:
+            yield "list without it read", read._replace(is_found=False), None
+        return
+    if state.is_cut_off and state.is_found:
+        yield "call fails", state._replace(has_asked=True), None
+    if not state.is_cut_off:
+        yield "executor answers", _answer_after_restart(state), None
+    expire_at = state.role_at + rules.previous_lease_wait_s(LEASE_S)
+    sent_at = state.role_at + rules.previous_orders_wait_s()
+    if state.renewed_at is not None:
+        lease_s = LEASE_S * takeover.CLOCK_DRIFT_FACTOR + executors.LEASE_MARGIN_S
+        expire_at = max(expire_at, state.renewed_at + lease_s)
+        sent_at = max(sent_at, state.renewed_at)
+    end_at = rules.orders_end_at(
+        sent_at,
+        late_order_limit_s=LATE_ORDER_LIMIT_S,
+        longest_lease_s=LONGEST_LEASE_S,
+    )
+    if state.is_found:
+        may_give_up = state.now >= end_at and rules.may_take_lease_for_expired(
+            state.now, expire_at, has_been_asked=state.has_asked
+        )
+    else:
+        may_give_up = rules.may_give_up_unlisted(
+            state.now, max(end_at, expire_at), has_read_executors=True
+        )
+    if state.task == "restored" and may_give_up:
+        yield "run given up", state._replace(task="waiting"), None
+    if state.task == "waiting":
+        violation = "two runs at once" if state.is_running else None
+        yield "second start", state._replace(task="started"), violation
+
+
+def _answer_after_restart(state):
+    """Return the state after the executor has listed its runs to the successor."""
+    following = state._replace(is_found=True, has_asked=True, is_fenced=True)
+    if state.task != "restored":
+        # It is told to stop what it runs; the list came too late for the check.
+        return following._replace(is_running=False)
+    if state.is_running:
+        renewal = None if state.has_restarted else state.now
+        lease_end = max(
+            state.lease_end, state.now + LEASE_S * takeover.CLOCK_DRIFT_FACTOR
+        )
+        return following._replace(
+            renewed_at=state.now, lease_end=lease_end, own_renewal=renewal
+        )
+    return following._replace(task="absent")
+
+
 Deletion = collections.namedtuple(
     "Deletion",
     # By partition: whether the job record is stored, and how far the reader has got
@@ -373,6 +562,35 @@
         with self.assertRaisesRegex(ViolationFound, "two runs at once"):
             self._explore(FIRST_TAKEOVER, find_takeover_steps, takeover, conditions)
 
+    def test_restart_behind_a_cut_runs_nothing_twice(self):
+        """Guards against a run that is given up by the clock of a former life."""
+        count = self._explore(FIRST_RESTART, find_restart_steps, takeover)
+        self.assertGreater(count, 10_000)
+
+    def test_lease_of_the_known_life_alone_breaks_a_restart(self):
+        """Guards against a model that misses the fault of the incident."""
+        for name, rule in (
+            ("orders_end_at", lambda sent_at, **_: sent_at),
+            (
+                "orders_end_at",
+                lambda sent_at, *, late_order_limit_s, longest_lease_s: (
+                    takeover.orders_end_at(
+                        sent_at,
+                        late_order_limit_s=0,
+                        longest_lease_s=longest_lease_s,
+                    )
+                ),
+            ),
+            ("previous_orders_wait_s", lambda: 0.0),
+        ):
+            rules = types.SimpleNamespace(**vars(takeover))
+            setattr(rules, name, rule)
+            with (
+                self.subTest(name=name),
+                self.assertRaisesRegex(ViolationFound, "two runs at once"),
+            ):
+                self._explore(FIRST_RESTART, find_restart_steps, rules)
+
     def test_deletion_leaves_no_job_to_run_again(self):
         """Guards against a change of the order in which records are deleted."""
         self._explore(FIRST_DELETION, find_deletion_steps, takeover)
