--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextvars
 import json
 import time
 
@@ -22,6 +23,36 @@
 _tickets = {}
 
 
+_connection = contextvars.ContextVar("connection")
+
+
+class SilenceableServer(serving.Server):
+    """Server whose open connections can go silent for good; new ones work."""
+
+    def __init__(self, *, application):
+        self._inner = application
+        self._silenced = set()
+        super().__init__(application=self._answer)
+
+    def silence(self):
+        """Carry out and answer nothing more on the connections that are open now."""
+        self._silenced |= set(self._writers)
+
+    async def _serve_connection(self, reader, writer):
+        _connection.set(writer)
+        await super()._serve_connection(reader, writer)
+
+    async def _answer(self, request):
+        await self._hang_if_silenced()
+        result = await self._inner(request)
+        await self._hang_if_silenced()
+        return result
+
+    async def _hang_if_silenced(self):
+        if _connection.get() in self._silenced:
+            await asyncio.sleep(3600)
+
+
 class RecordingChecker(invariants.InvariantChecker):
     """Checker that also keeps every start, end and acknowledgement.
 
@@ -92,9 +123,7 @@
     def __init__(self, **options):
         super().__init__(**options)
         self.late_order_s = 0.0
-        self.late_order_trigger = None
         self.orders = []
-        self.down_since = {}
 
     async def handle(self, request):
         """Answer a request."""
@@ -111,8 +140,8 @@
 
     def _carry_out_late_order(self, request):
         async def carry_out():
-            status, fields = await instances.Instances.handle(self, request)
-            self._note(request, status, f"late; {fields.get('Reason', '')}")
+            status, fields = await super(LateInstances, self).handle(request)
+            self._note(request, status, f"late {fields.get('Reason', '')}")
 
         task = asyncio.ensure_future(carry_out())
         self._delayed_calls.add(task)
@@ -203,12 +232,18 @@
         self.queues_with_advice = set(with_advice)
         self._write_configuration(self._version + 1)
 
+    def _order_silence_executors(self):
+        """Let all open connections to executors go silent."""
+        for instance in self._instances.by_id.values():
+            instance.server.silence()
+
     def _order_late_upkeep(self, delay_s):
         """Carry the next order for upkeep out late and without an answer."""
         self._instances.late_order_s = delay_s
 
 
 if __name__ == "__main__":
+    serving.Server = SilenceableServer
     invariants.InvariantChecker = RecordingChecker
     executors.Executor = TicketExecutor
     instances.Instances = LateInstances
