--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import shutil
 import sys
 import tempfile
 import time
@@ -52,7 +53,8 @@
 
     def __init__(self, *, folder, pools, entry_count=3, with_advice=()):
         self._began_at = time.time()
-        self._record = open(folder / "record.txt", "w")
+        self._record_path = folder / "record.txt"
+        self._record_path.write_text("")
         self._directory = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         arguments = [REVIEW / "platform_3.py", "--partitions", "8", "--seed", "1"]
         arguments += ["--max-seconds", "118"]
@@ -94,21 +96,23 @@
         processes.terminate_all([*running, self._platform])
         for entry in self.entries:
             entry.release_ports()
-        self._record.close()
+        shutil.rmtree(self._directory)
 
     def note(self, text):
         """Write a line to the record, with the seconds since the start."""
         line = f"{time.time() - self._began_at:8.3f}  {text}"
         print(line, flush=True)
-        self._record.write(line + "\n")
-        self._record.flush()
+        self._write(line)
 
-    def note_events(self, events, text=""):
+    def note_events(self, events):
         """Write what the executors have seen to the record."""
         for at, what, task, run, executor in events:
             line = f"{at - self._began_at:8.3f}  executor {executor}: "
-            self._record.write(f"{line}{what} {task} run {run} {text}\n")
-        self._record.flush()
+            self._write(f"{line}{what} {task} run {run}")
+
+    def _write(self, line):
+        with open(self._record_path, "a") as record:
+            record.write(line + "\n")
 
     def seconds(self, unix_s):
         """Return a Unix time as seconds since the start."""
@@ -132,8 +136,6 @@
             if not entry.process.is_running:
                 continue
             page = calls.send_request(entry.metrics_port, "GET", "/metrics")
-            if b"controller.is_leading 1" in page.body.replace(b"_", b"_"):
-                return entry
             for line in page.body.decode(errors="replace").splitlines():
                 name, _, value = line.partition(" ")
                 if name.endswith("is_leading") and float(value or 0) == 1:
@@ -174,7 +176,7 @@
         return response.json.get("State", "") if response.status == 200 else ""
 
     def active_runs(self, job):
-        """Return the runs of a job in progress: task, run, executor, instance, start."""
+        """Return task, run, executor, instance and start of each run in progress."""
         rows = self.platform_record()["active"]
         return sorted(row for row in rows if row[0].startswith(job + "."))
 
--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -82,30 +82,81 @@
         super().on_run_ended(task, run, executor_id, outcome)
 
 
-class TicketExecutor(executors.Executor):
-    """Executor that refuses the starts of some jobs without a valid ticket."""
+class ExtendedExecutor(executors.Executor):
+    """Executor with tickets, paces, and tasks that serve.
+
+    A step of a specification may have ``tails``: pairs of seconds since the start and
+    the tail of the response times in milliseconds from then on, while nothing else runs
+    beside the task.
+    """
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._percents = {}
+        self._tails = {}
+        self._paced_at = time.monotonic()
 
     async def handle(self, request):
         """Answer a request."""
-        if request.path == "/api/run-start" and not self.is_frozen:
-            fields = request.json_object()
-            is_meant = request.headers.get("expected-instance") == self.id
-            spec = json.loads(fields["Spec"])
-            if is_meant and spec.get("needs_ticket"):
-                step_name = fields["Task"].rpartition(".")[0]
-                ticket = fields.get("Ticket")
-                known = _tickets.get((step_name, self.id, ticket))
-                if known is None or time.monotonic() > known:
-                    event = [
-                        time.time(),
-                        "refused: ticket",
-                        fields["Task"],
-                        fields["RunId"],
-                        self.id,
-                    ]
-                    self._checker.events.append(event)
-                    return 409, {"ClockMs": self.clock_ms, "Reason": "ticket"}
-        return await super().handle(request)
+        fields = request.json_object()
+        is_meant = request.headers.get("expected-instance") == self.id
+        is_start = request.path == "/api/run-start"
+        if (
+            is_start
+            and is_meant
+            and not self.is_frozen
+            and not self._has_ticket(fields)
+        ):
+            self._note("refused: ticket", fields)
+            return 409, {"ClockMs": self.clock_ms, "Reason": "ticket"}
+        status, answer = await super().handle(request)
+        if status != 200:
+            return status, answer
+        if is_start:
+            step = json.loads(fields["Spec"])["steps"][
+                int(fields["Task"].split(".")[2])
+            ]
+            if "tails" in step:
+                self._tails.setdefault(
+                    (fields["Task"], fields["RunId"]), (time.monotonic(), step["tails"])
+                )
+        elif request.path == "/api/pace":
+            self._shift_starts()
+            self._percents[fields["Task"], fields["RunId"]] = fields["Percent"]
+            self._note(f"pace {fields['Percent']}", fields)
+        for row in answer.get("Running", ()):
+            if (row[0], row[1]) in self._tails:
+                row[4] = self._tail_ms(row[0], row[1])
+        return status, answer
+
+    def _note(self, what, fields):
+        event = [time.time(), what, fields["Task"], fields["RunId"], self.id]
+        self._checker.events.append(event)
+
+    def _has_ticket(self, fields):
+        if not json.loads(fields["Spec"]).get("needs_ticket"):
+            return True
+        step_name = fields["Task"].rpartition(".")[0]
+        valid_until = _tickets.get((step_name, self.id, fields.get("Ticket")))
+        return valid_until is not None and time.monotonic() <= valid_until
+
+    def _tail_ms(self, task, number):
+        started_at, tails = self._tails[task, number]
+        age_s = time.monotonic() - started_at
+        return [tail_ms for since_s, tail_ms in tails if age_s >= since_s][-1]
+
+    def _shift_starts(self):
+        """Shift the starts of paced runs by the time in which they did not work."""
+        now = time.monotonic()
+        passed_s, self._paced_at = now - self._paced_at, now
+        for key, percent in self._percents.items():
+            if key in self._runs:
+                self._runs[key].started_at += passed_s * (1 - percent / 100)
+
+    def end_due_runs(self):
+        """End the runs that are finished, or all runs if the lease is over."""
+        self._shift_starts()
+        super().end_due_runs()
 
 
 class LateInstances(instances.Instances):
@@ -245,7 +296,7 @@
 if __name__ == "__main__":
     serving.Server = SilenceableServer
     invariants.InvariantChecker = RecordingChecker
-    executors.Executor = TicketExecutor
+    executors.Executor = ExtendedExecutor
     instances.Instances = LateInstances
     platform_main.Platform = Platform
     platform_main.main()
