--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextvars
 import json
 import time
@@ -19,6 +20,9 @@
 DECIDE_MS = 20
 PERIOD_MS = 1
 TICKET_VALID_MS = 3000
+# Time between the calls that have waited for an executor; longer than the interval at
+# which each of them finds that it is back.
+WAITING_CALLS_INTERVAL_S = 0.025
 
 _tickets = {}
 
@@ -175,6 +179,19 @@
         super().__init__(**options)
         self.late_order_s = 0.0
         self.orders = []
+        # Number of the calls that wait for each executor that is dark.
+        self._waiting_counts = collections.Counter()
+
+    async def handle_executor_call(self, instance, request):
+        """Answer a request to an executor; one that is dark gets them in order."""
+        if instance.state == "down":
+            position = self._waiting_counts[instance.id]
+            self._waiting_counts[instance.id] += 1
+            while instance.state == "down":
+                await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            await asyncio.sleep(position * WAITING_CALLS_INTERVAL_S)
+            self._waiting_counts[instance.id] = 0
+        return await super().handle_executor_call(instance, request)
 
     async def handle(self, request):
         """Answer a request."""
@@ -294,6 +311,8 @@
 
 
 if __name__ == "__main__":
+    # The clock of an executor starts anew with each of its lives (protocol).
+    executors.FIRST_CLOCK_LIMIT_MS = 1
     serving.Server = SilenceableServer
     invariants.InvariantChecker = RecordingChecker
     executors.Executor = ExtendedExecutor
