Keep a restored start without an answer while its executor may come back

Cause: an executor that is down for some seconds loses its entry in the store. A controller that takes over then knows its runs by its id only, and the list of instances names no executor for an instance that is down. remove_restored_runs took that for an executor that does not come back.

Change: runs whose start may still be carried out are kept while an instance of their pool is down; the others end at once, as before. They end when no instance of the pool is down, or once nothing can run any more by the orders of former controllers.

The random test removes restored runs as the instance manager does, and may replace the controller while an executor is down.

--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -354,7 +354,9 @@
         self._retire_executors_without_instance(list_sent_at)
         if self._has_read_executors():
             present = {i.executor for i in listed.values() if i.executor}
-            self._scheduler.remove_restored_runs(present)
+            self._scheduler.remove_restored_runs(
+                present, pools_with_down_instances=self._pools_with_down_instances()
+            )
 
     def _retire_executors_without_instance(self, list_sent_at):
         """Retire executors without an answer that no running instance has any more.
@@ -400,10 +402,18 @@
         if instance_id is not None:
             instance = self._instances.get(instance_id)
             return instance is not None and instance.state == instances.DOWN
-        return any(
-            instance.state == instances.DOWN and instance.pool == executor.service
+        return executor.service in self._pools_with_down_instances()
+
+    def _pools_with_down_instances(self):
+        """Return the pools of the instances that are down.
+
+        Their list does not tell which executors they may start again.
+        """
+        return {
+            instance.pool
             for instance in self._instances.values()
-        )
+            if instance.state == instances.DOWN
+        }
 
     def _close_finished_orders(self, list_sent_at):
         now = time.monotonic()
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -669,17 +669,28 @@
         """
         return bool(self._restored_runs.get(executor_id))
 
-    def remove_restored_runs(self, present):
+    def remove_restored_runs(self, present, *, pools_with_down_instances=()):
         """Remove restored runs on executors that no instance has any more.
 
         Parameters
         ----------
         present : set of str
             Ids of the executors of all instances, read after the executors' entries.
+        pools_with_down_instances : collection of str, optional
+            Pools of the instances that are down. Each may start its former executor
+            again, which carries out the starts without an answer; their runs are kept.
         """
+
+        def may_begin(run):
+            is_unanswered = run.has_unanswered_start
+            return is_unanswered and run.task.job.service in pools_with_down_instances
+
         for executor_id in set(self._restored_runs) - present:
-            runs = list(self._restored_runs.pop(executor_id).values())
-            self._remove_restored_runs(runs, "no instance has the executor")
+            runs = self._restored_runs[executor_id]
+            lost = [run for run in runs.values() if not may_begin(run)]
+            self._remove_restored_runs(lost, "no instance has the executor")
+            if not runs:
+                del self._restored_runs[executor_id]
 
     def _remove_restored_runs(self, runs, reason):
         """Remove the runs of an executor that ended without a controller watching."""
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -425,11 +425,23 @@
         """Guards against two runs as the executor carries the start out once it is up.
 
         Review case 11: the previous controller had sent it while the executor was down.
+        The executor is not known any more if its entry was removed meanwhile.
         """
+        for is_executor_known in (False, True):
+            with self.subTest(is_executor_known=is_executor_known):
+                (run,) = self._take_over_while_down(
+                    is_start_answered=False, is_executor_known=is_executor_known
+                )
+                self.assertEqual(run.number, 1)
+
+    def test_restored_start_ends_once_no_instance_of_its_pool_is_down(self):
+        """Guards against a task that waits for an executor that does not come back."""
         (run,) = self._take_over_while_down(
-            is_start_answered=False, is_executor_known=True
+            is_start_answered=False, is_executor_known=False
         )
-        self.assertEqual(run.number, 1)
+        self.listed["m1"].state, self.listed["m1"].executor = instances.UP, "e2"
+        self.manager._on_instances_listed(self.listed, self.harness.now + 6.0)
+        self.assertEqual(run.task.runs, [])
 
     def _take_over_while_down(self, *, is_start_answered, is_executor_known):
         """Restore a run on an instance that is down; return the runs of its task."""
--- a/tests/test_scheduling_restart_interleavings.py
+++ b/tests/test_scheduling_restart_interleavings.py
@@ -366,7 +366,14 @@
 
     @rule()
     def list_instances(self):
-        """Read the list of instances, which shows those that are down."""
+        """Read the list of instances, which shows those that are down.
+
+        These name no executor.
+        """
+        down = {name for name in NAMES if self.simulated[name].is_down}
+        self.scheduler.remove_restored_runs(
+            set(NAMES) - down, pools_with_down_instances={"pool"} if down else ()
+        )
         for executor in list(self.scheduler.executors.values()):
             is_down = self.simulated[executor.id].is_down
             if is_down and executor.runs and executor.is_overdue(self.now):
@@ -902,6 +909,10 @@
         """Guards against two runs as the executor is back under its id (review 11)."""
         self._restart_around_takeover(taken_over="before", dark_s=3.0)
 
+    def test_start_that_waits_at_a_dark_executor_without_an_entry(self):
+        """Guards against two runs as a successor finds no entry of the executor."""
+        self._restart_around_takeover(taken_over="dark", dark_s=6.0)
+
     def _restart_around_takeover(self, *, taken_over, dark_s):
         machine = RestartMachine()
         try:
