Set the pace of a restored run anew

Cause: the pace is a fact that only a controller's memory holds, and its successor took every run for one at full speed. As 100 % was no change, no call was made.

Change: the pace of a restored run is not known. It is set at the first list: to 100 % without a serving task beside it or well below the bound, as for a new run; to 0 % near the bound, where the true pace may be lower than any other. In between it is left as it is.

Both tests fail without it.

--- a/cranberryport/scheduling/model.py
+++ b/cranberryport/scheduling/model.py
@@ -194,8 +194,9 @@
         last changed.
     percent_per_s : float or None
         Rate of progress; None until two lists have shown progress.
-    pace : int
-        Percentage of its full speed at which a best-effort task may run.
+    pace : int or None
+        Percentage of its full speed at which a best-effort task may run; None for a run
+        that a previous controller started, until its pace is set anew.
     reported_load : float
         For a serving task its tail latency in milliseconds, for others the processors
         in use, in thousandths of a core.
--- a/cranberryport/scheduling/pacing.py
+++ b/cranberryport/scheduling/pacing.py
@@ -41,19 +41,24 @@
 
     Parameters
     ----------
-    pace : int
-        Present pace in percent.
+    pace : int or None
+        Present pace in percent; None if a previous controller may have set it.
     latency_ratio : float or None
         Result of :func:`worst_latency_ratio`.
 
     Returns
     -------
-    int
+    int or None
         Reduced by a factor near the bound, 0 to pause, and raised by
-        ``INCREASE_PERCENT`` well below it.
+        ``INCREASE_PERCENT`` well below it. A pace that is not known is left as it is in
+        between, paused near the bound, and otherwise that of a new run.
     """
     if latency_ratio is None:
         return 100
+    if pace is None and latency_ratio > HIGH_LATENCY_RATIO:
+        return 0
+    if pace is None:
+        return 100 if latency_ratio < LOW_LATENCY_RATIO else None
     if latency_ratio > HIGH_LATENCY_RATIO:
         reduced_pace = int(pace * DECREASE_FACTOR)
         return reduced_pace if reduced_pace >= MIN_PACE_PERCENT else 0
--- a/cranberryport/scheduling/records.py
+++ b/cranberryport/scheduling/records.py
@@ -238,3 +238,4 @@
     for run in task.runs:
         run.has_unanswered_start = True
         run.is_start_recorded = bool(is_start_recorded)
+        run.pace = None
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -384,6 +384,16 @@
         self.assertEqual(pacing.next_pace(50, 0.7), 50)
         self.assertEqual(pacing.next_pace(50, None), 100)
 
+    def test_unknown_pace_is_set_anew(self):
+        """Guards against a task that a previous controller has paused for good.
+
+        Review case 15. Near the bound its true pace may be lower than any but 0.
+        """
+        self.assertEqual(pacing.next_pace(None, None), 100)
+        self.assertEqual(pacing.next_pace(None, 0.3), 100)
+        self.assertIsNone(pacing.next_pace(None, 0.7))
+        self.assertEqual(pacing.next_pace(None, 0.9), 0)
+
 
 class AdviceTest(unittest.TestCase):
     """Queues whose tasks need tickets of the advice service."""
--- a/tests/test_scheduling_records.py
+++ b/tests/test_scheduling_records.py
@@ -4,7 +4,7 @@
 
 from cranberryport import codec
 from cranberryport.platform import submissions
-from cranberryport.scheduling import record_groups
+from cranberryport.scheduling import record_groups, records
 from tests import scheduling
 
 # ``RecordBytes`` and ``CallBytes`` of the platform's store, in its settings file.
@@ -37,3 +37,19 @@
         rows = [r for record in group.new_records for r in getattr(record, "tasks", ())]
         self.assertEqual(len(rows), count)
         self.assertTrue(all(row[6] == CHECKPOINT and row[7] for row in rows))
+
+
+class RestoredRunTest(unittest.TestCase):
+    """What a successor knows of a run."""
+
+    def test_pace_of_a_restored_run_is_not_known(self):
+        """Guards against a paused task that counts as one at full speed (review 15)."""
+        harness = scheduling.SchedulerHarness()
+        job = harness.add_job(scheduling.make_job(scheduling.make_step()))
+        (run,) = harness.start()
+        run.pace = 0
+        progress = records.progress_to_record(job)
+        copy = records.job_from_record(records.job_to_record(job))
+        records.restore_progress(copy, progress)
+        (restored,) = scheduling.first_task(copy).runs
+        self.assertIsNone(restored.pace)
