Count the possible maintenance orders of a previous controller as down

Cause: which of its orders had no response is a fact that only a controller's memory held, where the platform fences orders. A fence works by instance, so it does not refuse the late order for one instance after a later order for another.

Change: maintenance orders without a response are stored beside the times of the orders (orders/maintenance), before they are sent; a response is stored with the next append for any reason. A successor counts these instances as down until it sees the maintenance, its own order for the instance is accepted, or 13 s have passed since the order. It may order the same instance without taking a further place. Without the record every order of the last 13 s counts.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -104,6 +104,7 @@
         "_admission",
         "_advice_client",
         "_advice_pending",
+        "_are_orders_due",
         "_call_losses",
         "_cancellations",
         "_decision_timer",
@@ -192,6 +193,8 @@
         self._done_instances_by_wave = {}
         self._unsaved_waves = {}
         self._unsaved_orders = []
+        # Whether they have to be stored by themselves if nothing else is.
+        self._are_orders_due = False
         # Keys of progress records to delete.
         self._unsaved_deletions = []
         # Keys of the records of jobs that have no record of the job itself, by id.
@@ -464,18 +467,22 @@
         if self._is_ready and not self._is_stopped:
             self._on_job_records([(key, value)])
 
-    def _save_orders(self, sent, unanswered, callback):
-        records = [messages.OrdersStored(job=stored_state.ORDERS_KEY, sent=dict(sent))]
+    def _save_orders(self, sent, unanswered, maintenance, callback):
+        sent_by_key = {
+            stored_state.ORDERS_KEY: sent,
+            stored_state.MAINTENANCE_ORDERS_KEY: maintenance,
+        }
         if not self._settings.are_orders_fenced:
-            records.append(
-                messages.OrdersStored(
-                    job=stored_state.UNANSWERED_ORDERS_KEY, sent=dict(unanswered)
-                )
-            )
-        self._unsaved_orders = records
+            sent_by_key[stored_state.UNANSWERED_ORDERS_KEY] = unanswered
+        self._unsaved_orders = [
+            messages.OrdersStored(job=key, sent=dict(times))
+            for key, times in sent_by_key.items()
+        ]
         if callback is not None:
             self._orders_callbacks.append(callback)
-        self.schedule_decision()
+        if callback is not None or not self._settings.are_orders_fenced:
+            self._are_orders_due = True
+            self.schedule_decision()
 
     def _are_jobs_current(self):
         oldest = time.monotonic() - JOBS_AGE_LIMIT_S
@@ -517,7 +524,10 @@
             sent = orders[stored_state.ORDERS_KEY]
             # Without this record every order counts as unanswered.
             unanswered = orders.get(stored_state.UNANSWERED_ORDERS_KEY, sent)
-            self._instance_manager.restore_orders(sent, unanswered, time.time())
+            maintenance = orders.get(stored_state.MAINTENANCE_ORDERS_KEY, sent)
+            self._instance_manager.restore_orders(
+                sent, unanswered, time.time(), maintenance=maintenance
+            )
         for reader in self._jobs_readers:
             reader.start()
 
@@ -816,14 +826,16 @@
     def _store_batch(self):
         batch = self._scheduler.take_batch()
         other_records = list(self._unsaved_waves.values())
-        other_records += self._unsaved_orders
         if batch.starts_record is not None:
             other_records.append(batch.starts_record)
         callbacks, self._orders_callbacks = self._orders_callbacks, []
         self._unsaved_waves = {}
-        self._unsaved_orders = []
         deletions, self._unsaved_deletions = self._unsaved_deletions, []
         groups = list(batch.groups)
+        if self._are_orders_due or groups or other_records or deletions:
+            other_records += self._unsaved_orders
+            self._unsaved_orders = []
+            self._are_orders_due = False
         if other_records or deletions:
             other_group = record_groups.RecordGroup(
                 new_records=other_records, deleted_keys=deletions
--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -128,7 +128,8 @@
         Called with a wave whose progress is to be stored.
     save_orders : callable
         Called with the Unix times of the last orders by instance, those of the orders
-        without a response, and a function to call once they are stored.
+        without a response, those of the latter that are for maintenance, and a function
+        to call once they are stored; None if they may be stored with the next append.
     """
 
     __slots__ = (
@@ -137,6 +138,7 @@
         "_evacuation_not_before",
         "_has_clock_stepped",
         "_has_read_executors",
+        "_inherited_maintenance",
         "_inherited_unanswered",
         "_instances",
         "_is_fleet_short",
@@ -211,6 +213,9 @@
         self._order_times = {}
         # Unix times of earlier controllers' orders that had no response.
         self._inherited_unanswered = {}
+        # Unix times of earlier controllers' maintenance orders that had no response,
+        # and monotonic times until which they may be carried out, by instance.
+        self._inherited_maintenance = {}
         self._rebalancer = rebalancing.PoolRebalancer(moves_per_s=settings.orders_per_s)
         self._instances = {}
         self._list_sent_at = None
@@ -240,7 +245,7 @@
         """Give no more orders."""
         self._is_stopped = True
 
-    def restore_orders(self, sent, unanswered, now_unix_s):
+    def restore_orders(self, sent, unanswered, now_unix_s, *, maintenance=()):
         """Delay orders for instances that the previous controller has ordered lately.
 
         The platform sets a minimum time between the orders of two controllers for the
@@ -259,6 +264,9 @@
             Instances whose last order had no response.
         now_unix_s : float
             Unix time in seconds.
+        maintenance : collection of str, optional
+            Instances whose maintenance may have been ordered without a response. Until
+            such an order cannot be carried out any more, the instance counts as down.
         """
         now = time.monotonic()
         turn_s = self._settings.order_turn_ms / 1000 + ORDER_TURN_MARGIN_S
@@ -266,10 +274,14 @@
             wait_s = turn_s
             if instance_id in unanswered and not self._settings.are_orders_fenced:
                 wait_s = max(wait_s, ORDER_LIFETIME_S)
+            waited_s = 0.0
             if not self._has_clock_stepped():
-                wait_s -= max(0.0, now_unix_s - sent_at)
-            if wait_s > 0:
-                self._order_not_before[instance_id] = now + wait_s
+                waited_s = max(0.0, now_unix_s - sent_at)
+            if wait_s > waited_s:
+                self._order_not_before[instance_id] = now + wait_s - waited_s
+            if instance_id in maintenance and waited_s < ORDER_LIFETIME_S:
+                ends_at = now + ORDER_LIFETIME_S - waited_s
+                self._inherited_maintenance[instance_id] = (sent_at, ends_at)
         self._order_times = dict(sent)
         self._inherited_unanswered = {
             instance_id: sent[instance_id]
@@ -350,6 +362,7 @@
             return
         self._instances = listed
         self._list_sent_at = list_sent_at
+        self._forget_begun_maintenance()
         self._close_finished_orders(list_sent_at)
         self._retire_executors_without_instance(list_sent_at)
         if self._has_read_executors():
@@ -415,6 +428,16 @@
             if instance.state == instances.DOWN
         }
 
+    def _forget_begun_maintenance(self):
+        """Forget orders of earlier controllers for which maintenance has begun.
+
+        The list shows it from then on, and a repeated order has no further effect.
+        """
+        for instance_id in list(self._inherited_maintenance):
+            instance = self._instances.get(instance_id)
+            if instance is None or instance.state == instances.MAINTENANCE:
+                del self._inherited_maintenance[instance_id]
+
     def _close_finished_orders(self, list_sent_at):
         now = time.monotonic()
         for instance_id, order in list(self._orders.items()):
@@ -531,6 +554,11 @@
             maintenance_s=self._settings.upkeep_s,
             now=now,
             is_fleet_short=self._is_fleet_short,
+            possibly_ordered={
+                instance_id
+                for instance_id, (_, ends_at) in self._inherited_maintenance.items()
+                if now < ends_at
+            },
         )
         for instance_id in chosen:
             instance = self._instances[instance_id]
@@ -577,6 +605,7 @@
         self._save_order_times(lambda: self._send_order(instance_id, order))
 
     def _save_order_times(self, callback):
+        """Store the last orders; without a callback, with the next append."""
         unanswered = {
             instance_id: sent_at
             for instance_id, sent_at in self._order_times.items()
@@ -586,7 +615,20 @@
                 and not self._orders[instance_id].is_accepted
             )
         }
-        self._save_orders(self._order_times, unanswered, callback)
+        maintenance = {
+            instance_id: sent_at
+            for instance_id, sent_at in self._order_times.items()
+            if self._is_maintenance_possible(instance_id, sent_at)
+        }
+        self._save_orders(self._order_times, unanswered, maintenance, callback)
+
+    def _is_maintenance_possible(self, instance_id, sent_at):
+        """Return whether the last order may start a maintenance later."""
+        order = self._orders.get(instance_id)
+        if order is not None:
+            return order.wave is not None and not order.is_accepted
+        inherited = self._inherited_maintenance.get(instance_id)
+        return inherited is not None and inherited[0] == sent_at
 
     def _retry_order(self, instance_id, order):
         if self._is_stopped or self._orders.get(instance_id) is not order:
@@ -655,8 +697,9 @@
             order.accepted_at = time.monotonic()
             if order.wave is not None:
                 order.wave.accepted_instances.add(instance_id)
-            if not self._settings.are_orders_fenced:
-                self._save_order_times(None)
+            # From now on the platform refuses those of earlier controllers.
+            self._inherited_maintenance.pop(instance_id, None)
+            self._save_order_times(None)
             return
         _logger.info(
             "order not accepted",
--- a/cranberryport/control/stored_state.py
+++ b/cranberryport/control/stored_state.py
@@ -19,6 +19,9 @@
 ORDERS_KEY = "orders"
 # Written only where the platform does not fence orders.
 UNANSWERED_ORDERS_KEY = "orders/unanswered"
+# Orders for maintenance without a response. Versions without this record skip the key.
+MAINTENANCE_ORDERS_KEY = "orders/maintenance"
+ORDERS_KEYS = (ORDERS_KEY, UNANSWERED_ORDERS_KEY, MAINTENANCE_ORDERS_KEY)
 
 _logger = logging.getLogger(__name__)
 
@@ -76,7 +79,7 @@
         for key, value in stored:
             if key.startswith(WAVE_KEY_PREFIX):
                 self._add_wave(key, value)
-            elif key in (ORDERS_KEY, UNANSWERED_ORDERS_KEY):
+            elif key in ORDERS_KEYS:
                 record = stored_records.decode(key, value, messages.OrdersStored)
                 if record is not None:
                     self.orders[key] = record.sent
--- a/cranberryport/scheduling/maintenance.py
+++ b/cranberryport/scheduling/maintenance.py
@@ -95,6 +95,7 @@
     maintenance_s,
     now,
     is_fleet_short=False,
+    possibly_ordered=frozenset(),
 ):
     """Choose the instances to evacuate and take down next.
 
@@ -114,14 +115,22 @@
         Monotonic time in seconds.
     is_fleet_short : bool, default=False
         Whether some pool lacks instances and no other pool has any to spare.
+    possibly_ordered : collection of str, optional
+        Instances whose maintenance a previous controller may have ordered, without an
+        answer. They count as down, as the order may still be carried out.
 
     Returns
     -------
     list of str
         Instances, at most as many as may go down beside those that are down already.
+        Those that are possibly ordered come first: an own order has the platform refuse
+        the former one.
     """
     pending = pending_instances(wave, listed)
-    down_count = len(instances_down(wave, listed))
+    possibly_down = {
+        instance_id for instance_id in wave.instances if instance_id in possibly_ordered
+    }
+    down_count = len(instances_down(wave, listed) | possibly_down)
     allowed = wave.max_down - down_count
     if is_fleet_short:
         limit = paced_limit(wave, len(pending), maintenance_s=maintenance_s, now=now)
@@ -132,7 +141,8 @@
             for instance_id in pending
         )
         allowed = min(allowed, max(limit - down_count, begun_count))
-    if allowed <= 0 or not pending:
+    is_any_possibly_down = not possibly_down.isdisjoint(pending)
+    if not pending or (allowed <= 0 and not is_any_possibly_down):
         return []
     rounds = math.ceil(len(pending) / max(1, wave.max_down))
     needed_s = rounds * (maintenance_s + EVACUATION_S)
@@ -152,7 +162,7 @@
             instance_id,
         )
 
-    candidates = []
+    chosen, candidates = [], []
     for instance_id in sorted(pending, key=key):
         instance = listed[instance_id]
         if instance.state != instances.UP:
@@ -166,8 +176,9 @@
             and not is_short_of_time
         ):
             continue
-        candidates.append(instance_id)
-    return candidates[:allowed]
+        # One that counts as down already takes no further place.
+        (chosen if instance_id in possibly_down else candidates).append(instance_id)
+    return chosen + candidates[: max(0, allowed)]
 
 
 def may_stop(run, executors):
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -63,6 +63,7 @@
         self.saved = []
         self.statuses = []
         self.unanswered = []
+        self.maintenance = []
         self.has_read_executors = True
         self.is_sole_controller = True
         self.has_clock_stepped = False
@@ -96,8 +97,9 @@
         )
         self.manager.add_wave(wave, ())
 
-    def _save_orders(self, sent, unanswered, callback):
+    def _save_orders(self, sent, unanswered, maintenance, callback):
         self.unanswered.append(set(unanswered))
+        self.maintenance.append(set(maintenance))
         if callback is not None:
             self.saved.append((dict(sent), callback))
 
@@ -149,6 +151,49 @@
         self.assertEqual(list(self.saved[-1][0]), ["m1", "m2"])
         self.assertEqual(self.unanswered[-1], {"m1", "m2"})
 
+    def test_maintenance_of_another_controller_may_still_begin(self):
+        """Guards against more instances down than a wave allows (review 9).
+
+        The order of a former controller had no response and is carried out seconds
+        later, beside an order of this one.
+        """
+        self.manager.waves[1].max_down = 1
+        now = time.time()
+        self.manager.restore_orders({"m2": now}, (), now, maintenance={"m2"})
+        self.manager.start()
+        self.assertEqual(self.saved, [])
+
+    def test_answered_maintenance_of_another_controller_takes_no_place(self):
+        """Guards against a wave that waits for orders that have been answered."""
+        self.manager.waves[1].max_down = 1
+        now = time.time()
+        self.manager.restore_orders({"m2": now}, (), now, maintenance=())
+        self.manager.start()
+        self.assertEqual([list(sent) for sent, _ in self.saved], [["m2", "m1"]])
+
+    def test_begun_maintenance_of_another_controller_takes_its_place_once(self):
+        """Guards against a place that stays taken after the end of a maintenance."""
+        self.manager.waves[1].max_down = 1
+        now = time.time()
+        self.manager.restore_orders({"m2": now}, (), now, maintenance={"m2"})
+        self.listed["m2"].state = instances.MAINTENANCE
+        self.manager.start()
+        self.assertEqual(self.saved, [])
+        self.listed["m2"].state = instances.UP
+        self.manager._decide(time.monotonic())
+        self.assertEqual(len(self.saved), 1)
+
+    def test_maintenance_without_a_response_outlasts_two_changes(self):
+        """Guards against a controller that stores less than it has read."""
+        self.manager.waves[1].max_down = 2
+        now = time.time()
+        self.manager.restore_orders({"m1": now}, (), now, maintenance={"m1"})
+        self.manager.start()
+        self.assertEqual(self.maintenance[-1], {"m1", "m2"})
+        self.saved[-1][1]()
+        self.client.orders[-1][4](machines.OrderResult(is_accepted=True, reason=""))
+        self.assertEqual(self.maintenance[-1], {"m1"})
+
     def test_stepped_clock_does_not_shorten_the_wait(self):
         """Guards against orders of two controllers while a clock is seconds off."""
         self.has_clock_stepped = True
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -635,6 +635,21 @@
         # 18 instances every 4 s: all 81 within 18 s.
         self.assertEqual(len(chosen), 18)
 
+    def test_possible_order_takes_a_place_of_the_wave(self):
+        """Guards against more instances down than allowed after a takeover (review 9).
+
+        The instance that may have been ordered is chosen without a place of its own.
+        """
+        listed = self._make_instances(3)
+        wave = instances.Wave(
+            number=1, instances=list(listed), deadline=100.0, max_down=1
+        )
+        chosen = self._choose(wave, listed, possibly_ordered={"m3", "m9"})
+        self.assertEqual(chosen, ["m3"])
+        wave.max_down = 2
+        chosen = self._choose(wave, listed, possibly_ordered={"m3"})
+        self.assertEqual(chosen, ["m3", "m1"])
+
     def test_paced_wave_catches_up_before_its_deadline(self):
         """Guards against a wave that ends late because the peak goes on."""
         listed = self._make_instances(81)
