Ask for tickets once a start is refused for lack of one

The successor starts the job's next step without tickets, 150 times a second, and is refused.

Its successor took default rules, without advice.

Change: a start that an executor refuses for lack of a ticket shows that the queue needs them. The successor notes that for a queue that is not configured, and asks the advice service. A configuration with the queue replaces the note.

The test fails without the change.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -45,6 +45,9 @@
 UNHEALTHY_DELAY_S = 1.0
 # A job whose queue and limit are not known does not fail by failed runs.
 UNKNOWN_QUEUE_FAILED_RUNS_LIMIT = 1_000_000
+# Times of the advice service for such a queue whose tasks turn out to need tickets, see
+# ``ordering.QueueRules``. They only bound the wait for an answer.
+UNKNOWN_QUEUE_ADVICE_TIMES_S = (1.0, 0.05, 3.0)
 # For this time after a task found no executor, its pool counts as having an unplaceable
 # task. This is longer than the time between two decisions about instances.
 UNPLACEABLE_VALIDITY_S = 0.2
@@ -251,15 +254,7 @@
 
     def queue_rules(self, job):
         """Return the rules of a job's queue, or defaults if the queue is not known."""
-        rules = self._queues.get(job.queue)
-        if rules is None:
-            rules = ordering.QueueRules(
-                name=job.queue,
-                service=job.service,
-                failed_runs_limit=job.failed_runs_limit
-                or UNKNOWN_QUEUE_FAILED_RUNS_LIMIT,
-            )
-        return rules
+        return self._queues.get(job.queue) or _default_rules(job)
 
     # Jobs
 
@@ -1029,6 +1024,8 @@
             executor.backoff_until = now + UNHEALTHY_DELAY_S
         if executor is not None and reason == "ticket":
             executor.tickets = {}
+        if reason == "ticket" and run.task.job.queue not in self._queues:
+            self._require_tickets(run.task.job)
         if run.has_unanswered_start:
             # A list of runs that is requested after the start has expired decides.
             return
@@ -1036,6 +1033,19 @@
         run.task.retry_at = now + delay
         self._remove_run(run)
 
+    def _require_tickets(self, job):
+        """Record that the tasks of a queue that is not configured need tickets.
+
+        Only a controller that has read a configuration with the queue knows its rules.
+        """
+        _logger.info(
+            "queue that is not configured needs tickets",
+            extra={"request": job.id, "queue": job.queue, "pool": job.service},
+        )
+        self._queues[job.queue] = _default_rules(
+            job, advice_times=UNKNOWN_QUEUE_ADVICE_TIMES_S
+        )
+
     def on_stop_confirmed(self, run, now):
         """Record that an executor has confirmed a stop; the end is listed later.
 
@@ -1512,6 +1522,16 @@
         )
 
 
+def _default_rules(job, *, advice_times=None):
+    """Return the rules of a job's queue if it is not configured."""
+    return ordering.QueueRules(
+        name=job.queue,
+        service=job.service,
+        failed_runs_limit=job.failed_runs_limit or UNKNOWN_QUEUE_FAILED_RUNS_LIMIT,
+        advice_times=advice_times,
+    )
+
+
 def _is_index(text):
     # Longer numbers come from no task of this program.
     return text.isdecimal() and len(text) < 10
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -417,6 +417,23 @@
         (run,) = harness.start()
         self.assertEqual((run.executor, run.ticket), ("e2", "t"))
 
+    def test_refusal_for_lack_of_a_ticket_shows_that_a_queue_needs_advice(self):
+        """Guards against starts without tickets that are refused for ever (review 13).
+
+        The queue has left the configuration before this controller began.
+        """
+        harness = scheduling.SchedulerHarness(count=1)
+        harness.scheduler._queues.clear()
+        harness.add_job(scheduling.make_job())
+        (run,) = harness.scheduler.commit(harness.plan(), harness.now)
+        harness.scheduler.on_start_refused(run, "ticket", harness.now)
+        self.assertEqual(harness.plan().planned_runs, [])
+        ((step, (names, _)),) = harness.planner.take_advice_requests().items()
+        self.assertEqual(names, ["e1"])
+        harness.planner.on_advice(step, names, {"e1": "t"}, harness.now + 3)
+        (run,) = harness.plan().planned_runs
+        self.assertEqual(run.ticket, "t")
+
     def test_no_advice_is_requested_on_an_excluded_executor(self):
         """Guards against useless calls of the advice service."""
         harness, job = self._make_harness()
