Stop a restored gang of which a member does not run

Cause: that a gang is incomplete is noted as a member's run is removed, in memory only. A controller that ends between storing the removal and sending the stops leaves a gang to its successor whose other members go on, and which is neither stopped nor planned. Change: a successor notes the gangs of which it restores no run of a member. Evidence: found by the table of facts that only a controller's memory holds; not seen with the programs. The test fails without the change.

--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -322,6 +322,9 @@
         for task in job.tasks():
             if task.failed_run_count:
                 self._failed_tasks[task.name] = task
+            if task.step.is_gang and not task.runs:
+                # The previous controller may not have stopped the other members yet.
+                self._incomplete_gangs[task.step_name] = task
             for run in task.runs:
                 self._unanswered_starts.add_restored(run)
                 if job.has_ended:
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -895,6 +895,24 @@
         self._process()
         self.assertEqual([run.number for run in self.harness.start()], [2, 2])
 
+    def test_successor_stops_a_gang_that_its_predecessor_has_left_incomplete(self):
+        """Guards against a gang that waits for a member that nobody starts.
+
+        The previous controller has stored the loss of a member, and ended before it
+        sent the stops of the others.
+        """
+        lost, _ = self.harness.start()
+        self.harness.scheduler._remove_run(lost)
+        progress = records.progress_to_record(self.job)
+        copy = records.job_from_record(records.job_to_record(self.job))
+        self.setUp()
+        scheduler = self.harness.scheduler
+        scheduler.remove_job(self.job.id)
+        scheduler.restore_job(copy, progress, scheduling.NOW_UNIX_S)
+        self._process()
+        states = [run.state for task in copy.tasks() for run in task.runs]
+        self.assertEqual(states, [model.STOPPING])
+
     def test_gang_is_not_started_without_a_member_whose_executor_was_lost(self):
         """Guards against a start of a part of a gang."""
         batch = self.harness.plan()
