Check starts to an executor that is down in the model of a change of the controller

The two rules by which a successor keeps or ends such a start become functions of scheduling/takeover.py, which the program and the model call.

--- a/cranberryport/scheduling/executors.py
+++ b/cranberryport/scheduling/executors.py
@@ -365,12 +365,13 @@
         """
         if run.state == model.PLANNED or run.start_sent_at is None:
             return False
-        if run.has_unanswered_start:
-            return True
-        if run.ordered_at is None:
+        is_restored = run.ordered_at is None
+        return takeover.may_carry_out_start(
+            has_unanswered_start=run.has_unanswered_start,
             # A previous controller had the answer before this one began.
-            return False
-        return run.start_ended_at is None or run.start_ended_at >= at
+            answered_at=-math.inf if is_restored else run.start_ended_at,
+            down_since=at,
+        )
 
     def extend_lease(self, now, lease_s):
         """Extend the lease and return its end on the executor's clock.
--- a/cranberryport/scheduling/takeover.py
+++ b/cranberryport/scheduling/takeover.py
@@ -126,6 +126,46 @@
     return ROLE_VALIDITY_S + TAKEOVER_MARGIN_S
 
 
+def is_start_unanswered(*, is_recorded, is_listed):
+    """Return whether an attempt to start a restored run may have had no answer.
+
+    Parameters
+    ----------
+    is_recorded : bool
+        Whether the record of unanswered starts covers the run.
+    is_listed : bool
+        Whether that record lists it.
+
+    Returns
+    -------
+    bool
+        False only if all attempts had an answer, and none was sent after it.
+    """
+    return is_listed or not is_recorded
+
+
+def may_carry_out_start(*, has_unanswered_start, answered_at, down_since):
+    """Return whether an executor that is down may carry out a start once it is up.
+
+    Parameters
+    ----------
+    has_unanswered_start : bool
+        Whether an attempt to send the start had no answer.
+    answered_at : float or None
+        Monotonic time of the answer to the last attempt; None if there was none.
+    down_since : float
+        Monotonic time at which the executor was down.
+
+    Returns
+    -------
+    bool
+        Whether an attempt may wait at the address of the executor.
+    """
+    if has_unanswered_start or answered_at is None:
+        return True
+    return answered_at >= down_since
+
+
 def may_give_up_unlisted(now, orders_end_at, *, has_read_executors):
     """Return whether restored runs on executors that are not known may be given up.
 
--- a/cranberryport/scheduling/unanswered_starts.py
+++ b/cranberryport/scheduling/unanswered_starts.py
@@ -11,6 +11,7 @@
 """
 
 from cranberryport.generated import messages
+from cranberryport.scheduling import takeover
 
 # The field ``job`` of the record holds its key instead of a job id. Versions without
 # this record skip the key.
@@ -63,9 +64,11 @@
             A restored run. Its attribute ``has_unanswered_start`` is set to False if
             the record covers it and does not list it.
         """
-        if self._restored_rows is not None and run.is_start_recorded:
-            rows = self._restored_rows.get(run.task.job.id, ())
-            run.has_unanswered_start = _make_row(run) in rows
+        rows = (self._restored_rows or {}).get(run.task.job.id, ())
+        run.has_unanswered_start = takeover.is_start_unanswered(
+            is_recorded=run.is_start_recorded and self._restored_rows is not None,
+            is_listed=_make_row(run) in rows,
+        )
         if run.has_unanswered_start:
             self._runs[run] = None
 
--- a/tests/test_scheduling_takeover_model.py
+++ b/tests/test_scheduling_takeover_model.py
@@ -461,6 +461,113 @@
     return following._replace(task="absent")
 
 
+Outage = collections.namedtuple(
+    "Outage",
+    [
+        # Number of changes of the controller so far.
+        "changes",
+        # Whether the stored record lists the start as unanswered; None before the plan
+        # of the run is stored.
+        "is_listed",
+        # What the present controller knows of the task and of its start.
+        "task",
+        "has_unanswered_start",
+        "is_answered",
+        # Number of attempts to send the start, and of those that may be carried out.
+        "attempts",
+        "waiting",
+        "is_down",
+        "is_running",
+    ],
+)
+FIRST_OUTAGE = Outage(
+    changes=0,
+    is_listed=None,
+    task="planned",
+    has_unanswered_start=False,
+    is_answered=False,
+    attempts=0,
+    waiting=0,
+    is_down=False,
+    is_running=False,
+)
+CONTROLLER_CHANGES_LIMIT = 2
+ATTEMPTS_LIMIT = 2
+
+
+def find_outage_steps(state, rules):
+    """Yield the steps of a start to an executor that is down for a while.
+
+    The controller that has planned the run may be replaced at any moment, and so may
+    its successor. An executor that is up again carries out the attempts that wait for
+    it, until a successor has asked it for its runs.
+    """
+    is_first = state.changes == 0
+    if state.task == "planned":
+        stored = state._replace(is_listed=True, task="ordered")
+        yield "plan stored", stored, None
+        return
+    is_ordered = state.task == "ordered"
+    may_send = is_first and is_ordered and not state.is_answered
+    if may_send and state.attempts < ATTEMPTS_LIMIT:
+        sent = state._replace(attempts=state.attempts + 1, waiting=state.waiting + 1)
+        yield "start sent", sent, None
+    if is_first and state.waiting:
+        yield "no answer", state._replace(has_unanswered_start=True), None
+    if state.waiting and not state.is_down:
+        yield from _carry_out_waiting_start(state)
+    is_settled = state.is_answered and not state.has_unanswered_start
+    if is_first and is_settled and state.waiting == 0:
+        yield "answer stored", state._replace(is_listed=False), None
+    crashed = state._replace(is_down=not state.is_down, is_running=False)
+    yield "executor is back" if state.is_down else "executor crashes", crashed, None
+    if state.changes < CONTROLLER_CHANGES_LIMIT and is_ordered:
+        yield "controller changes", _change_controller(state, rules), None
+    if is_ordered and state.is_down:
+        yield from _give_up_as_down(state, rules)
+    if not is_first and is_ordered and not state.is_down:
+        task = "ordered" if state.is_running else "waiting"
+        yield "executor answers", state._replace(task=task, waiting=0), None
+    if state.task == "waiting":
+        violation = "two runs at once" if state.is_running else None
+        yield "second start", state._replace(task="started"), violation
+
+
+def _carry_out_waiting_start(state):
+    violation = "two runs at once" if state.task == "started" else None
+    carried_out = state._replace(waiting=state.waiting - 1, is_running=True)
+    yield "start carried out", carried_out, violation
+    if state.changes == 0:
+        answered = carried_out._replace(is_answered=True)
+        yield "start carried out and answered", answered, violation
+
+
+def _change_controller(state, rules):
+    """Return the state after a controller has read what is stored, and stored it on."""
+    is_unanswered = rules.is_start_unanswered(
+        is_recorded=True, is_listed=state.is_listed
+    )
+    return state._replace(
+        changes=state.changes + 1,
+        has_unanswered_start=is_unanswered,
+        is_listed=is_unanswered,
+        is_answered=not is_unanswered,
+    )
+
+
+def _give_up_as_down(state, rules):
+    # Only the controller that sends the start knows of an attempt under way. An answer
+    # has arrived before the executor was down.
+    is_under_way = state.changes == 0 and state.waiting > 0
+    may_wait = rules.may_carry_out_start(
+        has_unanswered_start=state.has_unanswered_start,
+        answered_at=0.0 if state.is_answered and not is_under_way else None,
+        down_since=1.0,
+    )
+    if not may_wait:
+        yield "run given up as down", state._replace(task="waiting"), None
+
+
 Deletion = collections.namedtuple(
     "Deletion",
     # By partition: whether the job record is stored, and how far the reader has got
@@ -594,6 +701,28 @@
             ):
                 self._explore(FIRST_RESTART, find_restart_steps, rules)
 
+    def test_start_to_an_executor_that_is_down_runs_nothing_twice(self):
+        """Guards against a successor that knows less than its predecessor (review 11).
+
+        It may be replaced itself before the executor is back.
+        """
+        count = self._explore(FIRST_OUTAGE, find_outage_steps, takeover)
+        self.assertGreater(count, 100)
+
+    def test_unanswered_start_that_is_not_stored_breaks_an_outage(self):
+        """Guards against a model that misses the fault of review case 11."""
+        for name, rule in (
+            ("is_start_unanswered", lambda **_: False),
+            ("may_carry_out_start", lambda **_: False),
+        ):
+            rules = types.SimpleNamespace(**vars(takeover))
+            setattr(rules, name, rule)
+            with (
+                self.subTest(name=name),
+                self.assertRaisesRegex(ViolationFound, "two runs at once"),
+            ):
+                self._explore(FIRST_OUTAGE, find_outage_steps, rules)
+
     def test_deletion_leaves_no_job_to_run_again(self):
         """Guards against a change of the order in which records are deleted."""
         self._explore(FIRST_DELETION, find_deletion_steps, takeover)
