Close idle connections to an address once a request there has timed out

Cause: a request that times out closes only its own connection. The next one takes the next idle connection, which is as silent, so that with two idle ones the lease of 4 s ends before a new connection is made. Change: a time-out closes the idle connections to the same address that have been idle since before the request.

--- a/cranberryport/http/connection_pool.py
+++ b/cranberryport/http/connection_pool.py
@@ -1,4 +1,9 @@
-"""Sends HTTP requests over reused connections and reports results to callbacks."""
+"""Sends HTTP requests over reused connections and reports results to callbacks.
+
+Load pattern: all open connections to an address go silent without being reset, while
+new ones work. A request that times out shows it, and the idle connections from before
+it are not used any more; otherwise one request after the other would time out on them.
+"""
 
 import collections
 import itertools
@@ -88,7 +93,7 @@
     def _send(self, address, exchange):
         idle = self._idle[address]
         while idle:
-            held = idle.pop()
+            held, _ = idle.pop()
             if held.is_idle and not held.close_if_stale():
                 held.send(exchange)
                 return
@@ -99,11 +104,24 @@
 
     @handler("exchange_done")
     def _on_exchange_done(self, exchange):
-        ended = exchange.connection
+        ended, result = exchange.connection, exchange.result
         if ended.is_idle:
             idle = self._idle[ended.address]
             if len(idle) < IDLE_CONNECTIONS_LIMIT:
-                idle.append(ended)
+                idle.append((ended, time.monotonic()))
             else:
                 ended.close()
-        exchange.context(exchange.result)
+        is_failure = isinstance(result, connection.ExchangeFailure)
+        if is_failure and result.reason == "timeout":
+            self._close_idle(ended.address, idle_before=exchange.started_at)
+        exchange.context(result)
+
+    def _close_idle(self, address, *, idle_before):
+        """Close the connections to an address that have been idle since a time."""
+        kept = []
+        for held, idle_since in self._idle[address]:
+            if idle_since > idle_before:
+                kept.append((held, idle_since))
+            else:
+                held.close()
+        self._idle[address] = kept
