Soak: end the controller while executors are down, with one record of settings

It also told entry instances a longest lease of 6 s and granted 10 s, and told them that orders are not fenced, though they were.

--takeovers has a third of the executors down for 1.5 to 6 s while the controller is killed or terminated. Requests that wait for an executor keep their order. The settings of a rig are one record (standins/platform/rig_settings.py), from which both the platform and the entry instances are configured; the soak draws the longest lease and the fencing of orders from the seed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,12 +3,13 @@
 import argparse
 import collections
 import pathlib
+import random
 import sys
 import tempfile
 import time
 
 from soak import callers, faults, organisations, plan, proxy
-from standins.platform import local_deployment
+from standins.platform import local_deployment, rig_settings
 
 # Small numbers of instances, entry instances and callers keep a run at about a dozen
 # processes and threads, so that several runs fit on a machine.
@@ -29,6 +30,8 @@
 LATE_RECOVERY_TIMEOUT_S = 70.0
 # Probability that the tasks of a job are long in a run with restarts.
 LONG_TASK_PROBABILITY = 1 / 3
+# Longest leases that the executors of a run may grant, as on the users' deployments.
+LEASE_LIMITS_MS = (6_000, 10_000)
 POLL_INTERVAL_S = 0.2
 # The violations of one seed are mostly repeats of the same one.
 MAX_PRINTED_VIOLATIONS = 10
@@ -50,6 +53,9 @@
     restarts : {'only', 'too'} or None, default=None
         Whether executors restart under their ids and are cut off soon after, and some
         jobs have long tasks: without other faults, or beside them.
+    has_takeovers : bool, default=False
+        Whether executors are down for seconds while the controller ends. Some jobs have
+        long tasks, and there are no other faults unless ``restarts`` is ``'too'``.
     late_calls : {'one-life', 'any-life'} or None, default=None
         Which calls to executors may be late, see ``plan.draw_late_calls``.
     pools : dict of str to int, optional
@@ -67,18 +73,25 @@
         directory,
         has_organisations=False,
         restarts=None,
+        has_takeovers=False,
         late_calls=None,
         pools=None,
         entry_count=ENTRY_COUNT,
         caller_count=CALLER_COUNT,
     ):
-        default_pools = RESTART_INSTANCES_BY_POOL if restarts else INSTANCES_BY_POOL
+        has_restarts = bool(restarts) or has_takeovers
+        default_pools = RESTART_INSTANCES_BY_POOL if has_restarts else INSTANCES_BY_POOL
         self._pools = pools or default_pools
         self._caller_count = caller_count
         self._restarts = restarts
+        self._has_takeovers = has_takeovers
+        self._has_other_faults = restarts != "only" and not has_takeovers
+        if restarts == "too":
+            self._has_other_faults = True
+        self._long_task_probability = LONG_TASK_PROBABILITY * has_restarts
         self._late_calls = late_calls
         self._recovery_timeout_s = RECOVERY_TIMEOUT_S
-        if restarts or late_calls:
+        if has_restarts or late_calls:
             self._recovery_timeout_s = LATE_RECOVERY_TIMEOUT_S
         self._seed = seed
         self._seconds = seconds
@@ -98,6 +111,7 @@
             make_settings=self._make_settings,
             organisations=self._organisations and self._organisations.rows(),
             seed=seed,
+            rig=_draw_rig(seed),
         )
         self._callers = []
         self.violations = []
@@ -139,7 +153,7 @@
     def _inject_faults(self):
         instances = [f"m{n}" for n in range(1, sum(self._pools.values()) + 1)]
         entries = [entry.name for entry in self._deployment.entries]
-        if self._restarts != "only":
+        if self._has_other_faults:
             self.planned_faults += plan.draw_faults(
                 self._seed, seconds=self._seconds, entries=entries, instances=instances
             )
@@ -150,6 +164,10 @@
             self.planned_faults += plan.draw_restarts(
                 self._seed, seconds=self._seconds, entries=entries, instances=instances
             )
+        if self._has_takeovers:
+            self.planned_faults += plan.draw_takeovers(
+                self._seed, seconds=self._seconds, instances=instances
+            )
         if self._late_calls:
             self.planned_faults += plan.draw_late_calls(
                 self._seed,
@@ -183,7 +201,7 @@
                 ports=ports,
                 pools=[pool for pool in self._pools if pool != "spare"],
                 report_violation=self.add_violation,
-                long_task_probability=LONG_TASK_PROBABILITY * bool(self._restarts),
+                long_task_probability=self._long_task_probability,
                 organisation=organisation,
                 run_organisations=self._organisations,
             )
@@ -256,6 +274,15 @@
             self.add_violation("long-running job does not run all its tasks", detail)
 
 
+def _draw_rig(seed):
+    """Return the settings of the platform in the run of a seed."""
+    generator = random.Random(f"rig {seed}")
+    return rig_settings.RigSettings(
+        lease_limit_ms=generator.choice(LEASE_LIMITS_MS),
+        are_orders_fenced=generator.choice((True, False)),
+    )
+
+
 def main():
     """Run the soak for each seed.
 
@@ -290,6 +317,12 @@
         help="executors restart and are cut off, without other faults or beside them; "
         "some jobs have long tasks",
     )
+    parser.add_argument(
+        "--takeovers",
+        action="store_true",
+        help="executors are down for seconds while the controller ends; some jobs have "
+        "long tasks; without other faults unless with --restarts too",
+    )
     parser.add_argument(
         "--late-calls",
         choices=(plan.ONE_LIFE, plan.ANY_LIFE),
@@ -312,6 +345,7 @@
             directory=directory,
             has_organisations=options.organisations,
             restarts=options.restarts,
+            has_takeovers=options.takeovers,
             late_calls=options.late_calls,
             pools=pools,
             entry_count=options.entries,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -119,6 +119,22 @@
 
         return end
 
+    def kill_controller(self, fault):
+        """Kill the controller; the end of the fault starts the instance again."""
+        return self._end_controller(fault, self.kill_entry)
+
+    def terminate_controller(self, fault):
+        """Send SIGTERM to the controller; the end of the fault starts it again."""
+        return self._end_controller(fault, self.terminate_entry)
+
+    def _end_controller(self, fault, end_entry):
+        running = [e for e in self._entries.values() if e.process.is_running]
+        for entry in running:
+            if entry.is_leading():
+                fault.target = entry.name
+                return end_entry(fault)
+        return _end_nothing
+
     def freeze_entry(self, fault):
         """Pause an entry instance by SIGSTOP; the end of the fault resumes it."""
         entry = self._entries[fault.target]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -29,6 +29,15 @@
 MANY_RESTARTS_PROBABILITY = 0.5
 KILL_PROBABILITY = 0.4
 KILL_DELAY_RANGE_S = (-0.5, 2.0)
+# Least and greatest time between restarts of executors that are down while the
+# controller ends, and the time for which they are down: from less to more than their
+# entries last without being written.
+TAKEOVER_INTERVAL_RANGE_S = (6.0, 12.0)
+DOWN_DURATION_RANGE_S = (1.5, 6.0)
+# Least and greatest time from their crash until the controller ends, and then until its
+# process starts again; a process that is started again may take the role back.
+TAKEOVER_DELAY_RANGE_S = (0.02, 0.6)
+CONTROLLER_DOWN_RANGE_S = (0.3, 4.0)
 # Least and greatest time between two faults that make calls late, and length of these.
 LATE_CALLS_INTERVAL_RANGE_S = (1.0, 4.0)
 LATE_CALLS_DURATION_RANGE_S = (1.0, 6.0)
@@ -193,6 +202,46 @@
     return faults
 
 
+def draw_takeovers(seed, *, seconds, instances):
+    """Return restarts of executors that are down for seconds as the controller ends.
+
+    A generator of their own keeps the other faults of a seed as they were before.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random numbers; the same seed gives the same faults.
+    seconds : float
+        Length of the phase with faults; every fault ends within it.
+    instances : list of str
+        Names of the instances with executors.
+    """
+    generator = random.Random(f"takeovers {seed}")
+    faults = []
+    start_s = generator.uniform(*RESTART_INTERVAL_RANGE_S)
+    while start_s < seconds:
+        down_s = min(generator.uniform(*DOWN_DURATION_RANGE_S), seconds - start_s)
+        for target in generator.sample(instances, max(1, len(instances) // 3)):
+            fault = Fault(
+                start_s=start_s,
+                kind="restart_dark_executor",
+                duration_s=down_s,
+                target=target,
+                detail=SILENT,
+            )
+            faults.append(fault)
+        end_s = min(start_s + generator.uniform(*TAKEOVER_DELAY_RANGE_S), seconds)
+        controller_down_s = generator.uniform(*CONTROLLER_DOWN_RANGE_S)
+        fault = Fault(
+            start_s=end_s,
+            kind=generator.choice(("kill_controller", "terminate_controller")),
+            duration_s=min(controller_down_s, seconds - end_s),
+        )
+        faults.append(fault)
+        start_s += generator.uniform(*TAKEOVER_INTERVAL_RANGE_S)
+    return faults
+
+
 def draw_late_calls(seed, *, seconds, instances, lives):
     """Return faults that make calls to executors late.
 
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -9,7 +9,13 @@
 import json
 import signal
 
-from standins.platform import instances, invariants, serving, store
+from standins.platform import (
+    instances,
+    invariants,
+    rig_settings,
+    serving,
+    store,
+)
 
 # The process exits after this time, so that no stand-in is left after a failed test.
 DEFAULT_LIFETIME_S = 600.0
@@ -69,10 +75,12 @@
         self._version = 0
         self._organisations = options.organisations
         self._public_pools = ()
-        self._store = store.Store(partitions=options.partitions)
+        rig = rig_settings.RigSettings.from_options(options)
+        self._store = store.Store(partitions=rig.partitions)
         self._instances = instances.Instances(
             store=self._store,
             checker=self._checker,
+            rig=rig,
             pools=self._pools,
             processors=options.processors,
             memory=options.memory,
@@ -258,7 +266,7 @@
         metavar="JSON",
         help="rows of the organisations; without them no keys are required",
     )
-    parser.add_argument("--partitions", type=int, default=8)
+    rig_settings.RigSettings.add_arguments(parser)
     parser.add_argument("--processors", type=int, default=16_000)
     parser.add_argument("--memory", type=int, default=32_768)
     parser.add_argument("--seed", type=int, default=0)
--- a/standins/platform/instances.py
+++ b/standins/platform/instances.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import itertools
 import json
 import random
@@ -14,8 +15,6 @@
 
 # Loopback address of an instance; each instance has its own.
 HOST_PATTERN = "127.1.{}.{}"
-# Longest lease that executors grant (HoldMaxMs of the deployments).
-LEASE_LIMIT_S = 10.0
 # Time after which an executor that its task has crashed is replaced.
 CRASH_RECOVERY_S = 3.0
 # Interval at which an executor writes its entry to the store (HeartbeatMs of the
@@ -53,6 +52,8 @@
         Monotonic time at which the executor writes its next entry to the store.
     server : standins.platform.serving.Server
         Server for requests to the executor.
+    waiting_requests : collections.deque
+        Requests that have arrived while the instance was down, in order.
     waves : set of int
         Numbers of the waves whose upkeep it has begun.
     upkeep_wave : int or None
@@ -72,6 +73,7 @@
         self.highest_fencing_token = 0
         self.entry_due_at = 0.0
         self.server = None
+        self.waiting_requests = collections.deque()
         self.waves = set()
         self.upkeep_wave = None
 
@@ -85,6 +87,8 @@
         Receives the entries of executors and the waves.
     checker : standins.platform.invariants.InvariantChecker
         Told of starts and ends of runs, and of violations by the controller.
+    rig : rig_settings.RigSettings
+        Settings that the entry instances are told as well.
     pools : dict of str to int
         Number of instances by name of the pool.
     processors, memory : int
@@ -93,8 +97,8 @@
         Pools whose executors start what exceeds their capacity.
     rack_size : int
         Number of instances in a rack.
-    move_s, upkeep_s : float
-        Time in seconds that an instance is down for a move or for upkeep.
+    move_s : float
+        Time in seconds that an instance is down for a move.
     seed : int, default=0
         Seed of the random numbers.
 
@@ -111,13 +115,13 @@
         *,
         store,
         checker,
+        rig,
         pools,
         processors,
         memory,
         unguarded_pools=(),
         rack_size=4,
         move_s=1.5,
-        upkeep_s=2.0,
         seed=0,
     ):
         self._generator = random.Random(seed)
@@ -127,7 +131,7 @@
         self._memory = memory
         self._unguarded_pools = unguarded_pools
         self._move_s = move_s
-        self._upkeep_s = upkeep_s
+        self._rig = rig
         self._executor_numbers = itertools.count(1)
         self._delayed_calls = set()
         # Times of the newest entries in the store by id of the executor.
@@ -160,15 +164,14 @@
     async def handle_executor_call(self, instance, request):
         """Answer a request to an executor, unless the network loses it or the response.
 
-        A request that arrives while the executor restarts is carried out by its new
-        life.
+        Requests that arrive while the executor restarts are carried out by its new
+        life, in their order.
         """
         response = None
         if not instance.is_cut and self._generator.random() < instance.late_call_share:
             await self._carry_out_late(instance, request)
         elif not instance.is_cut:
-            while instance.state == "down":
-                await asyncio.sleep(executors.CHECK_INTERVAL_S)
+            await self._wait_while_down(instance, request)
             if instance.executor is None:
                 raise ConnectionResetError
             executor = instance.executor
@@ -181,6 +184,17 @@
             raise ConnectionResetError
         return response
 
+    async def _wait_while_down(self, instance, request):
+        waiting = instance.waiting_requests
+        if instance.state != "down" and not waiting:
+            return
+        waiting.append(request)
+        try:
+            while instance.state == "down" or waiting[0] is not request:
+                await asyncio.sleep(executors.CHECK_INTERVAL_S)
+        finally:
+            waiting.remove(request)
+
     async def _carry_out_late(self, instance, request):
         arrived_in = instance.executor
         is_kept = instance.are_late_calls_kept
@@ -204,7 +218,7 @@
             id=id or f"e{next(self._executor_numbers)}-{instance.id}",
             processors=self._processors,
             memory=self._memory,
-            lease_limit_s=LEASE_LIMIT_S,
+            lease_limit_s=self._rig.lease_limit_ms / 1000,
             checker=self._checker,
             is_guarding=instance.pool not in self._unguarded_pools,
             first_clock_ms=self._generator.randrange(executors.FIRST_CLOCK_LIMIT_MS),
@@ -394,9 +408,10 @@
         if instance is None:
             return 400, {}
         token = int(request.headers.get("fencing-token", 0))
-        if token < instance.highest_fencing_token:
+        is_fenced = token < instance.highest_fencing_token
+        if is_fenced and self._rig.are_orders_fenced:
             return 409, {"Reason": "fence"}
-        instance.highest_fencing_token = token
+        instance.highest_fencing_token = max(token, instance.highest_fencing_token)
         if request.path == "/api/machine-move":
             return self._move_to_pool(instance, fields["Pool"])
         if request.path == "/api/machine-upkeep":
@@ -445,7 +460,7 @@
         instance.upkeep_wave = number
         self.end_executor(instance)
         instance.state = "upkeep"
-        self._call_later(self._upkeep_s, lambda: self.start_executor(instance))
+        self._call_later(self._rig.upkeep_s, lambda: self.start_executor(instance))
         return 200, {}
 
     def add_wave(self, number, names, *, duration_s, maximum):
--- a/standins/platform/local_deployment.py
+++ b/standins/platform/local_deployment.py
@@ -9,12 +9,12 @@
 import pathlib
 
 from standins import calls, processes, serving
+from standins.platform import rig_settings
 
 HOST = "127.0.0.1"
 # A process starts in 0.5 s, but several start at once and the machine may be busy.
 READY_TIMEOUT_S = 20.0
-# Partitions of each topic of the store, as on the users' deployments.
-PARTITIONS = 8
+METRICS_TIMEOUT_S = 1.0
 
 
 class EntryInstance:
@@ -27,7 +27,8 @@
     directory : pathlib.Path
         Directory of the settings file and the output.
     settings : dict
-        Settings that are added to those of every instance, or replace them.
+        Settings that are added to those of every instance, or replace them. Those that
+        concern the platform are by default the default ones of the rig.
     profile : pathlib.Path or None
         File to which the profile of the process is written; None for no profile.
 
@@ -56,7 +57,7 @@
             "peer_port": peer_port,
             "metrics_port": self.metrics_port,
             "grace_s": 6.0,
-            "store_partitions": PARTITIONS,
+            **rig_settings.RigSettings().entry_settings,
             **settings,
         }
         path = directory / f"{name}.toml"
@@ -70,6 +71,20 @@
             name=name, arguments=arguments, directory=directory, appends_output=True
         )
 
+    def is_leading(self):
+        """Return whether its metrics show it as the controller.
+
+        One that does not answer within a second does not lead.
+        """
+        response = calls.send_request(
+            self.metrics_port, "GET", "/metrics", timeout_s=METRICS_TIMEOUT_S
+        )
+        for line in response.body.decode(errors="replace").splitlines():
+            name, _, value = line.partition(" ")
+            if name.endswith("is_leading"):
+                return float(value) == 1
+        return False
+
     def is_ready(self):
         """Return whether the load balancer's check finds the instance ready."""
         return calls.send_request(self.readiness_port, "GET", "/").status == 200
@@ -103,6 +118,9 @@
         Rows of the organisations in the first configuration; None for no organisations.
     seed : int, default=0
         Seed of the random numbers of the stand-in platform.
+    rig : rig_settings.RigSettings, optional
+        Settings of the platform, which the entry instances are told; by default the
+        default ones.
 
     Attributes
     ----------
@@ -123,9 +141,11 @@
         profile=None,
         organisations=None,
         seed=0,
+        rig=None,
     ):
+        self._rig = rig or rig_settings.RigSettings()
         self._directory = pathlib.Path(directory)
-        arguments = ["-m", "standins.platform", "--partitions", str(PARTITIONS)]
+        arguments = ["-m", "standins.platform", *self._rig.platform_arguments]
         arguments += ["--seed", str(seed)]
         for pool, count in pools.items():
             arguments += ["--pool", f"{pool}={count}"]
@@ -149,6 +169,7 @@
         for number in range(1, self._entry_count + 1):
             name = f"entry-{number}"
             settings = {key: self.addresses[key] for key in ("store", "cloud")}
+            settings |= self._rig.entry_settings
             if self._make_settings is not None:
                 settings |= self._make_settings(name, self.addresses)
             entry = EntryInstance(
--- a/tests/test_standin_executors.py
+++ b/tests/test_standin_executors.py
@@ -6,7 +6,13 @@
 import unittest
 import unittest.mock
 
-from standins.platform import executors, instances, invariants, store
+from standins.platform import (
+    executors,
+    instances,
+    invariants,
+    rig_settings,
+    store,
+)
 
 STEP = {"count": 1, "ms": 60_000, "processors": 1000, "memory": 1}
 TASK = "job.0.0.0"
@@ -80,6 +86,7 @@
         self.instances = instances.Instances(
             store=self.store,
             checker=self.checker,
+            rig=rig_settings.RigSettings(),
             pools={"p": 2},
             processors=2000,
             memory=100,
@@ -97,6 +104,15 @@
     async def _call(self, request):
         return await self.instances.handle_executor_call(self.instance, request)
 
+    async def test_requests_during_a_restart_are_carried_out_in_their_order(self):
+        """Guards against a soak in which a later call fences those that waited."""
+        self.instances.restart_executor(self.instance, dark_s=0.05, is_silent=True)
+        start = make_start(self.executor_id)
+        runs = make_request("/api/hold", self.executor_id, FencingToken=2)
+        answers = await asyncio.gather(*(self._call(r) for r in (start, runs)))
+        self.assertEqual([status for status, _ in answers], [200, 200])
+        self.assertEqual(len(answers[1][1]["Running"]), 1)
+
     async def test_request_during_a_restart_is_carried_out_by_the_new_life(self):
         """Guards against a soak in which no start reaches the life after a restart."""
         former = self.instance.executor
@@ -190,6 +206,7 @@
         self.instances = instances.Instances(
             store=self.store,
             checker=invariants.InvariantChecker(),
+            rig=rig_settings.RigSettings(),
             pools={"p": 1},
             processors=2000,
             memory=100,
