--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,9 @@
 # without other faults. The plan of seed 50 restarts eight executors twice, unnoticed,
 # and then cuts them off for longer than a lease.
 RESTART_FAULT_PHASES_S = {50: 22.0}
+# The same for runs in which the controller ends while executors are down. Seed 601
+# breaks an invariant if a successor takes all starts for answered (review case 11).
+TAKEOVER_FAULT_PHASES_S = {601: 20.0}
 # Enough callers that starts are on their way to an executor as it restarts.
 RESTART_CALLER_COUNT = 10
 SPEC = {"steps": [{"count": 1}, {"count": 1, "after": [0]}]}
@@ -73,6 +76,21 @@
                     caller_count=RESTART_CALLER_COUNT,
                 )
 
+    def test_no_invariant_is_violated_by_takeovers(self):
+        """Guards against a start of a former controller that runs beside a later one.
+
+        Review case 11: it waits at an executor that is down as the controller ends.
+        """
+        for seed, seconds in TAKEOVER_FAULT_PHASES_S.items():
+            with self.subTest(seed=seed):
+                self._check_run(
+                    seed,
+                    seconds,
+                    LOG_DIRECTORY / f"takeovers-seed-{seed}",
+                    has_takeovers=True,
+                    caller_count=RESTART_CALLER_COUNT,
+                )
+
 
 class PlanTest(unittest.TestCase):
     """Fault plans drawn from seeds."""
@@ -102,6 +120,29 @@
         kinds = {text.split()[1] for text in draw_texts(3)}
         self.assertEqual(kinds, {"malformed_entry", "drain_executor"})
 
+    def test_controller_ends_while_executors_are_down(self):
+        """Guards against takeovers that meet no start under way."""
+        instances = [f"m{n}" for n in range(1, 10)]
+
+        def draw(seed):
+            return plan.draw_takeovers(seed, seconds=60.0, instances=instances)
+
+        def draw_texts(seed):
+            return [str(fault) for fault in draw(seed)]
+
+        self.assertEqual(draw_texts(3), draw_texts(3))
+        self.assertNotEqual(draw_texts(3), draw_texts(4))
+        outages = [f for f in draw(3) if f.kind == "restart_dark_executor"]
+        ends = [f for f in draw(3) if f.kind.endswith("_controller")]
+        self.assertEqual(len(outages), 3 * len(ends))
+        for fault in ends:
+            down = [
+                other
+                for other in outages
+                if other.start_s <= fault.start_s <= other.start_s + other.duration_s
+            ]
+            self.assertEqual(len(down), 3, str(fault))
+
     def test_same_seed_gives_the_same_restarts(self):
         """Guards against a restart behind a partition that cannot be reproduced."""
         instances = [f"m{n}" for n in range(1, 10)]
