--- a/soak/plan.py
+++ b/soak/plan.py
@@ -81,6 +81,17 @@
         )
 
 
+def _draw_starts(generator, seconds, interval_range_s, *, first_range_s=None):
+    """Yield the times at which faults of a kind start.
+
+    Each interval is drawn after the faults of the time before it.
+    """
+    start_s = generator.uniform(*(first_range_s or interval_range_s))
+    while start_s < seconds:
+        yield start_s
+        start_s += generator.uniform(*interval_range_s)
+
+
 def draw_faults(seed, *, seconds, entries, instances):
     """Return the faults of a run, ordered by their start.
 
@@ -95,10 +106,8 @@
     """
     generator = random.Random(seed)
     faults = []
-    start_s = generator.uniform(*START_INTERVAL_RANGE_S)
-    while start_s < seconds:
+    for start_s in _draw_starts(generator, seconds, START_INTERVAL_RANGE_S):
         faults.append(_draw_fault(generator, start_s, seconds, entries, instances))
-        start_s += generator.uniform(*START_INTERVAL_RANGE_S)
     faults += _draw_shrinkings(seed, seconds, instances)
     return sorted(faults, key=lambda fault: fault.start_s)
 
@@ -110,8 +119,7 @@
     """
     generator = random.Random(f"shrinkings {seed}")
     faults = []
-    start_s = generator.uniform(*SHRINKING_INTERVAL_RANGE_S)
-    while start_s < seconds:
+    for start_s in _draw_starts(generator, seconds, SHRINKING_INTERVAL_RANGE_S):
         fault = Fault(
             start_s=start_s,
             kind="shrink_executor",
@@ -119,7 +127,6 @@
             target=generator.choice(instances),
         )
         faults.append(fault)
-        start_s += generator.uniform(*SHRINKING_INTERVAL_RANGE_S)
     return faults
 
 
@@ -139,8 +146,7 @@
     """
     generator = random.Random(f"entries {seed}")
     faults = []
-    start_s = generator.uniform(*ENTRY_INTERVAL_RANGE_S)
-    while start_s < seconds:
+    for start_s in _draw_starts(generator, seconds, ENTRY_INTERVAL_RANGE_S):
         fault = Fault(
             start_s=start_s,
             kind=generator.choice(("malformed_entry", "drain_executor")),
@@ -149,7 +155,6 @@
             detail=str(generator.randrange(1_000_000)),
         )
         faults.append(fault)
-        start_s += generator.uniform(*ENTRY_INTERVAL_RANGE_S)
     return faults
 
 
@@ -181,8 +186,7 @@
         )
         faults.append(fault)
 
-    start_s = generator.uniform(*RESTART_INTERVAL_RANGE_S)
-    while start_s < seconds:
+    for start_s in _draw_starts(generator, seconds, RESTART_INTERVAL_RANGE_S):
         count = 1
         if generator.random() < MANY_RESTARTS_PROBABILITY:
             count = max(1, len(instances) // 3)
@@ -198,7 +202,6 @@
             delay_s = generator.uniform(*KILL_DELAY_RANGE_S)
             duration_s = generator.uniform(*DURATION_RANGE_S)
             add("kill_entry", start_s + delay_s, duration_s, generator.choice(entries))
-        start_s += generator.uniform(*RESTART_INTERVAL_RANGE_S)
     return faults
 
 
@@ -218,8 +221,12 @@
     """
     generator = random.Random(f"takeovers {seed}")
     faults = []
-    start_s = generator.uniform(*RESTART_INTERVAL_RANGE_S)
-    while start_s < seconds:
+    for start_s in _draw_starts(
+        generator,
+        seconds,
+        TAKEOVER_INTERVAL_RANGE_S,
+        first_range_s=RESTART_INTERVAL_RANGE_S,
+    ):
         down_s = min(generator.uniform(*DOWN_DURATION_RANGE_S), seconds - start_s)
         for target in generator.sample(instances, max(1, len(instances) // 3)):
             fault = Fault(
@@ -238,7 +245,6 @@
             duration_s=min(controller_down_s, seconds - end_s),
         )
         faults.append(fault)
-        start_s += generator.uniform(*TAKEOVER_INTERVAL_RANGE_S)
     return faults
 
 
@@ -260,8 +266,7 @@
     """
     generator = random.Random(f"late calls {seed}")
     faults = []
-    start_s = generator.uniform(*LATE_CALLS_INTERVAL_RANGE_S)
-    while start_s < seconds:
+    for start_s in _draw_starts(generator, seconds, LATE_CALLS_INTERVAL_RANGE_S):
         duration_s = generator.uniform(*LATE_CALLS_DURATION_RANGE_S)
         fault = Fault(
             start_s=start_s,
@@ -271,7 +276,6 @@
             detail=lives,
         )
         faults.append(fault)
-        start_s += generator.uniform(*LATE_CALLS_INTERVAL_RANGE_S)
     return faults
 
 
