Keep each job's own limit, and a maintenance order beside an own move

Found by reading the change again; neither was seen with the programs.

The need for tickets is a fact of its own now, and each job keeps the limit that was stored with it.

An own move of an instance took the maintenance order of an earlier controller out of the stored record before the platform refused that order, so that a second successor would not have counted it. It stays until the own order is accepted.

Both tests fail without the change. One property replaces a count that had the name of another one.

--- a/cranberryport/control/controller.py
+++ b/cranberryport/control/controller.py
@@ -570,7 +570,7 @@
                 "epoch": self._epoch,
                 "jobs": len(self._scheduler.jobs),
                 "open": len(self._scheduler.open_jobs),
-                "unanswered_starts": self._scheduler.unanswered_start_count,
+                "unanswered_starts": len(self._scheduler.unanswered_starts),
                 "taken_s": round(taken_s, 3),
             },
         )
--- a/cranberryport/control/instance_manager.py
+++ b/cranberryport/control/instance_manager.py
@@ -213,8 +213,8 @@
         self._order_times = {}
         # Unix times of earlier controllers' orders that had no response.
         self._inherited_unanswered = {}
-        # Unix times of earlier controllers' maintenance orders that had no response,
-        # and monotonic times until which they may be carried out, by instance.
+        # Monotonic times until which maintenance orders of earlier controllers that had
+        # no response may be carried out, by instance.
         self._inherited_maintenance = {}
         self._rebalancer = rebalancing.PoolRebalancer(moves_per_s=settings.orders_per_s)
         self._instances = {}
@@ -280,8 +280,9 @@
             if wait_s > waited_s:
                 self._order_not_before[instance_id] = now + wait_s - waited_s
             if instance_id in maintenance and waited_s < ORDER_LIFETIME_S:
-                ends_at = now + ORDER_LIFETIME_S - waited_s
-                self._inherited_maintenance[instance_id] = (sent_at, ends_at)
+                self._inherited_maintenance[instance_id] = (
+                    now + ORDER_LIFETIME_S - waited_s
+                )
         self._order_times = dict(sent)
         self._inherited_unanswered = {
             instance_id: sent[instance_id]
@@ -554,11 +555,7 @@
             maintenance_s=self._settings.upkeep_s,
             now=now,
             is_fleet_short=self._is_fleet_short,
-            possibly_ordered={
-                instance_id
-                for instance_id, (_, ends_at) in self._inherited_maintenance.items()
-                if now < ends_at
-            },
+            possibly_ordered=self._inherited_maintenance_orders(now),
         )
         for instance_id in chosen:
             instance = self._instances[instance_id]
@@ -605,7 +602,7 @@
         self._save_order_times(lambda: self._send_order(instance_id, order))
 
     def _save_order_times(self, callback):
-        """Store the last orders; without a callback, with the next append."""
+        """Store the last orders; without a callback they may wait for an append."""
         unanswered = {
             instance_id: sent_at
             for instance_id, sent_at in self._order_times.items()
@@ -615,20 +612,29 @@
                 and not self._orders[instance_id].is_accepted
             )
         }
+        possibly_ordered = self._inherited_maintenance_orders(time.monotonic())
+        possibly_ordered |= {
+            instance_id
+            for instance_id, order in self._orders.items()
+            if order.wave is not None and not order.is_accepted
+        }
         maintenance = {
             instance_id: sent_at
             for instance_id, sent_at in self._order_times.items()
-            if self._is_maintenance_possible(instance_id, sent_at)
+            if instance_id in possibly_ordered
         }
         self._save_orders(self._order_times, unanswered, maintenance, callback)
 
-    def _is_maintenance_possible(self, instance_id, sent_at):
-        """Return whether the last order may start a maintenance later."""
-        order = self._orders.get(instance_id)
-        if order is not None:
-            return order.wave is not None and not order.is_accepted
-        inherited = self._inherited_maintenance.get(instance_id)
-        return inherited is not None and inherited[0] == sent_at
+    def _inherited_maintenance_orders(self, now):
+        """Return the instances whose maintenance an earlier controller may yet start.
+
+        An own order for the instance ends that only once it is accepted.
+        """
+        return {
+            instance_id
+            for instance_id, ends_at in self._inherited_maintenance.items()
+            if now < ends_at
+        }
 
     def _retry_order(self, instance_id, order):
         if self._is_stopped or self._orders.get(instance_id) is not order:
--- a/cranberryport/scheduling/run_logs.py
+++ b/cranberryport/scheduling/run_logs.py
@@ -80,9 +80,9 @@
 
     Returns
     -------
-    {'restored', 'restored unanswered', 'listed', 'unanswered', 'confirmed', 'sent', \
-    'not sent'}
-        ``restored`` if a previous controller started it and no list has shown it yet,
+    str
+        ``not sent``, or ``sent`` if nothing else is known of it. ``restored`` if a
+        previous controller started it and no list has shown it yet,
         ``restored unanswered`` if an attempt of that controller may have had no answer,
         ``listed`` if the executor's present life has listed it, ``unanswered`` if an
         attempt to send the start had no answer, and ``confirmed`` if all had one. The
--- a/cranberryport/scheduling/scheduler.py
+++ b/cranberryport/scheduling/scheduler.py
@@ -159,6 +159,8 @@
         self._open_jobs = {}
         self._executors = {}
         self._queues = {}
+        # Names of queues that are not configured and whose tasks need tickets.
+        self._queues_with_tickets = set()
         self._organisations = {}
         self._limit_overshoot = 0.0
         self._changed_jobs = {}
@@ -231,9 +233,9 @@
         return self._limit_overshoot
 
     @property
-    def unanswered_start_count(self):
-        """Number of runs whose start may still be carried out."""
-        return len(self._unanswered_starts)
+    def unanswered_starts(self):
+        """Runs whose start may still be carried out, see :mod:`unanswered_starts`."""
+        return self._unanswered_starts
 
     @property
     def restored_runs(self):
@@ -251,10 +253,21 @@
     def set_queues(self, queues):
         """Update the rules by a configuration; queues missing there keep theirs."""
         self._queues.update(queues)
+        self._queues_with_tickets.difference_update(queues)
 
     def queue_rules(self, job):
         """Return the rules of a job's queue, or defaults if the queue is not known."""
-        return self._queues.get(job.queue) or _default_rules(job)
+        rules = self._queues.get(job.queue)
+        if rules is None:
+            needs_tickets = job.queue in self._queues_with_tickets
+            rules = ordering.QueueRules(
+                name=job.queue,
+                service=job.service,
+                failed_runs_limit=job.failed_runs_limit
+                or UNKNOWN_QUEUE_FAILED_RUNS_LIMIT,
+                advice_times=UNKNOWN_QUEUE_ADVICE_TIMES_S if needs_tickets else None,
+            )
+        return rules
 
     # Jobs
 
@@ -1027,7 +1040,7 @@
             executor.backoff_until = now + UNHEALTHY_DELAY_S
         if executor is not None and reason == "ticket":
             executor.tickets = {}
-        if reason == "ticket" and run.task.job.queue not in self._queues:
+        if reason == "ticket":
             self._require_tickets(run.task.job)
         if run.has_unanswered_start:
             # A list of runs that is requested after the start has expired decides.
@@ -1037,17 +1050,17 @@
         self._remove_run(run)
 
     def _require_tickets(self, job):
-        """Record that the tasks of a queue that is not configured need tickets.
+        """Record that a queue needs tickets, unless its rules are known.
 
         Only a controller that has read a configuration with the queue knows its rules.
         """
+        if job.queue in self._queues or job.queue in self._queues_with_tickets:
+            return
         _logger.info(
             "queue that is not configured needs tickets",
             extra={"request": job.id, "queue": job.queue, "pool": job.service},
         )
-        self._queues[job.queue] = _default_rules(
-            job, advice_times=UNKNOWN_QUEUE_ADVICE_TIMES_S
-        )
+        self._queues_with_tickets.add(job.queue)
 
     def on_stop_confirmed(self, run, now):
         """Record that an executor has confirmed a stop; the end is listed later.
@@ -1525,16 +1538,6 @@
         )
 
 
-def _default_rules(job, *, advice_times=None):
-    """Return the rules of a job's queue if it is not configured."""
-    return ordering.QueueRules(
-        name=job.queue,
-        service=job.service,
-        failed_runs_limit=job.failed_runs_limit or UNKNOWN_QUEUE_FAILED_RUNS_LIMIT,
-        advice_times=advice_times,
-    )
-
-
 def _is_index(text):
     # Longer numbers come from no task of this program.
     return text.isdecimal() and len(text) < 10
--- a/tests/test_control_instance_manager.py
+++ b/tests/test_control_instance_manager.py
@@ -194,6 +194,25 @@
         self.client.orders[-1][4](machines.OrderResult(is_accepted=True, reason=""))
         self.assertEqual(self.maintenance[-1], {"m1"})
 
+    def test_own_move_does_not_hide_a_maintenance_order_of_another_controller(self):
+        """Guards against a second successor that does not count the late order.
+
+        Until the move is accepted the platform does not refuse the earlier order.
+        """
+        now = time.time()
+        self.manager.restore_orders({"m1": now}, (), now, maintenance={"m1"})
+        order = instance_manager._Order(
+            target_pool="pool", wave=None, previous_executor="", sent_at=0.0
+        )
+        self.manager._orders["m1"] = order
+        self.manager._store_and_send("m1", order)
+        self.assertEqual(self.maintenance[-1], {"m1"})
+        order.was_sent = True
+        self.manager._on_order_result(
+            "m1", order, machines.OrderResult(is_accepted=True, reason="")
+        )
+        self.assertEqual(self.maintenance[-1], set())
+
     def test_stepped_clock_does_not_shorten_the_wait(self):
         """Guards against orders of two controllers while a clock is seconds off."""
         self.has_clock_stepped = True
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -434,6 +434,23 @@
         (run,) = harness.plan().planned_runs
         self.assertEqual(run.ticket, "t")
 
+    def test_job_of_a_queue_that_turns_out_to_need_tickets_keeps_its_own_limit(self):
+        """Guards against the limit of failed runs of another job of the queue."""
+        harness = scheduling.SchedulerHarness(count=1)
+        harness.scheduler._queues.clear()
+        first = harness.add_job(scheduling.make_job(failed_runs_limit=2))
+        other = scheduling.make_job(job="b" * 16, failed_runs_limit=5)
+        (run,) = harness.scheduler.commit(harness.plan(), harness.now)
+        harness.scheduler.on_start_refused(run, "ticket", harness.now)
+        limits = [
+            harness.scheduler.queue_rules(job).failed_runs_limit
+            for job in (first, other)
+        ]
+        self.assertEqual(limits, [2, 5])
+        configured = ordering.QueueRules(name="queue", service="pool")
+        harness.scheduler.set_queues({"queue": configured})
+        self.assertIs(harness.scheduler.queue_rules(other), configured)
+
     def test_no_advice_is_requested_on_an_excluded_executor(self):
         """Guards against useless calls of the advice service."""
         harness, job = self._make_harness()
