Use the test server of the project; show which controller a soak fault has ended

The plan of a soak run is written again at its end, as only then the target of a fault that ends the controller is known, or that there was none.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -85,9 +85,7 @@
         self._caller_count = caller_count
         self._restarts = restarts
         self._has_takeovers = has_takeovers
-        self._has_other_faults = restarts != "only" and not has_takeovers
-        if restarts == "too":
-            self._has_other_faults = True
+        self._has_other_faults = restarts == "too" or not has_restarts
         self._long_task_probability = LONG_TASK_PROBABILITY * has_restarts
         self._late_calls = late_calls
         self._recovery_timeout_s = RECOVERY_TIMEOUT_S
@@ -179,9 +177,7 @@
             self.planned_faults += organisations.draw_changes(
                 self._seed, seconds=self._seconds, entries=entries
             )
-        (self._directory / "plan").write_text(
-            "".join(f"{f}\n" for f in self.planned_faults)
-        )
+        self._write_plan()
         injector = faults.Injector(
             deployment=self._deployment,
             proxy_thread=self._proxy_thread,
@@ -209,6 +205,12 @@
             caller.start()
         faults.inject(self.planned_faults, injector.begin)
         injector.end_all_faults()
+        # Which instance was the controller is known only now.
+        self._write_plan()
+
+    def _write_plan(self):
+        lines = "".join(f"{fault}\n" for fault in self.planned_faults)
+        (self._directory / "plan").write_text(lines)
 
     def _check_final_state(self):
         for caller in self._callers:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -128,11 +128,11 @@
         return self._end_controller(fault, self.terminate_entry)
 
     def _end_controller(self, fault, end_entry):
-        running = [e for e in self._entries.values() if e.process.is_running]
-        for entry in running:
-            if entry.is_leading():
+        for entry in self._entries.values():
+            if entry.process.is_running and entry.is_leading():
                 fault.target = entry.name
                 return end_entry(fault)
+        fault.detail = "no controller"
         return _end_nothing
 
     def freeze_entry(self, fault):
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -1,6 +1,5 @@
 """Tests of :mod:`cranberryport.http.connection_pool`."""
 
-import socket
 import threading
 import unittest
 
@@ -15,53 +14,6 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-class SilenceableServer:
-    """Server whose open connections can go silent, while new ones work."""
-
-    def __init__(self):
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self._listener.getsockname()[1]
-        self._silent = set()
-        self.accepted = []
-        # The first requests are answered together, so that each has a connection.
-        self._have_all_arrived = threading.Barrier(CONNECTION_COUNT)
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def silence(self):
-        """Answer nothing more on the connections that are open now."""
-        self._silent.update(self.accepted)
-
-    def close(self):
-        """Close all sockets."""
-        self._listener.close()
-        for sock in self.accepted:
-            sock.close()
-
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            sock.settimeout(HANG_LIMIT_S)
-            self.accepted.append(sock)
-            is_first = len(self.accepted) <= CONNECTION_COUNT
-            threading.Thread(
-                target=self._serve, args=(sock, is_first), daemon=True
-            ).start()
-
-    def _serve(self, sock, is_first):
-        try:
-            while sock.recv(65536):
-                if is_first:
-                    self._have_all_arrived.wait(HANG_LIMIT_S)
-                    is_first = False
-                if sock not in self._silent:
-                    sock.sendall(OK)
-        except OSError:
-            return
-
-
 class SilentConnectionsTest(unittest.TestCase):
     """Idle connections that have gone silent for good."""
 
@@ -73,13 +25,27 @@
         self.pool = self.loop.add(
             connection_pool.ConnectionPool(client=client, name="test")
         )
-        self.server = SilenceableServer()
+        # The first requests are answered together, so that each has a connection.
+        self.have_all_arrived = threading.Barrier(CONNECTION_COUNT)
+        # The server has a thread for each connection.
+        self.threads, self.silent_threads = set(), set()
+        self.server = support.HttpServer(self._respond)
         self.addCleanup(self.server.close)
         self.results = []
         for _ in range(CONNECTION_COUNT):
             self._send(HANG_LIMIT_S)
         self.loop.run_until(lambda: len(self.results) == CONNECTION_COUNT)
 
+    def _respond(self, head, body):
+        thread = threading.current_thread()
+        if thread in self.silent_threads:
+            return b""
+        is_first = len(self.server.heads) <= CONNECTION_COUNT
+        if is_first and thread not in self.threads:
+            self.threads.add(thread)
+            self.have_all_arrived.wait(HANG_LIMIT_S)
+        return OK
+
     def _send(self, timeout_s):
         self.pool.send(
             ("127.0.0.1", self.server.port),
@@ -100,7 +66,7 @@
 
         Review case 14: each further idle connection cost another time-out.
         """
-        self.server.silence()
+        self.silent_threads |= self.threads
         self.assertEqual(self._exchange(SILENCE_S).reason, "timeout")
         self.assertEqual(self._exchange(SILENCE_S).status, 200)
-        self.assertEqual(len(self.server.accepted), CONNECTION_COUNT + 1)
+        self.assertEqual(self.server.connection_count, CONNECTION_COUNT + 1)
