Cut off a controller only in a settled group

Cause: the test reads the metrics of the entry instances twice, and the role can move between the readings, as members still join. Its own comment said so. A trial with the role moved on purpose shows the gap at each of 8 changes: a reading with one controller is followed by one with none, 2 to 69 of 225 to 306 readings in a second show none.

What it asks of the program is unchanged.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -86,6 +86,24 @@
             in calls.send_request(entry.metrics_port, "GET", "/metrics").body
         }
 
+    def _wait_until_group_is_settled(self):
+        # While instances join, the role may move, or stay where it is at a rebalance.
+        calls.wait_until(
+            lambda: self.deployment.findings()["settled_members"] == self.entry_count,
+            TIMEOUT_S,
+            "all entry instances have joined",
+        )
+
+    def _wait_for_controller(self):
+        """Return the name of the only controller of a group that is settled."""
+        self._wait_until_group_is_settled()
+        names = calls.wait_until(
+            lambda: len(names := self._find_controllers()) == 1 and names,
+            TIMEOUT_S,
+            "one has the role",
+        )
+        return names.pop()
+
     def _cut_controller_off(self):
         """Cut the controller off from the store, and let its successor load slowly.
 
@@ -94,11 +112,7 @@
         soak.proxy.Proxy
             Proxy between the predecessor and the store.
         """
-        # The role may move once more while the last entry instances join.
-        calls.wait_until(
-            lambda: len(self._find_controllers()) == 1, TIMEOUT_S, "one has the role"
-        )
-        (name,) = self._find_controllers()
+        name = self._wait_for_controller()
         self.proxy_thread.set_mode(self.proxies[name], proxy.SILENT)
         # The successor gets its role, but is not ready before the next change.
         self.deployment.send_order("store", delay_s=0.5)
@@ -142,23 +156,11 @@
 
         A process that is told to end exits 2.2 s later if it has no open requests.
         """
-        self._wait_until_group_is_settled()
-        calls.wait_until(
-            lambda: len(self._find_controllers()) == 1, TIMEOUT_S, "one has the role"
-        )
-        (name,) = self._find_controllers()
+        name = self._wait_for_controller()
         (entry,) = (e for e in self.deployment.entries if e.name == name)
         self._check_runs_outlast_outage_at_a_takeover(entry.process.request_termination)
         self.assertEqual(entry.process.return_code, 0)
 
-    def _wait_until_group_is_settled(self):
-        # While instances join, a further rebalance can leave the role where it is.
-        calls.wait_until(
-            lambda: self.deployment.findings()["settled_members"] == self.entry_count,
-            TIMEOUT_S,
-            "all entry instances have joined",
-        )
-
     def _check_runs_outlast_outage_at_a_takeover(self, change_controller):
         self._wait_until_group_is_settled()
         self.assertEqual(self._count_lasting_runs(), LASTING_TASK_COUNT)
