Convict a task only by crashes at the start of a run

The job ends as failed, and its other tasks, at work on sound executors, are stopped.

Cause: two crashes on different hosts give a task up if its job was the only suspect. A crash counted so although the run had lasted for up to 2 s: where no run was unproven, the only young one was convicted, and the suspect of an earlier crash is unproven for twice its age then.

Change: a crash convicts only runs younger than PROVEN_AGE_S. Later crashes still make suspects, and still count to the limit of five.

--- a/cranberryport/scheduling/crashes.py
+++ b/cranberryport/scheduling/crashes.py
@@ -20,8 +20,8 @@
 CRASH_AGE_FACTOR = 2.0
 # No task is given up after fewer certain crashes (platform's rules).
 CERTAIN_CRASHES_MINIMUM = 2
-# A task is given up once its job was the only suspect of this many crashes on different
-# hosts. One such crash may be a coincidence.
+# A task is given up once its job was the only suspect of this many crashes at the start
+# of a run, on different hosts. One such crash may be a coincidence.
 SOLE_CRASHES_LIMIT = 2
 # A task is also given up after this many crashes, as the platform's rules allow two
 # more starts after three crashes.
@@ -42,7 +42,8 @@
     longest_age_s : float
         Longest age of its runs at these crashes in seconds.
     sole_crash_hosts : iterable of str
-        Hosts of the executors for whose crash only tasks of its job were suspected.
+        Hosts of the executors that crashed at the start of a run of the task while only
+        tasks of its job were suspected.
 
     Attributes
     ----------
@@ -206,12 +207,8 @@
                 self._histories[run] = self._count(run)
             history = self._histories[run]
             history.is_suspect |= run in suspects or history.crash_count > 1
-        if (
-            self.is_certain
-            and not self.open_runs
-            and _is_attributed(suspects, self._unproven)
-        ):
-            self._convict(suspects)
+        if self.is_certain and not self.open_runs and self._has_sole_suspect_job():
+            self._convict()
         return [
             run.task
             for run in counted
@@ -231,27 +228,24 @@
         history.waits_since = None
         return history
 
-    def _convict(self, suspects):
-        for run in suspects:
+    def _has_sole_suspect_job(self):
+        return len({run.task.job.id for run in self._unproven}) == 1
+
+    def _convict(self):
+        for run in self._unproven:
             history = self._histories.get(run, run.task.crash_history)
             # A start without an answer may never have arrived. Another crash on the
-            # same host may be a fault of that host.
+            # same host may be a fault of that host. After the start of a run a crash
+            # is more often a coincidence.
             if (
                 run in self._confirmed
+                and self._ages_s[run] < PROVEN_AGE_S
                 and history is not None
                 and self._host not in history.sole_crash_hosts
             ):
                 history.sole_crash_hosts.append(self._host)
 
 
-def _is_attributed(suspects, unproven):
-    """Return whether a crash is held against its suspects, tasks of one job."""
-    if not unproven:
-        # Long after the last start a crash is more often a coincidence.
-        return len(suspects) == 1
-    return len({run.task.job.id for run in unproven}) == 1
-
-
 def _was_delivered(run):
     """Return whether the start of a run may have reached the life that has crashed."""
     if run.state == model.PLANNED or run.counts_in_crash:
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -68,6 +68,35 @@
         self._record_crash_alone(task, 0.01, host="127.1.0.2")
         self.assertTrue(task.crash_history.is_limit_reached)
 
+    def test_crashes_after_the_start_do_not_convict_a_task_at_once(self):
+        """Guards against a sound job that fails by two unrelated crashes.
+
+        Review case 12: the task was alone on both executors, for a second each.
+        """
+        task = scheduling.first_task(self.guilty)
+        for number in range(crashes.CRASHES_LIMIT - 1):
+            self._record_crash_alone(task, 1.0, host=f"127.1.0.{number}")
+            self.assertFalse(task.crash_history.is_limit_reached)
+        self._record_crash_alone(task, 1.0, host="127.1.0.9")
+        self.assertTrue(task.crash_history.is_limit_reached)
+
+    def test_two_crashes_stop_no_other_task_of_a_serving_job(self):
+        """Guards against sound tasks that are stopped as executors crash by chance."""
+        harness = scheduling.CrashHarness(count=8)
+        step = scheduling.make_step(3, is_lasting=True, spread=1)
+        (job,) = scheduling.make_jobs(harness, 1, step)
+        for _ in range(2):
+            while not scheduling.first_task(job).runs:
+                harness.start()
+                harness.list_all(0.2)
+            harness.start()
+            harness.list_all(1.0)
+            harness.crash(harness.executor_of(scheduling.first_task(job)))
+        harness.process()
+        self.assertEqual(job.state, model.ACTIVE)
+        states = {run.state for task in job.tasks() for run in task.runs}
+        self.assertEqual(states, {model.RUNNING})
+
     def test_task_is_not_given_up_for_executors_that_may_have_left(self):
         """Guards against jobs that fail without a crash."""
         task = scheduling.first_task(self.guilty)
