--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -654,7 +654,7 @@
 class RandomRestartDayTest(unittest.TestCase):
     """Crashing tasks among others on executors that restart under their ids."""
 
-    def _play(self, seed):
+    def _play(self, seed, crash_probability=RANDOM_CRASH_PROBABILITY):
         generator = random.Random(seed)
         harness = scheduling.CrashHarness(
             count=generator.randint(3, 8), processors=8000
@@ -675,17 +675,16 @@
                 break
             started = executors.start()
             harness.now += 0.02
-            executors.crash_some(started, RANDOM_CRASH_PROBABILITY)
+            executors.crash_some(started, crash_probability)
             harness.now += 0.05
             executors.list_all()
             harness.process()
         return jobs, guilty, executors.crash_counts
 
-    def test_only_crashing_tasks_are_given_up_and_in_time(self):
-        """Guards against limits that restarts defeat, or that restarts exceed."""
+    def _check_days(self, **values):
         for seed in range(100):
             with self.subTest(seed=seed):
-                jobs, guilty, crash_counts = self._play(seed)
+                jobs, guilty, crash_counts = self._play(seed, **values)
                 expected = {
                     job.id: model.FAILED
                     if any(name.startswith(job.id) for name in guilty)
@@ -698,3 +697,13 @@
                     max(crash_counts.values(), default=0),
                     3 + STARTS_AFTER_THREE_CRASHES,
                 )
+
+    def test_only_crashing_tasks_are_given_up_and_in_time(self):
+        """Guards against limits that restarts defeat, or that restarts exceed."""
+        self._check_days()
+
+    def test_many_unrelated_crashes_give_up_no_sound_job(self):
+        """Guards against crashes that convict by coincidence as they come often."""
+        for probability in (0.03, 0.05):
+            with self.subTest(probability=probability):
+                self._check_days(crash_probability=probability)
