--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -481,24 +481,37 @@
         self.assertEqual((history.crash_count, history.sole_crash_hosts), (1, []))
 
 
+def _draw_jobs(generator):
+    """Return a harness, its jobs, and the names of the tasks that crash executors."""
+    harness = scheduling.CrashHarness(count=generator.randint(3, 8), processors=8000)
+    jobs = scheduling.make_jobs(
+        harness,
+        12,
+        scheduling.make_step(3),
+        scheduling.make_step(2, depends_on=(0,)),
+    )
+    guilty = {
+        generator.choice(list(job.tasks())).name for job in generator.sample(jobs, 3)
+    }
+    return harness, jobs, guilty
+
+
+def _expected_states(jobs, guilty):
+    """Return the final state by id of the job: only guilty tasks fail their jobs."""
+    return {
+        job.id: model.FAILED
+        if any(name.startswith(job.id) for name in guilty)
+        else model.COMPLETED
+        for job in jobs
+    }
+
+
 class RandomDayTest(unittest.TestCase):
     """Crashing tasks among others, with executors that crash for other reasons."""
 
     def _play(self, seed):
         generator = random.Random(seed)
-        harness = scheduling.CrashHarness(
-            count=generator.randint(3, 8), processors=8000
-        )
-        jobs = scheduling.make_jobs(
-            harness,
-            12,
-            scheduling.make_step(3),
-            scheduling.make_step(2, depends_on=(0,)),
-        )
-        guilty = {
-            generator.choice(list(job.tasks())).name
-            for job in generator.sample(jobs, 3)
-        }
+        harness, jobs, guilty = _draw_jobs(generator)
         crash_counts, late_starts = {}, {}
         for _ in range(400):
             if all(job.has_ended for job in jobs):
@@ -542,13 +555,8 @@
         for seed in range(60):
             with self.subTest(seed=seed):
                 jobs, guilty, late_starts = self._play(seed)
-                expected = {
-                    job.id: model.FAILED
-                    if any(name.startswith(job.id) for name in guilty)
-                    else model.COMPLETED
-                    for job in jobs
-                }
-                self.assertEqual({job.id: job.state for job in jobs}, expected)
+                states = {job.id: job.state for job in jobs}
+                self.assertEqual(states, _expected_states(jobs, guilty))
                 self.assertLessEqual(
                     max(late_starts.values(), default=0), STARTS_AFTER_THREE_CRASHES
                 )
@@ -656,19 +664,7 @@
 
     def _play(self, seed, crash_probability=RANDOM_CRASH_PROBABILITY):
         generator = random.Random(seed)
-        harness = scheduling.CrashHarness(
-            count=generator.randint(3, 8), processors=8000
-        )
-        jobs = scheduling.make_jobs(
-            harness,
-            12,
-            scheduling.make_step(3),
-            scheduling.make_step(2, depends_on=(0,)),
-        )
-        guilty = {
-            generator.choice(list(job.tasks())).name
-            for job in generator.sample(jobs, 3)
-        }
+        harness, jobs, guilty = _draw_jobs(generator)
         executors = RestartingExecutors(harness, generator, guilty)
         for _ in range(1000):
             if all(job.has_ended for job in jobs):
@@ -685,13 +681,8 @@
         for seed in range(100):
             with self.subTest(seed=seed):
                 jobs, guilty, crash_counts = self._play(seed, **values)
-                expected = {
-                    job.id: model.FAILED
-                    if any(name.startswith(job.id) for name in guilty)
-                    else model.COMPLETED
-                    for job in jobs
-                }
-                self.assertEqual({job.id: job.state for job in jobs}, expected)
+                states = {job.id: job.state for job in jobs}
+                self.assertEqual(states, _expected_states(jobs, guilty))
                 # Starts that never arrive are none.
                 self.assertLessEqual(
                     max(crash_counts.values(), default=0),
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -79,12 +79,7 @@
 
     def _find_controllers(self):
         """Return the names of the entry instances that have the controller role."""
-        return {
-            entry.name
-            for entry in self.deployment.entries
-            if b"controller.is_leading 1\n"
-            in calls.send_request(entry.metrics_port, "GET", "/metrics").body
-        }
+        return {e.name for e in self.deployment.entries if e.is_leading()}
 
     def _wait_until_group_is_settled(self):
         # While instances join, the role may move, or stay where it is at a rebalance.
